--- /dev/null
+++ b/src/cli.ts
@@ -0,0 +1,109 @@
+#!/usr/bin/env node
+/** The command-line tool. docs/OPERATING.md describes the commands and their exit codes. */
+import yargs from "yargs";
+import type { Argv } from "yargs";
+import { hideBin } from "yargs/helpers";
+import {
+    checkContractFile,
+    diffContract,
+    exitCodes,
+    listContracts,
+    publishContractFile,
+    releaseQuarantine,
+    retireSlot,
+    showAudit,
+    showContract,
+    showHistory,
+    showStatus,
+} from "./process/commands.js";
+import type { ToolOptions } from "./process/commands.js";
+
+/** Runs a command and ends the process with its exit code. */
+function runCommand<Arguments extends ToolOptions>(command: (words: Arguments) => Promise<number>) {
+    return async (words: Arguments): Promise<void> => {
+        process.exitCode = await command(words);
+    };
+}
+
+function addContractCommands(tool: Argv<ToolOptions>): Argv<ToolOptions> {
+    const file = { type: "string", demandOption: true, describe: "contract in TOML" } as const;
+    const customer = { type: "string", demandOption: true, describe: "customer" } as const;
+    return tool
+        .command(
+            "publish <file>",
+            "publish a contract",
+            words =>
+                words.positional("file", file)
+                    .option("base", {
+                        type: "number",
+                        describe: "version that this contract is based on (default: in force)",
+                    })
+                    .option("operator", {
+                        type: "string",
+                        default: process.env["USER"] ?? "operator",
+                        describe: "who publishes",
+                    }),
+            runCommand(publishContractFile),
+        )
+        .command(
+            "check <file>",
+            "check a contract without publishing it",
+            words => words.positional("file", file),
+            runCommand(checkContractFile),
+        )
+        .command(
+            "show <customer>",
+            "show the contract in force",
+            words => words.positional("customer", customer),
+            runCommand(showContract),
+        )
+        .command("list", "list the contracts in force", words => words, runCommand(listContracts))
+        .command(
+            "diff <file>",
+            "compare a contract with the one in force",
+            words => words.positional("file", file),
+            runCommand(diffContract),
+        )
+        .command(
+            "history <customer>",
+            "list the publications that the log still keeps",
+            words => words.positional("customer", customer),
+            runCommand(showHistory),
+        )
+        .demandCommand(1);
+}
+
+const operator = { type: "string", default: process.env["USER"] ?? "operator", describe: "who asks for it" } as const;
+
+await yargs(hideBin(process.argv))
+    .scriptName("turmericspoke")
+    .option("log", {
+        type: "string",
+        default: process.env["TURMERICSPOKE_LOG"] ?? "",
+        describe: "URL of the log service (or TURMERICSPOKE_LOG)",
+    })
+    .option("json", { type: "boolean", default: false, describe: "print JSON" })
+    .command("contract", "publish and look at contracts", tool => addContractCommands(tool))
+    .command("audit", "list every change on the log", words => words, runCommand(showAudit))
+    .command("status", "show members, versions in force and limits", words => words, runCommand(showStatus))
+    .command(
+        "retire <slot>",
+        "vouch that a slot is gone for good, so that others take over its keys",
+        words => words.positional("slot", { type: "string", demandOption: true }).option("operator", operator),
+        runCommand(retireSlot),
+    )
+    .command(
+        "release <fingerprint>",
+        "let a request out of quarantine",
+        words => words.positional("fingerprint", { type: "string", demandOption: true }).option("operator", operator),
+        runCommand(releaseQuarantine),
+    )
+    .completion("completion", "print a completion script for the shell")
+    .demandCommand(1)
+    .strict()
+    .fail((message, error, tool) => {
+        process.stderr.write(`${message ?? error.message}\n\n`);
+        tool.showHelp();
+        process.exit(error === undefined ? exitCodes.usage : exitCodes.internal);
+    })
+    .parseAsync();
--- /dev/null
+++ b/src/connection/httpPool.ts
@@ -0,0 +1,183 @@
+/** Keep-alive HTTP connections to one address, with failures told apart by whether the request may have been delivered. */
+import type { Dispatcher } from "undici";
+import { Pool } from "undici";
+import { joinChunks } from "../request/body.js";
+import { headerNames } from "../request/headers.js";
+import type { HeaderList } from "../request/headers.js";
+
+/** One request to send. */
+export interface HttpCall {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: HeaderList;
+    readonly body: Buffer;
+    /** Time for the whole call, in milliseconds. */
+    readonly timeoutMs: number;
+    /** Aborts the call; the other side sees its connection closed. */
+    readonly signal?: AbortSignal | undefined;
+}
+
+/** A whole answer. */
+export interface HttpAnswer {
+    readonly kind: "answered";
+    readonly status: number;
+    /** Header names are in lower case. */
+    readonly headers: HeaderList;
+    readonly body: Buffer;
+}
+
+/**
+ * Failure of a call. After `unsent` nothing of the request left this process; after `lost` it may have been delivered
+ * and run. `isTimeout` tells a call that ran out of its own time from a broken connection.
+ */
+export type HttpFailure =
+    | { readonly kind: "unsent"; readonly message: string; }
+    | { readonly kind: "lost"; readonly isTimeout: boolean; readonly isCancelled: boolean; readonly message: string; };
+
+/** Time for a new connection, in milliseconds. */
+const connectTimeoutMs = 1000;
+/** Idle time after which a connection is closed, in milliseconds; shorter than the servers' own. */
+const keepAliveMs = 20_000;
+
+/** Connections to one address. */
+export class HttpPool {
+    private readonly pool: Pool;
+
+    constructor(origin: string, private readonly maxBodyBytes: number) {
+        this.pool = new Pool(origin, {
+            pipelining: 1,
+            connect: { timeout: connectTimeoutMs },
+            keepAliveTimeout: keepAliveMs,
+            keepAliveMaxTimeout: keepAliveMs,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+        });
+    }
+
+    /** Sends a request and reads the whole answer. Never rejects. */
+    send(call: HttpCall): Promise<HttpAnswer | HttpFailure> {
+        return new Promise(resolve => {
+            const exchange = new Exchange(call, this.maxBodyBytes, resolve);
+            this.pool.dispatch(
+                {
+                    method: call.method as Dispatcher.HttpMethod,
+                    path: call.path,
+                    headers: [...call.headers],
+                    body: call.body,
+                },
+                exchange,
+            );
+        });
+    }
+
+    /** Closes the connections once no call uses them. */
+    stop(): Promise<void> {
+        return this.pool.close();
+    }
+
+    /** Closes the connections at once. */
+    destroy(): Promise<void> {
+        return this.pool.destroy();
+    }
+}
+
+/** One request and its answer on a connection. */
+class Exchange implements Dispatcher.DispatchHandler {
+    private controller: Dispatcher.DispatchController | undefined;
+    private isSent = false;
+    private isTimeout = false;
+    private isSettled = false;
+    private status = 0;
+    private headers: string[] = [];
+    private readonly chunks: Buffer[] = [];
+    private bytes = 0;
+    private readonly timer: NodeJS.Timeout;
+    private readonly abort = (): void => this.cancel("cancelled");
+
+    constructor(
+        private readonly call: HttpCall,
+        private readonly maxBodyBytes: number,
+        private readonly resolve: (result: HttpAnswer | HttpFailure) => void,
+    ) {
+        this.timer = setTimeout(() => {
+            this.isTimeout = true;
+            this.cancel("no answer within the deadline");
+        }, call.timeoutMs);
+        call.signal?.addEventListener("abort", this.abort);
+    }
+
+    onRequestStart(controller: Dispatcher.DispatchController): void {
+        this.controller = controller;
+        if (this.isSettled) {
+            controller.abort(new Error("the call is over"));
+            return;
+        }
+        this.isSent = true;
+    }
+
+    onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+        this.status = status;
+        this.headers = readRawHeaders(controller);
+    }
+
+    onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        this.bytes += chunk.length;
+        if (this.bytes > this.maxBodyBytes) {
+            this.cancel("the answer is larger than limits.maxBodyBytes");
+            return;
+        }
+        this.chunks.push(chunk);
+    }
+
+    onResponseEnd(): void {
+        this.settle({ kind: "answered", status: this.status, headers: this.headers, body: joinChunks(this.chunks) });
+    }
+
+    onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
+        this.fail(error.message || error.name);
+    }
+
+    private cancel(message: string): void {
+        this.fail(message);
+        this.controller?.abort(new Error(message));
+    }
+
+    private fail(message: string): void {
+        const isCancelled = this.call.signal?.aborted === true;
+        this.settle(
+            this.isSent
+                ? { kind: "lost", isTimeout: this.isTimeout, isCancelled, message }
+                : { kind: "unsent", message },
+        );
+    }
+
+    private settle(result: HttpAnswer | HttpFailure): void {
+        if (this.isSettled) {
+            return;
+        }
+        this.isSettled = true;
+        clearTimeout(this.timer);
+        this.call.signal?.removeEventListener("abort", this.abort);
+        this.resolve(result);
+    }
+}
+
+function readRawHeaders(controller: Dispatcher.DispatchController): string[] {
+    const raw = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
+    return raw.map((part, index) => index % 2 === 0 ? part.toString("latin1").toLowerCase() : part.toString("latin1"));
+}
+
+/** Finds a header in a list of lower-case names and values. */
+export function findInList(headers: HeaderList, name: string): string | undefined {
+    for (let index = 0; index + 1 < headers.length; index += 2) {
+        if (headers[index] === name) {
+            return headers[index + 1];
+        }
+    }
+    return undefined;
+}
+
+/** Finds the reply header of a node. */
+export function findReply(headers: HeaderList): string | undefined {
+    return findInList(headers, headerNames.reply);
+}
--- /dev/null
+++ b/src/daemon.ts
@@ -0,0 +1,55 @@
+#!/usr/bin/env node
+/** The daemon: `turmericspoked --config node.toml`. Exit codes: 0 stopped gracefully, 1 failed to start, 2 bad settings. */
+import { parseArgs } from "node:util";
+import { SystemClock } from "./process/clock.js";
+import { createLogger } from "./process/logger.js";
+import { Node } from "./process/node.js";
+import { formatSettingsError, readSettings } from "./process/settings.js";
+
+const usage = "usage: turmericspoked --config FILE";
+
+async function main(): Promise<void> {
+    const file = readConfigArgument();
+    if (file === undefined) {
+        exitWith(2, usage);
+    }
+    const settings = readSettings(file);
+    if (!settings.ok) {
+        exitWith(2, formatSettingsError(settings.error));
+    }
+    const clock = new SystemClock();
+    const logger = createLogger(clock, settings.value.logging.level);
+    const node = new Node(settings.value, clock, logger);
+    try {
+        await node.start();
+    }
+    catch (error) {
+        logger.error("startFailed", { cause: (error as Error).message });
+        process.exit(1);
+    }
+    let isStopping = false;
+    const stop = (): void => {
+        if (!isStopping) {
+            isStopping = true;
+            void node.stop().then(() => process.exit(0));
+        }
+    };
+    process.on("SIGTERM", stop);
+    process.on("SIGINT", stop);
+}
+
+function readConfigArgument(): string | undefined {
+    try {
+        return parseArgs({ options: { config: { type: "string" } } }).values.config;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function exitWith(code: number, message: string): never {
+    process.stderr.write(message + "\n");
+    process.exit(code);
+}
+
+await main();
--- /dev/null
+++ b/src/process/admin.ts
@@ -0,0 +1,90 @@
+/** Admin listener: health, metrics and status for operators, and the announcements of the local endpoint. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import * as v from "valibot";
+import { sendJson } from "../connection/httpServer.js";
+import { readBody } from "../request/body.js";
+import { createRange, parseWith, shortTextSchema } from "../version/schema.js";
+import type { Node } from "./node.js";
+import { getOffsets } from "./streams.js";
+
+/** Largest body on this listener, in bytes. */
+const maxBodyBytes = 4096;
+
+const announcementSchema = v.object({
+    boot: shortTextSchema,
+    slots: createRange(1, 100_000),
+    isDraining: v.optional(v.boolean(), false),
+});
+
+/** Serves one request on the admin listener. */
+export async function serveAdmin(node: Node, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    switch (`${request.method} ${request.url}`) {
+        case "GET /healthz":
+            sendJson(response, 200, { status: "ok" });
+            return;
+        case "GET /readyz": {
+            const cause = node.findNotReadyCause();
+            sendJson(
+                response,
+                cause === undefined ? 200 : 503,
+                cause === undefined ? { status: "ready" } : { status: "notReady", cause },
+            );
+            return;
+        }
+        case "GET /metrics":
+            response.writeHead(200, { "content-type": node.metrics.registry.contentType });
+            response.end(await node.metrics.registry.metrics());
+            return;
+        case "GET /status":
+            sendJson(response, 200, createStatus(node));
+            return;
+        case "POST /endpoint":
+            await serveAnnouncement(node, request, response);
+            return;
+        default:
+            sendJson(response, 404, { error: "no such page" });
+    }
+}
+
+async function serveAnnouncement(node: Node, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readBody(request, maxBodyBytes);
+    const announcement = Buffer.isBuffer(body) ? parseWith(announcementSchema, parseJson(body)) : undefined;
+    if (announcement === undefined) {
+        sendJson(response, 400, { error: "expected {boot, slots, isDraining}" });
+        return;
+    }
+    node.localEndpoint.announce(announcement);
+    sendJson(response, 200, { inProgress: node.localEndpoint.getInProgress() });
+}
+
+function parseJson(body: Buffer): unknown {
+    try {
+        return JSON.parse(body.toString("utf8"));
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** State of a node as the command-line tool shows it. */
+function createStatus(node: Node) {
+    const contracts = node.streams.contracts.get()?.state.contracts ?? {};
+    const versions = Object.fromEntries(
+        Object.entries(contracts).map(([customer, entry]) => [customer, entry.version]),
+    );
+    return {
+        member: node.self,
+        isReady: node.findNotReadyCause() === undefined,
+        cause: node.findNotReadyCause(),
+        isAnnounced: node.isAnnounced(),
+        isLogUp: node.follower.isLogUp(),
+        offsets: getOffsets(node.streams),
+        versions,
+        admission: node.admission.getState(),
+        partitionsOwned: node.ownership.countOwned(),
+        claims: node.claims.getSize(),
+        quarantined: node.quarantine.countRefused(),
+        endpoint: { isReady: node.localEndpoint.isReady(), inProgress: node.localEndpoint.getInProgress() },
+        members: node.directory.listAll(),
+    };
+}
--- /dev/null
+++ b/src/process/admission.ts
@@ -0,0 +1,247 @@
+/**
+ * Admission to the local endpoint: an adaptive limit on concurrent runs, a short queue in order of priority, and a priority
+ * threshold. A request that can't finish in time is refused at once with the time after which a re-send makes sense.
+ */
+import type { Clock } from "./clock.js";
+import { PriorityThreshold, windowMs } from "./threshold.js";
+
+/** Lowest concurrency limit. */
+const minLimit = 1;
+/** Concurrency limit before the endpoint announces its slots. */
+const initialLimit = 16;
+/** Queue places for each run that may be in progress. */
+const queueShare = 0.5;
+/** Longest wait in the queue that does not count as overload, in milliseconds. */
+const targetWaitMs = 20;
+/** Weight of a new sample in the average of run times. */
+const sampleWeight = 0.05;
+/** Ratio of recent to usual run time above which the limit is lowered. */
+const latencyTolerance = 2;
+/** Weight of a new sample in the usual run time, which follows slowly. */
+const baselineWeight = 0.002;
+/** Shortest time that a refused caller is told to wait, in milliseconds. */
+const minRetryAfterMs = 100;
+/** Longest time that a refused caller is told to wait, in milliseconds. */
+const maxRetryAfterMs = 2000;
+/** Share of slots that a cold endpoint may use at first; the ramp doubles it every {@link rampStepMs}. */
+const coldShare = 0.25;
+/** Time in which the ramp after a cold start doubles the limit, in milliseconds. */
+const rampStepMs = 500;
+
+/** Outcome of asking for a run. */
+export type AdmissionResult =
+    | { readonly kind: "admitted"; readonly release: Release; }
+    | {
+        readonly kind: "refused";
+        readonly reason: "overloaded" | "deadline" | "cancelled";
+        readonly retryAfterMs: number;
+    };
+
+/**
+ * Ends a run. `ownMs` is the endpoint's own time without its calls to other services; `undefined` when the run says nothing
+ * about the endpoint's speed.
+ */
+export type Release = (ownMs: number | undefined) => void;
+
+/** A request that waits for a place. */
+interface Waiter {
+    readonly priority: number;
+    readonly since: number;
+    readonly deadline: number;
+    readonly settle: (result: AdmissionResult) => void;
+    readonly timer: NodeJS.Timeout;
+}
+
+/** State of admission for status and metrics. */
+export interface AdmissionState {
+    readonly limit: number;
+    readonly running: number;
+    readonly queued: number;
+    readonly threshold: number;
+    readonly averageRunMs: number;
+}
+
+/** Decides which requests run at the local endpoint. */
+export class Admission {
+    private readonly threshold = new PriorityThreshold();
+    private readonly queue: Waiter[] = [];
+    private limit = initialLimit;
+    private slots = initialLimit;
+    private rampStart: number | undefined;
+    private running = 0;
+    private recentMs = 0;
+    private usualMs = 0;
+
+    constructor(private readonly clock: Clock, private readonly isOff: boolean) {}
+
+    getState(): AdmissionState {
+        return {
+            limit: this.limit,
+            running: this.running,
+            queued: this.queue.length,
+            threshold: this.getThreshold(),
+            averageRunMs: this.recentMs,
+        };
+    }
+
+    /** Priority below which requests are refused on arrival. */
+    getThreshold(): number {
+        return this.isOff ? 0 : this.threshold.getLevel();
+    }
+
+    /** Sets the endpoint's number of slots. A cold endpoint starts with a part of them. */
+    setSlots(slots: number, isCold: boolean): void {
+        if (slots !== this.slots) {
+            this.slots = slots;
+            this.limit = slots;
+        }
+        if (isCold) {
+            this.rampStart = this.clock.readMonotonic();
+        }
+    }
+
+    /** Asks for a run. Resolves at once unless the request has to wait in the queue. */
+    request(priority: number, timeLeftMs: number, signal?: AbortSignal): Promise<AdmissionResult> {
+        const isAdmitted = this.threshold.isAdmitted(priority);
+        if (this.isOff) {
+            this.running += 1;
+            return Promise.resolve(this.createAdmitted());
+        }
+        if (!isAdmitted) {
+            return Promise.resolve(this.createRefusal("overloaded"));
+        }
+        if (this.running < this.getLimit() && this.queue.length === 0) {
+            this.running += 1;
+            return Promise.resolve(this.createAdmitted());
+        }
+        if (this.estimateWaitMs() + this.recentMs > timeLeftMs) {
+            this.threshold.recordOverload();
+            return Promise.resolve(this.createRefusal("deadline"));
+        }
+        return this.enqueue(priority, timeLeftMs, signal);
+    }
+
+    /** Ends a window of the threshold; called every {@link windowMs}. */
+    closeWindow(): void {
+        if (this.queue.some(waiter => this.clock.readMonotonic() - waiter.since > targetWaitMs)) {
+            this.threshold.recordOverload();
+        }
+        this.threshold.closeWindow();
+        this.admitWaiting();
+    }
+
+    /** Runs the windows until the signal aborts. */
+    async runWindows(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.clock.sleep(windowMs, signal);
+            this.closeWindow();
+        }
+    }
+
+    private enqueue(priority: number, timeLeftMs: number, signal: AbortSignal | undefined): Promise<AdmissionResult> {
+        if (this.queue.length >= Math.max(1, this.getLimit() * queueShare)) {
+            this.threshold.recordOverload();
+            const last = this.queue[this.queue.length - 1];
+            if (last === undefined || last.priority >= priority) {
+                return Promise.resolve(this.createRefusal("overloaded"));
+            }
+            this.removeWaiter(last, this.createRefusal("overloaded"));
+        }
+        return new Promise(resolve => {
+            const now = this.clock.readMonotonic();
+            const waitMs = Math.max(0, timeLeftMs - this.recentMs);
+            const waiter: Waiter = {
+                priority,
+                since: now,
+                deadline: now + waitMs,
+                settle: resolve,
+                timer: setTimeout(() => {
+                    this.threshold.recordOverload();
+                    this.removeWaiter(waiter, this.createRefusal("deadline"));
+                }, waitMs),
+            };
+            signal?.addEventListener("abort", () => this.removeWaiter(waiter, this.createRefusal("cancelled")), {
+                once: true,
+            });
+            const index = this.queue.findIndex(other => other.priority < priority);
+            this.queue.splice(index === -1 ? this.queue.length : index, 0, waiter);
+        });
+    }
+
+    private removeWaiter(waiter: Waiter, result: AdmissionResult): void {
+        const index = this.queue.indexOf(waiter);
+        if (index !== -1) {
+            this.queue.splice(index, 1);
+            clearTimeout(waiter.timer);
+            waiter.settle(result);
+        }
+    }
+
+    private admitWaiting(): void {
+        while (this.running < this.getLimit()) {
+            const waiter = this.queue.shift();
+            if (waiter === undefined) {
+                return;
+            }
+            clearTimeout(waiter.timer);
+            if (this.clock.readMonotonic() - waiter.since > targetWaitMs) {
+                this.threshold.recordOverload();
+            }
+            this.running += 1;
+            waiter.settle(this.createAdmitted());
+        }
+    }
+
+    private createAdmitted(): AdmissionResult {
+        let isReleased = false;
+        const release = (ownMs: number | undefined): void => {
+            if (isReleased) {
+                return;
+            }
+            isReleased = true;
+            this.running -= 1;
+            this.threshold.recordCompleted();
+            if (ownMs !== undefined) {
+                this.recordRun(ownMs);
+            }
+            this.admitWaiting();
+        };
+        return { kind: "admitted", release };
+    }
+
+    private createRefusal(reason: "overloaded" | "deadline" | "cancelled"): AdmissionResult {
+        return { kind: "refused", reason, retryAfterMs: this.computeRetryAfterMs() };
+    }
+
+    /** Lowers the limit when runs take much longer than usual, and raises it slowly otherwise. */
+    private recordRun(ownMs: number): void {
+        this.recentMs = this.recentMs === 0 ? ownMs : this.recentMs + (ownMs - this.recentMs) * sampleWeight;
+        this.usualMs = this.usualMs === 0 ? ownMs : this.usualMs + (ownMs - this.usualMs) * baselineWeight;
+        const gradient = Math.min(1, latencyTolerance * this.usualMs / Math.max(this.recentMs, 0.001));
+        const next = this.limit + (gradient < 1 ? this.limit * (gradient - 1) * sampleWeight : 1 / this.limit);
+        this.limit = Math.min(this.slots, Math.max(minLimit, next));
+    }
+
+    /** Limit in force: the adaptive limit, held down by the ramp after a cold start. */
+    private getLimit(): number {
+        if (this.rampStart === undefined) {
+            return this.limit;
+        }
+        const steps = (this.clock.readMonotonic() - this.rampStart) / rampStepMs;
+        const share = coldShare * 2 ** steps;
+        if (share >= 1) {
+            this.rampStart = undefined;
+            return this.limit;
+        }
+        return Math.max(minLimit, this.limit * share);
+    }
+
+    private estimateWaitMs(): number {
+        return (this.queue.length + 1) * this.recentMs / Math.max(1, this.getLimit());
+    }
+
+    private computeRetryAfterMs(): number {
+        const estimate = this.estimateWaitMs() * 2 + (this.threshold.getLevel() > 0 ? maxRetryAfterMs / 4 : 0);
+        return Math.round(Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, estimate)));
+    }
+}
--- /dev/null
+++ b/src/process/balancer.ts
@@ -0,0 +1,97 @@
+/**
+ * Choice of an instance for a call: two are drawn at random, and the one with less of this node's own work and shorter recent
+ * answers gets the call. Instances in the own data centre are preferred until they refuse.
+ */
+import type { Member, SlotName } from "../version/member.js";
+import { formatSlot } from "../version/member.js";
+import type { Clock } from "./clock.js";
+
+/** Weight of a new sample in the average answer time. */
+const sampleWeight = 0.2;
+/** Time for which an instance that refused or failed is avoided, in milliseconds. */
+const avoidanceMs = 250;
+/** Time in which the memory of a slow instance halves, so that it is tried again, in milliseconds. */
+const forgettingMs = 5000;
+
+/** This node's own experience with one instance. */
+interface Experience {
+    inFlight: number;
+    averageMs: number;
+    sampledAt: number;
+    avoidUntil: number;
+}
+
+/** Source of random numbers in [0, 1). */
+export type Random = () => number;
+
+/** Chooses instances by this node's own experience with them. */
+export class Balancer {
+    private readonly experiences = new Map<SlotName, Experience>();
+
+    constructor(private readonly clock: Clock, private readonly random: Random, private readonly dataCentre: string) {}
+
+    /** Chooses among candidates; `undefined` if there are none. */
+    choose(candidates: readonly Member[], tried: ReadonlySet<SlotName>): Member | undefined {
+        const now = this.clock.readMonotonic();
+        const untried = candidates.filter(member => !tried.has(formatSlot(member)));
+        const willing = untried.filter(member => this.getExperience(formatSlot(member)).avoidUntil <= now);
+        const local = willing.filter(member => member.dataCentre === this.dataCentre);
+        const pool = local.length > 0 ? local : willing.length > 0 ? willing : untried;
+        return this.chooseOfTwo(pool, now);
+    }
+
+    private chooseOfTwo(pool: readonly Member[], now: number): Member | undefined {
+        const first = pool[Math.floor(this.random() * pool.length)];
+        const second = pool[Math.floor(this.random() * pool.length)];
+        if (first === undefined || second === undefined) {
+            return first;
+        }
+        return this.computeCost(first, now) <= this.computeCost(second, now) ? first : second;
+    }
+
+    /** Notes the start of a call. */
+    startCall(slot: SlotName): void {
+        this.getExperience(slot).inFlight += 1;
+    }
+
+    /** Notes the end of a call. */
+    endCall(slot: SlotName, milliseconds: number, isWelcome: boolean): void {
+        const experience = this.getExperience(slot);
+        const now = this.clock.readMonotonic();
+        experience.inFlight -= 1;
+        if (!isWelcome) {
+            experience.avoidUntil = now + avoidanceMs;
+            return;
+        }
+        const before = this.computeAverage(experience, now);
+        experience.averageMs = before === 0 ? milliseconds : before + (milliseconds - before) * sampleWeight;
+        experience.sampledAt = now;
+    }
+
+    /** Forgets slots that are no longer members. */
+    retain(slots: ReadonlySet<SlotName>): void {
+        for (const slot of this.experiences.keys()) {
+            if (!slots.has(slot)) {
+                this.experiences.delete(slot);
+            }
+        }
+    }
+
+    private computeCost(member: Member, now: number): number {
+        const experience = this.getExperience(formatSlot(member));
+        return (experience.inFlight + 1) * (1 + this.computeAverage(experience, now));
+    }
+
+    private computeAverage(experience: Experience, now: number): number {
+        return experience.averageMs * 2 ** (-(now - experience.sampledAt) / forgettingMs);
+    }
+
+    private getExperience(slot: SlotName): Experience {
+        let experience = this.experiences.get(slot);
+        if (experience === undefined) {
+            experience = { inFlight: 0, averageMs: 0, sampledAt: this.clock.readMonotonic(), avoidUntil: 0 };
+            this.experiences.set(slot, experience);
+        }
+        return experience;
+    }
+}
--- /dev/null
+++ b/src/process/claims.ts
@@ -0,0 +1,346 @@
+/**
+ * Claims of actions, kept by the owner of their keys.
+ *
+ * An owner records a claim before it lets an action run, and answers every later send of the same action from the claim. The
+ * state of a claim only ever goes forward: `refused` to `running`, and `running` to `done` or `unknown`, both final. An
+ * unknown action is never run again (the idea of the journal in the related paper, see docs/DESIGN.md). An idempotent action
+ * that is sent again becomes `repeatable` instead, and runs again within its bound of repeated runs.
+ */
+import type { ClaimTransfer } from "../connection/control.js";
+import type { Answer, CompletedAnswer } from "../request/answer.js";
+import { createNotRun, createUnknown } from "../request/answer.js";
+import { RetryBudget } from "../request/budget.js";
+import type { Call } from "../request/call.js";
+import { findPartition } from "../version/memberStream.js";
+import type { Clock } from "./clock.js";
+
+/** Time after which a send that the owner does not take on may be tried again, in milliseconds. */
+const retryAfterMs = 1000;
+/** Memory counted for a claim beside its answer, in bytes. */
+const claimOverheadBytes = 400;
+
+/** What is known of one action. */
+interface Claim {
+    state: "running" | ClaimTransfer["state"];
+    readonly fingerprint: string;
+    /** Highest attempt number that was refused; such an attempt must never run. */
+    refusedThrough: number;
+    /** Repeated runs that are left for re-sends of the action. */
+    budgetLeft: number;
+    expiresAt: number;
+    answer: CompletedAnswer | undefined;
+    /** Settles when the run in progress ends. */
+    running: Promise<Answer> | undefined;
+}
+
+/** How an owner stands to a partition. */
+export type Holding = "owned" | "inherited" | "releasing" | "foreign";
+
+/** Limits of the memory. */
+export interface ClaimLimits {
+    readonly maxClaims: number;
+    readonly maxBytes: number;
+}
+
+/** Claims of the partitions that this node owns. */
+export class Claims {
+    private readonly claims = new Map<string, Claim>();
+    private bytes = 0;
+
+    constructor(
+        private readonly clock: Clock,
+        private readonly limits: ClaimLimits,
+        /** How this node stands to a partition of its service now. */
+        private readonly findHolding: (partition: number) => Holding,
+        /** Runs a claimed call once. */
+        private readonly run: (call: Call) => Promise<Answer>,
+        /** Told when a run ends whose partition was handed over in the meantime. */
+        private readonly reportLateResult: (key: string, claim: ClaimTransfer) => void,
+    ) {}
+
+    /** Number of claims. */
+    getSize(): number {
+        return this.claims.size;
+    }
+
+    /** Memory of recorded answers, in bytes. */
+    getBytes(): number {
+        return this.bytes;
+    }
+
+    /** Decides one send of an action whose key this node owns, and runs the action if it may. */
+    async serve(call: Call): Promise<Answer> {
+        const holding = this.findHolding(findPartition(call.context.key));
+        if (holding === "foreign" || holding === "releasing") {
+            return createNotRun("moved", retryAfterMs, call.budget.getRemaining());
+        }
+        if (this.isOutdated(call)) {
+            return createUnknown("staleAttempt", undefined);
+        }
+        const claim = this.findClaim(call.context.key);
+        if (claim !== undefined && claim.fingerprint !== call.fingerprint) {
+            return createUnknown("keyMismatch", undefined);
+        }
+        if (claim === undefined) {
+            return this.serveUnclaimed(call, holding);
+        }
+        switch (claim.state) {
+            case "done":
+                return claim.answer === undefined
+                    ? createUnknown("endpointFailed", undefined)
+                    : { ...claim.answer, isReplayed: true };
+            case "running":
+                return claim.running ?? createUnknown("endpointFailed", undefined);
+            case "unknown":
+                return createUnknown("endpointFailed", undefined);
+            case "repeatable":
+                return this.serveResend(call, claim);
+            case "refused":
+                return isStale(call, claim)
+                    ? createNotRun("staleAttempt", retryAfterMs, call.budget.getRemaining())
+                    : this.serveResend(call, claim);
+        }
+    }
+
+    /** A send that was held up for long, for instance in a paused node, may belong to an action that is forgotten. */
+    private isOutdated(call: Call): boolean {
+        return this.clock.readDate().getTime() - call.context.issuedAt > call.context.resendWindowMs / 2;
+    }
+
+    private serveUnclaimed(call: Call, holding: Holding): Promise<Answer> | Answer {
+        if (this.claims.size >= this.limits.maxClaims && !this.removeExpired()) {
+            return this.createRefusal(call, holding);
+        }
+        const claim: Claim = {
+            state: "refused",
+            fingerprint: call.fingerprint,
+            refusedThrough: 0,
+            budgetLeft: computeInitialBudget(call, holding),
+            expiresAt: 0,
+            answer: undefined,
+            running: undefined,
+        };
+        this.claims.set(call.context.key, claim);
+        this.bytes += claimOverheadBytes;
+        this.extend(claim, call);
+        // The owner before may have run the action unless this is provably its first send.
+        if (holding === "inherited" && call.context.attempt !== 1 && !call.isIdempotent) {
+            claim.state = "unknown";
+            return createUnknown("noOwner", undefined);
+        }
+        return isCountedResend(call)
+            ? this.serveResend(call, claim)
+            : this.startRun(call, claim, claim.budgetLeft);
+    }
+
+    /** The claim table is full: only what is provably a first send is known not to have run. */
+    private createRefusal(call: Call, holding: Holding): Answer {
+        const isKnown = holding === "owned" || call.context.attempt === 1;
+        return isKnown
+            ? createNotRun("overloaded", retryAfterMs, call.budget.getRemaining())
+            : createUnknown("overloaded", retryAfterMs);
+    }
+
+    /** Runs an action that was refused before, or an idempotent one again, within the action's bound of repeated runs. */
+    private serveResend(call: Call, claim: Claim): Promise<Answer> | Answer {
+        if (!isCountedResend(call)) {
+            return this.startRun(call, claim, call.isRoot ? claim.budgetLeft : call.budget.getRemaining());
+        }
+        if (claim.budgetLeft < 1) {
+            return createUnknown("retryBound", Math.max(0, Math.round(claim.expiresAt - this.clock.readMonotonic())));
+        }
+        claim.budgetLeft -= 1;
+        return this.startRun(call, claim, claim.budgetLeft);
+    }
+
+    private startRun(call: Call, claim: Claim, budget: number): Promise<Answer> {
+        const hasRun = claim.state === "repeatable";
+        claim.state = "running";
+        claim.budgetLeft -= Math.min(claim.budgetLeft, budget);
+        claim.running = this.finishRun({ ...call, budget: new RetryBudget(budget) }, claim, hasRun);
+        return claim.running;
+    }
+
+    private async finishRun(call: Call, claim: Claim, hasRun: boolean): Promise<Answer> {
+        const answer = await this.run(call);
+        claim.running = undefined;
+        claim.budgetLeft += answer.unspent;
+        this.extend(claim, call);
+        switch (answer.outcome) {
+            case "completed":
+                claim.state = call.isIdempotent ? "repeatable" : "done";
+                this.recordAnswer(claim, call, answer);
+                break;
+            case "unknown":
+                claim.state = call.isIdempotent ? "repeatable" : "unknown";
+                break;
+            case "notRun":
+                claim.state = hasRun ? "repeatable" : "refused";
+                claim.refusedThrough = Math.max(claim.refusedThrough, call.context.attempt);
+                claim.budgetLeft += isCountedResend(call) ? 1 : 0;
+                break;
+        }
+        const holding = this.findHolding(findPartition(call.context.key));
+        if (holding === "foreign" || holding === "releasing") {
+            this.reportLateResult(call.context.key, this.createTransfer(call.context.key, claim));
+        }
+        return answer.outcome === "notRun" && hasRun
+            ? createUnknown(answer.reason, answer.retryAfterMs, answer.threshold)
+            : answer;
+    }
+
+    private recordAnswer(claim: Claim, call: Call, answer: CompletedAnswer): void {
+        if (call.isIdempotent) {
+            return;
+        }
+        const size = answer.body.length;
+        if (this.bytes + size > this.limits.maxBytes) {
+            this.removeExpired();
+        }
+        if (this.bytes + size > this.limits.maxBytes) {
+            // A re-send will be told "unknown": the answer can't be kept, and the action must not run again.
+            claim.state = "unknown";
+            return;
+        }
+        claim.answer = answer;
+        this.bytes += size;
+    }
+
+    private extend(claim: Claim, call: Call): void {
+        claim.expiresAt = this.clock.readMonotonic() + call.context.resendWindowMs;
+    }
+
+    private findClaim(key: string): Claim | undefined {
+        const claim = this.claims.get(key);
+        if (claim !== undefined && claim.state !== "running" && claim.expiresAt < this.clock.readMonotonic()) {
+            this.removeClaim(key, claim);
+            return undefined;
+        }
+        return claim;
+    }
+
+    /** Removes claims whose resend window has passed; true if any was removed. */
+    removeExpired(): boolean {
+        const now = this.clock.readMonotonic();
+        let isAnyRemoved = false;
+        for (const [key, claim] of this.claims) {
+            if (claim.state !== "running" && claim.expiresAt < now) {
+                this.removeClaim(key, claim);
+                isAnyRemoved = true;
+            }
+        }
+        return isAnyRemoved;
+    }
+
+    private removeClaim(key: string, claim: Claim): void {
+        this.claims.delete(key);
+        this.bytes -= claimOverheadBytes + (claim.answer?.body.length ?? 0);
+    }
+
+    /** Lists the claims of some partitions for their next owner. A run in progress is handed over as unknown. */
+    listTransfers(partitions: ReadonlySet<number>): ClaimTransfer[] {
+        const transfers: ClaimTransfer[] = [];
+        for (const [key, claim] of this.claims) {
+            if (partitions.has(findPartition(key))) {
+                transfers.push(this.createTransfer(key, claim));
+            }
+        }
+        return transfers;
+    }
+
+    private createTransfer(key: string, claim: Claim): ClaimTransfer {
+        return {
+            key,
+            fingerprint: claim.fingerprint,
+            state: claim.state === "running" ? "unknown" : claim.state,
+            refusedThrough: claim.refusedThrough,
+            budgetLeft: claim.budgetLeft,
+            expiresInMs: Math.max(0, claim.expiresAt - this.clock.readMonotonic()),
+            ...(claim.answer === undefined ? {} : {
+                answer: {
+                    status: claim.answer.status,
+                    headers: [...claim.answer.headers],
+                    body: new Uint8Array(claim.answer.body),
+                },
+            }),
+        };
+    }
+
+    /** Takes over claims from the owner before. */
+    adopt(transfers: readonly ClaimTransfer[]): void {
+        for (const transfer of transfers) {
+            this.adoptOne(transfer);
+        }
+    }
+
+    /** Takes the result of a run that was in progress at the owner before when the partition moved. */
+    adoptLateResult(transfer: ClaimTransfer): void {
+        const claim = this.claims.get(transfer.key);
+        if (claim?.state === "unknown" && claim.fingerprint === transfer.fingerprint) {
+            this.removeClaim(transfer.key, claim);
+            this.adoptOne(transfer);
+        }
+    }
+
+    /** Forgets the claims of partitions that have moved away; runs in progress stay until they end. */
+    removePartitions(partitions: ReadonlySet<number>): void {
+        for (const [key, claim] of this.claims) {
+            if (claim.state !== "running" && partitions.has(findPartition(key))) {
+                this.removeClaim(key, claim);
+            }
+        }
+    }
+
+    private adoptOne(transfer: ClaimTransfer): void {
+        const answer: CompletedAnswer | undefined = transfer.answer === undefined ? undefined : {
+            outcome: "completed",
+            status: transfer.answer.status,
+            headers: transfer.answer.headers,
+            body: Buffer.from(transfer.answer.body),
+            isReplayed: true,
+            unspent: 0,
+            threshold: 0,
+        };
+        this.claims.set(transfer.key, {
+            state: transfer.state,
+            fingerprint: transfer.fingerprint,
+            refusedThrough: transfer.refusedThrough,
+            budgetLeft: transfer.budgetLeft,
+            expiresAt: this.clock.readMonotonic() + transfer.expiresInMs,
+            answer,
+            running: undefined,
+        });
+        this.bytes += claimOverheadBytes + (answer?.body.length ?? 0);
+    }
+}
+
+/** Whether a send of an action by its caller counts as one of its repeated runs when it runs. */
+function isCountedResend(call: Call): boolean {
+    return call.isRoot && call.isIdempotent && call.context.attempt !== 1;
+}
+
+/** An attempt that was refused, or one before it, must not run later; its caller was told so. */
+function isStale(call: Call, claim: Claim): boolean {
+    return call.context.attempt !== 0 && call.context.attempt <= claim.refusedThrough;
+}
+
+/**
+ * Repeated runs that an action may still have. The first send of an idempotent action does not pass through the owner and
+ * takes half of the bound with it, so only the other half is the owner's to give.
+ */
+function computeInitialBudget(call: Call, holding: Holding): number {
+    const bound = call.budget.getRemaining();
+    if (!call.isRoot || !call.isIdempotent) {
+        return bound;
+    }
+    const left = bound - computeFirstShare(bound);
+    if (holding !== "inherited") {
+        return left;
+    }
+    return call.context.attempt === 0 ? 0 : Math.max(0, left - Math.max(0, call.context.attempt - 2) * left);
+}
+
+/** Repeated runs that the first send of an idempotent action may spend without its owner. */
+export function computeFirstShare(bound: number): number {
+    return Math.floor(bound / 2);
+}
--- /dev/null
+++ b/src/process/logger.ts
@@ -0,0 +1,50 @@
+/** Structured log: one line of key=value pairs for each event, written through loglevel. */
+import loglevel from "loglevel";
+import type { Clock } from "./clock.js";
+
+/** Levels that the settings accept, from most to least verbose. */
+export const logLevels = ["trace", "debug", "info", "warn", "error", "silent"] as const;
+/** One of {@link logLevels}. */
+export type LogLevel = (typeof logLevels)[number];
+/** Fields of one event. Undefined fields are left out of the line. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Writes events; the event name is a fixed string, everything that varies goes into the fields. */
+export interface Logger {
+    debug(event: string, fields?: LogFields): void;
+    info(event: string, fields?: LogFields): void;
+    warn(event: string, fields?: LogFields): void;
+    error(event: string, fields?: LogFields): void;
+}
+
+/** A value that holds none of these characters is written without quotes. */
+const needsQuotes = /[\s="\\]|^$/;
+
+/** Formats one event as `time=… level=… event=… key=value …`. */
+export function formatLogLine(date: Date, level: string, event: string, fields: LogFields = {}): string {
+    const parts = [`time=${date.toISOString()}`, `level=${level}`, `event=${event}`];
+    for (const [key, value] of Object.entries(fields)) {
+        if (value !== undefined) {
+            parts.push(`${key}=${formatValue(value)}`);
+        }
+    }
+    return parts.join(" ");
+}
+
+function formatValue(value: string | number | boolean): string {
+    const text = String(value);
+    return needsQuotes.test(text) ? JSON.stringify(text) : text;
+}
+
+/** Creates the logger of a process. `base` fields stand on every line. */
+export function createLogger(clock: Clock, level: LogLevel, base: LogFields = {}): Logger {
+    const sink = loglevel.getLogger(Symbol("turmericspoke"));
+    sink.methodFactory = () => (line: string) => {
+        process.stderr.write(line + "\n");
+    };
+    sink.setLevel(level, false);
+    const write = (name: "debug" | "info" | "warn" | "error") => (event: string, fields?: LogFields): void => {
+        sink[name](formatLogLine(clock.readDate(), name, event, { ...base, ...fields }));
+    };
+    return { debug: write("debug"), info: write("info"), warn: write("warn"), error: write("error") };
+}
--- /dev/null
+++ b/src/process/metrics.ts
@@ -0,0 +1,59 @@
+/** Metrics of a node, in the Prometheus format. Labels hold only names from contracts and closed sets. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { Action } from "../request/action.js";
+import type { Answer } from "../request/answer.js";
+
+/** Upper bounds of the buckets of request times, in seconds. */
+const secondsBuckets = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
+
+/** Metrics of one node. */
+export class Metrics {
+    readonly registry = new Registry();
+    private readonly requests = new Counter({
+        name: "turmericspoke_requests_total",
+        help: "Requests of outside callers by final outcome.",
+        labelNames: ["customer", "class", "outcome", "reason"] as const,
+        registers: [this.registry],
+    });
+    private readonly seconds = new Histogram({
+        name: "turmericspoke_request_seconds",
+        help: "Time from a caller's request to its final answer.",
+        labelNames: ["outcome"] as const,
+        buckets: secondsBuckets,
+        registers: [this.registry],
+    });
+    private readonly outbound = new Counter({
+        name: "turmericspoke_outbound_calls_total",
+        help: "Calls of the local endpoint by service called and outcome.",
+        labelNames: ["service", "outcome"] as const,
+        registers: [this.registry],
+    });
+
+    /** Counts the final outcome of a caller's request. */
+    recordEntry(action: Action, answer: Answer, milliseconds: number): void {
+        this.requests.inc({
+            customer: action.customer,
+            class: action.actionClass,
+            outcome: answer.outcome,
+            reason: answer.outcome === "completed" ? "" : answer.reason,
+        });
+        this.seconds.observe({ outcome: answer.outcome }, milliseconds / 1000);
+    }
+
+    /** Counts the outcome of a call of the local endpoint. */
+    recordOutbound(service: string, answer: Answer): void {
+        this.outbound.inc({ service, outcome: answer.outcome });
+    }
+
+    /** Adds a gauge that is read when the metrics are. */
+    addGauge(name: string, help: string, read: () => number): void {
+        new Gauge({
+            name: `turmericspoke_${name}`,
+            help,
+            registers: [this.registry],
+            collect() {
+                this.set(read());
+            },
+        });
+    }
+}
--- /dev/null
+++ b/src/process/node.ts
@@ -0,0 +1,454 @@
+/** Puts a node together, starts its listeners and tasks, and stops it gracefully. */
+import { ControlClient, ControlServer } from "../connection/control.js";
+import type { ControlHandlers, ControlReply, MemberUpdate, StreamOffsets } from "../connection/control.js";
+import { Follower } from "../connection/follower.js";
+import type { RequestHandler } from "../connection/httpServer.js";
+import { HttpListener } from "../connection/httpServer.js";
+import { HttpLogService } from "../connection/logService.js";
+import { HttpPeers } from "../connection/peers.js";
+import { Prober } from "../connection/prober.js";
+import { Dispatcher } from "../request/dispatcher.js";
+import { serveCaller } from "../request/entry.js";
+import { serveOutbound } from "../request/outbound.js";
+import { servePeer } from "../request/peerRequest.js";
+import type { ContractState } from "../version/contractStream.js";
+import type { Member } from "../version/member.js";
+import { formatSlot } from "../version/member.js";
+import { isAnnounced } from "../version/memberStream.js";
+import { formatQuarantineRecord, quarantineStreamName } from "../version/quarantineStream.js";
+import { serveAdmin } from "./admin.js";
+import { Admission } from "./admission.js";
+import { Allowances } from "./allowances.js";
+import { announceMember, withdrawMember } from "./announcer.js";
+import { Balancer } from "./balancer.js";
+import { Claims } from "./claims.js";
+import type { Clock } from "./clock.js";
+import { Directory, unknownOffsets } from "./directory.js";
+import { DownstreamThresholds } from "./downstream.js";
+import { Freshness } from "./freshness.js";
+import { LocalEndpoint } from "./localEndpoint.js";
+import type { Logger } from "./logger.js";
+import { Metrics } from "./metrics.js";
+import { Ownership } from "./ownership.js";
+import { Quarantine, quarantineMs } from "./quarantine.js";
+import { RetryRatio } from "./rateLimit.js";
+import { RunTable } from "./runTable.js";
+import type { Settings } from "./settings.js";
+import { runSnapshotWriter } from "./snapshots.js";
+import type { Streams } from "./streams.js";
+import { createStreams, getOffsets, isBehind, streamKeys } from "./streams.js";
+
+/** Time for a control call, in milliseconds. */
+const callTimeoutMs = 1000;
+/** Longest resend window assumed while no contract is known, in milliseconds. */
+const defaultResendWindowMs = 600_000;
+/** Peers that are told at once that this node is leaving. */
+const maxLeaveNotices = 32;
+/** Time for which a leaving node still answers those who have not heard of it, in milliseconds. */
+const lingerMs = 1500;
+/** Time for the last record on the log, in milliseconds. */
+const withdrawTimeoutMs = 3000;
+/** Time between looks at what is still in progress while stopping, in milliseconds. */
+const drainIntervalMs = 50;
+
+/** One node: all that a process of the daemon holds. */
+export class Node {
+    readonly self: Member;
+    readonly streams: Streams;
+    readonly directory: Directory;
+    readonly localEndpoint: LocalEndpoint;
+    readonly admission: Admission;
+    readonly claims: Claims;
+    readonly ownership: Ownership;
+    readonly quarantine: Quarantine;
+    readonly metrics = new Metrics();
+    readonly follower: Follower;
+    private readonly log: HttpLogService;
+    private readonly control = new ControlClient();
+    private readonly controlServer: ControlServer;
+    private readonly peers: HttpPeers;
+    private readonly prober: Prober;
+    private readonly freshness: Freshness;
+    private readonly runs = new RunTable();
+    private readonly listeners: { readonly port: number; readonly listener: HttpListener; }[];
+    private readonly stopping = new AbortController();
+    private requestsInProgress = 0;
+    private isLeaving = false;
+
+    constructor(readonly settings: Settings, private readonly clock: Clock, private readonly logger: Logger) {
+        const { address, listeners, service, dataCentre, limits } = settings;
+        this.self = {
+            address,
+            peerPort: listeners.peer,
+            controlPort: listeners.control,
+            adminPort: listeners.admin,
+            service,
+            dataCentre,
+            incarnation: clock.readDate().getTime(),
+        };
+        this.streams = createStreams(logger);
+        this.log = new HttpLogService(settings.log.url, settings.log.timeoutMilliseconds);
+        this.directory = new Directory(clock, {
+            member: this.self,
+            health: "alive",
+            refutation: 0,
+            offsets: unknownOffsets,
+        });
+        this.quarantine = new Quarantine(clock);
+        this.admission = new Admission(clock, settings.control.isAdmissionOff);
+        this.peers = new HttpPeers(clock, limits.maxBodyBytes);
+        this.follower = new Follower({
+            clock,
+            logger,
+            log: this.log,
+            streams: this.streams,
+            directory: this.directory,
+            control: this.control,
+            seeds: settings.peers.seeds,
+            pollMs: settings.log.pollMilliseconds,
+            idlePollMs: settings.log.idlePollMilliseconds,
+        });
+        const noticeOffsets = (offsets: StreamOffsets): void => this.follower.noticeOffsets(offsets);
+        this.prober = new Prober({
+            clock,
+            random: Math.random,
+            directory: this.directory,
+            control: this.control,
+            noticeOffsets,
+        });
+        this.freshness = new Freshness(clock, logger, () => this.confirmState());
+        const downstream = new DownstreamThresholds(clock);
+        this.localEndpoint = new LocalEndpoint(settings.endpoint.url, limits.maxBodyBytes, {
+            clock,
+            logger,
+            admission: this.admission,
+            runs: this.runs,
+            quarantine: this.quarantine,
+            downstream,
+            reportCrash: (fingerprint, incident) => this.reportCrash(fingerprint, incident),
+        });
+        this.ownership = new Ownership({
+            clock,
+            logger,
+            self: this.self,
+            members: this.streams.members,
+            log: this.log,
+            control: this.control,
+            directory: this.directory,
+            isLogUp: () => this.follower.isLogUp(),
+            getResendWindowMs: () => this.findLongestResendWindow(),
+        });
+        this.claims = new Claims(
+            clock,
+            { maxClaims: limits.maxClaims, maxBytes: limits.maxClaimBytes },
+            partition => this.ownership.findHolding(partition),
+            call => dispatcher.runClaimed(call),
+            (key, claim) => this.ownership.addLateResult(key, claim),
+        );
+        this.ownership.setClaims(this.claims);
+        const dispatcher = new Dispatcher({
+            clock,
+            self: this.self,
+            directory: this.directory,
+            balancer: new Balancer(clock, Math.random, dataCentre),
+            retryRatio: new RetryRatio(clock),
+            peers: this.peers,
+            localEndpoint: this.localEndpoint,
+            claims: this.claims,
+            getMembers: () => this.streams.members.get()?.state,
+        });
+        const shared = {
+            clock,
+            service,
+            maxBodyBytes: limits.maxBodyBytes,
+            metrics: this.metrics,
+            downstream,
+            dispatcher,
+        };
+        const entry = {
+            ...shared,
+            quarantine: this.quarantine,
+            allowances: new Allowances(clock),
+            getContracts: () => this.getFreshContracts(),
+        };
+        const outbound = {
+            ...shared,
+            runs: this.runs,
+            directory: this.directory,
+            getContracts: () => this.streams.contracts.get()?.state,
+        };
+        const peer = { ...shared, claims: this.claims, localEndpoint: this.localEndpoint };
+        this.listeners = [
+            { port: listeners.caller, listener: this.createListener((req, res) => serveCaller(entry, req, res)) },
+            {
+                port: listeners.outbound,
+                listener: this.createListener((req, res) => serveOutbound(outbound, req, res)),
+            },
+            { port: listeners.peer, listener: this.createListener((req, res) => servePeer(peer, req, res)) },
+            { port: listeners.admin, listener: this.createListener((req, res) => serveAdmin(this, req, res), false) },
+        ];
+        this.controlServer = new ControlServer(this.createControlHandlers());
+        this.connectStreams();
+        this.addGauges();
+    }
+
+    /** Binds all listeners and starts the tasks of the process. */
+    async start(): Promise<void> {
+        const { address, listeners } = this.settings;
+        // The control port comes first: holding it proves that no other process runs in this slot.
+        await this.controlServer.start(address, listeners.control);
+        for (const { port, listener } of this.listeners) {
+            await listener.start(address, port);
+        }
+        const { signal } = this.stopping;
+        void this.follower.run(signal);
+        void this.prober.run(signal);
+        void this.freshness.run(signal);
+        void this.admission.runWindows(signal);
+        void this.ownership.run(signal);
+        void announceMember(this.getAnnouncerParts(), signal);
+        void runSnapshotWriter({
+            clock: this.clock,
+            logger: this.logger,
+            log: this.log,
+            streams: this.streams,
+            directory: this.directory,
+            retentionMs: this.settings.log.retentionSeconds * 1000,
+        }, signal);
+        this.logger.info("started", {
+            slot: formatSlot(this.self),
+            incarnation: this.self.incarnation,
+            service: this.self.service,
+        });
+    }
+
+    /** Stops gracefully: takes no new work, finishes what is in progress, hands over what it owns, and leaves. */
+    async stop(): Promise<void> {
+        const startedAt = this.clock.readMonotonic();
+        this.isLeaving = true;
+        this.logger.info("stopping", { requests: this.requestsInProgress });
+        this.localEndpoint.stopTakingWork();
+        this.directory.updateSelf({ health: "leaving" });
+        const peers = this.directory.listPeers().filter(update => update.health === "alive").map(update =>
+            update.member
+        );
+        await this.prober.spreadSelf(peers.slice(0, maxLeaveNotices));
+        await this.ownership.handOverAll();
+        await this.drain();
+        await this.ownership.handOverAll();
+        await withdrawMember(this.getAnnouncerParts(), withdrawTimeoutMs);
+        await this.clock.sleep(Math.max(0, lingerMs - (this.clock.readMonotonic() - startedAt)));
+        for (const { listener } of this.listeners) {
+            listener.startStopping();
+        }
+        await Promise.all(this.listeners.map(({ listener }) => listener.stop()));
+        this.stopping.abort();
+        this.controlServer.stop();
+        this.control.stop();
+        await Promise.all([this.peers.stop(), this.localEndpoint.stop()]);
+        this.logger.info("stopped");
+    }
+
+    /** Why the node is not ready for requests; `undefined` when it is. */
+    findNotReadyCause(): string | undefined {
+        if (this.isLeaving) {
+            return "leaving";
+        }
+        if (this.streams.contracts.get() === undefined || this.streams.members.get() === undefined) {
+            return "contracts or members are not known yet";
+        }
+        if (isBehind(getOffsets(this.streams), this.follower.getSeen())) {
+            return "peers know more than this node";
+        }
+        if (!this.freshness.isFresh()) {
+            return "the state is not confirmed after a pause";
+        }
+        return this.localEndpoint.isReady() ? undefined : "the endpoint is not announced, drains or does not answer";
+    }
+
+    /** Requests of any side that are in progress. */
+    getRequestsInProgress(): number {
+        return this.requestsInProgress;
+    }
+
+    /** Whether this node is announced on the log in this incarnation. */
+    isAnnounced(): boolean {
+        const state = this.streams.members.get()?.state;
+        return state !== undefined && isAnnounced(state, this.self);
+    }
+
+    /** Creates a listener. A graceful stop waits for the requests of those that are counted. */
+    private createListener(handler: RequestHandler, isCounted = true): HttpListener {
+        const onError = (error: unknown): void => {
+            this.logger.error("handlerFailed", { cause: error instanceof Error ? error.stack : String(error) });
+        };
+        return new HttpListener(
+            isCounted ? this.createCounting(handler) : handler,
+            this.settings.limits.maxHeaderBytes,
+            onError,
+        );
+    }
+
+    private createCounting(handler: RequestHandler): RequestHandler {
+        return async (request, response) => {
+            this.requestsInProgress += 1;
+            try {
+                await handler(request, response);
+            }
+            finally {
+                this.requestsInProgress -= 1;
+            }
+        };
+    }
+
+    private async drain(): Promise<void> {
+        const giveUpAt = this.clock.readMonotonic() + this.settings.drain.timeoutSeconds * 1000;
+        while (this.requestsInProgress > 0 && this.clock.readMonotonic() < giveUpAt) {
+            await this.clock.sleep(drainIntervalMs);
+        }
+        if (this.requestsInProgress > 0) {
+            this.logger.warn("drainTimedOut", { requests: this.requestsInProgress });
+        }
+    }
+
+    /** Contracts in force, once it is sure that they are: not while peers are known to have newer ones. */
+    private async getFreshContracts(): Promise<ContractState | undefined> {
+        await this.freshness.waitUntilFresh();
+        const isOutdated = this.streams.contracts.getThrough() < this.follower.getSeen().contracts;
+        return isOutdated ? undefined : this.streams.contracts.get()?.state;
+    }
+
+    private async confirmState(): Promise<boolean> {
+        await this.follower.refresh();
+        return this.follower.isConfirmed();
+    }
+
+    private getAnnouncerParts() {
+        return {
+            clock: this.clock,
+            logger: this.logger,
+            self: this.self,
+            log: this.log,
+            members: this.streams.members,
+        };
+    }
+
+    private findLongestResendWindow(): number {
+        const contracts = Object.values(this.streams.contracts.get()?.state.contracts ?? {});
+        const windows = contracts.map(entry => entry.contract.retries.resendWindowSeconds * 1000);
+        return windows.length === 0 ? defaultResendWindowMs : Math.max(...windows);
+    }
+
+    private connectStreams(): void {
+        this.streams.members.addListener(current => {
+            this.directory.mergeAnnounced(current.state);
+            this.peers.retain(Object.values(current.state.members));
+        });
+        this.streams.contracts.addListener(current => {
+            this.logger.info("contractsInForce", { through: current.through });
+        });
+        this.streams.quarantine.addListener(current => {
+            const now = this.clock.readDate().getTime();
+            for (const entry of current.state.entries) {
+                if (entry.until > now) {
+                    this.quarantine.impose(entry.fingerprint, entry.until - now);
+                }
+            }
+        });
+    }
+
+    private createControlHandlers(): ControlHandlers {
+        return {
+            probe: async request => this.prober.answerProbe(request),
+            probeIndirectly: request => this.prober.answerIndirectProbe(request),
+            pull: async request => this.answerPull(request.offsets),
+            notify: async request => {
+                this.directory.mergeUpdate(request.from);
+                this.follower.noticeOffsets(request.offsets);
+                return {};
+            },
+            transfer: async request => {
+                this.ownership.acceptTransfer(request);
+                return {};
+            },
+            reportCrash: async request => {
+                this.quarantine.recordCrash(request.fingerprint, request.incident);
+                return {};
+            },
+        };
+    }
+
+    private answerPull(offsets: StreamOffsets): ControlReply<"pull"> {
+        const reply: { -readonly [K in keyof ControlReply<"pull">]: ControlReply<"pull">[K]; } = {
+            updates: this.listUpdates(),
+        };
+        for (const key of streamKeys) {
+            const current = this.streams[key].get();
+            if (current !== undefined && current.through > offsets[key]) {
+                reply[key] = current;
+            }
+        }
+        return reply;
+    }
+
+    private listUpdates(): MemberUpdate[] {
+        return this.directory.listAll();
+    }
+
+    /** Tells the other instances of the service at once, and the log when the request is refused from now on. */
+    private reportCrash(fingerprint: string, incident: string): void {
+        const isNowRefused = this.quarantine.recordCrash(fingerprint, incident);
+        const request = { from: this.self, fingerprint, incident };
+        for (const update of this.directory.listPeers()) {
+            if (update.member.service === this.self.service) {
+                void this.control.call(formatSlot(update.member), "reportCrash", request, callTimeoutMs);
+            }
+        }
+        if (isNowRefused) {
+            this.logger.warn("quarantined", { fingerprint });
+            const until = this.clock.readDate().getTime() + quarantineMs;
+            const record = { kind: "quarantine" as const, fingerprint, service: this.self.service, until };
+            void this.log.append(quarantineStreamName, formatQuarantineRecord(record));
+        }
+    }
+
+    private addGauges(): void {
+        const { metrics, admission, claims, ownership, quarantine, directory } = this;
+        metrics.addGauge(
+            "runs_in_progress",
+            "Requests running at the local endpoint.",
+            () => admission.getState().running,
+        );
+        metrics.addGauge("runs_queued", "Requests waiting for the local endpoint.", () => admission.getState().queued);
+        metrics.addGauge(
+            "concurrency_limit",
+            "Requests that may run at the same time.",
+            () => admission.getState().limit,
+        );
+        metrics.addGauge(
+            "priority_threshold",
+            "Priority below which requests are refused.",
+            () => admission.getThreshold(),
+        );
+        metrics.addGauge("claims", "Actions remembered as owner of their keys.", () => claims.getSize());
+        metrics.addGauge("claim_bytes", "Memory of remembered actions in bytes.", () => claims.getBytes());
+        metrics.addGauge("partitions_owned", "Partitions of the service's keys owned.", () => ownership.countOwned());
+        metrics.addGauge(
+            "quarantined_requests",
+            "Requests refused because they crash endpoints.",
+            () => quarantine.countRefused(),
+        );
+        metrics.addGauge("members", "Members known.", () => directory.listAll().length);
+        metrics.addGauge(
+            "contracts_offset",
+            "Offset through which contracts are in force.",
+            () => this.streams.contracts.getThrough(),
+        );
+        metrics.addGauge(
+            "log_up",
+            "Whether the last read of the log succeeded.",
+            () => this.follower.isLogUp() ? 1 : 0,
+        );
+        metrics.addGauge("resident_memory_bytes", "Resident memory of the process.", () => process.memoryUsage.rss());
+    }
+}
--- /dev/null
+++ b/src/process/quarantine.ts
@@ -0,0 +1,106 @@
+/**
+ * Requests that crash the endpoints that run them.
+ *
+ * Whatever was in progress when an endpoint crashed is suspect. A suspect may run once more, never beside another suspect,
+ * so that a bystander is cleared by its next run. A request that was in progress at two crashes is refused everywhere.
+ */
+import type { Clock } from "./clock.js";
+
+/** Crashes after which a request is refused. */
+export const maxCrashes = 2;
+/** Time for which a request is suspect or refused, in milliseconds. */
+export const quarantineMs = 600_000;
+/** Most requests that are remembered; the oldest are forgotten first. */
+const maxRemembered = 10_000;
+
+/** Crashes that one request was in progress at. */
+interface Record {
+    readonly incidents: Set<string>;
+    until: number;
+}
+
+/** Memory of crashes, by the fingerprint of the request. */
+export class Quarantine {
+    private readonly records = new Map<string, Record>();
+    private readonly runningSuspects = new Set<string>();
+
+    constructor(private readonly clock: Clock) {}
+
+    /** Notes that a request was in progress at a crash. Returns whether this put it under quarantine. */
+    recordCrash(fingerprint: string, incident: string): boolean {
+        const record = this.records.get(fingerprint) ?? { incidents: new Set<string>(), until: 0 };
+        const wasRefused = record.incidents.size >= maxCrashes;
+        record.incidents.add(incident);
+        record.until = this.clock.readMonotonic() + quarantineMs;
+        this.records.delete(fingerprint);
+        this.records.set(fingerprint, record);
+        this.forgetOldest();
+        return !wasRefused && record.incidents.size >= maxCrashes;
+    }
+
+    /** Puts a request under quarantine by word of the log, for `milliseconds` from now. */
+    impose(fingerprint: string, milliseconds: number): void {
+        const incidents = new Set(Array.from({ length: maxCrashes }, (_, index) => `log-${index}`));
+        this.records.set(fingerprint, { incidents, until: this.clock.readMonotonic() + milliseconds });
+        this.forgetOldest();
+    }
+
+    /** Forgets a request, for instance after its suspect run ended well. */
+    clear(fingerprint: string): void {
+        this.records.delete(fingerprint);
+    }
+
+    /** Whether a request must not run. */
+    isRefused(fingerprint: string): boolean {
+        return this.countCrashes(fingerprint) >= maxCrashes;
+    }
+
+    /** Whether a request was in progress at a crash. */
+    isSuspect(fingerprint: string): boolean {
+        return this.countCrashes(fingerprint) > 0;
+    }
+
+    /** Starts a run of a suspect; false while another suspect is running. */
+    startSuspect(fingerprint: string): boolean {
+        if (this.runningSuspects.size > 0) {
+            return false;
+        }
+        this.runningSuspects.add(fingerprint);
+        return true;
+    }
+
+    /** Ends a run of a suspect. */
+    endSuspect(fingerprint: string): void {
+        this.runningSuspects.delete(fingerprint);
+    }
+
+    /** Number of requests under quarantine. */
+    countRefused(): number {
+        let count = 0;
+        for (const fingerprint of this.records.keys()) {
+            count += this.isRefused(fingerprint) ? 1 : 0;
+        }
+        return count;
+    }
+
+    private countCrashes(fingerprint: string): number {
+        const record = this.records.get(fingerprint);
+        if (record === undefined) {
+            return 0;
+        }
+        if (this.clock.readMonotonic() > record.until) {
+            this.records.delete(fingerprint);
+            return 0;
+        }
+        return record.incidents.size;
+    }
+
+    private forgetOldest(): void {
+        for (const fingerprint of this.records.keys()) {
+            if (this.records.size <= maxRemembered) {
+                return;
+            }
+            this.records.delete(fingerprint);
+        }
+    }
+}
--- /dev/null
+++ b/src/process/settings.ts
@@ -0,0 +1,130 @@
+/** Settings of the daemon: one TOML file, checked before anything starts. */
+import { readFileSync } from "node:fs";
+import { isIP } from "node:net";
+import { parse as parseToml, TomlError } from "smol-toml";
+import * as v from "valibot";
+import { createRange, formatAllowed, shortTextSchema } from "../version/schema.js";
+import { logLevels } from "./logger.js";
+import type { Result } from "./result.js";
+import { createFailure, createSuccess } from "./result.js";
+
+/** What can be wrong with the settings. */
+export type SettingsError =
+    | { readonly kind: "unreadable"; readonly file: string; readonly message: string; }
+    | { readonly kind: "syntax"; readonly file: string; readonly line: number; readonly message: string; }
+    | {
+        readonly kind: "value";
+        readonly file: string;
+        readonly key: string;
+        readonly value: string;
+        readonly allowed: string;
+    };
+
+const portSchema = createRange(1, 65_535);
+const addressSchema = v.pipe(v.string(), v.check(text => isIP(text) !== 0, "an IP number"));
+const urlSchema = v.pipe(v.string(), v.regex(/^http:\/\/[0-9.:[\]a-f]+$/, "http://IP:PORT"));
+const slotSchema = v.pipe(v.string(), v.regex(/^[0-9.:[\]a-f]+:[0-9]+$/, "IP:PORT"));
+
+const settingsSchema = v.strictObject({
+    service: shortTextSchema,
+    dataCentre: shortTextSchema,
+    /** IP number that all listeners are bound to. */
+    address: addressSchema,
+    listeners: v.strictObject({
+        /** Requests of outside callers. */
+        caller: portSchema,
+        /** Calls of the local endpoint to other services. */
+        outbound: portSchema,
+        /** Requests of other nodes. */
+        peer: portSchema,
+        /** Control messages of other nodes. */
+        control: portSchema,
+        /** Metrics, health, status and the endpoint's announcements. */
+        admin: portSchema,
+    }),
+    endpoint: v.strictObject({ url: urlSchema }),
+    log: v.strictObject({
+        url: urlSchema,
+        timeoutMilliseconds: v.optional(createRange(10, 60_000), 1000),
+        /** Interval of reads by the nodes on duty. */
+        pollMilliseconds: v.optional(createRange(50, 60_000), 500),
+        /** Interval of reads by all other nodes. */
+        idlePollMilliseconds: v.optional(createRange(50, 600_000), 15_000),
+        /** Time for which the service keeps records. */
+        retentionSeconds: v.optional(createRange(1, 31_536_000), 86_400),
+    }),
+    peers: v.optional(v.strictObject({ seeds: v.optional(v.pipe(v.array(slotSchema), v.maxLength(64)), []) }), {
+        seeds: [],
+    }),
+    limits: v.optional(
+        v.strictObject({
+            maxBodyBytes: v.optional(createRange(1024, 67_108_864), 4_194_304),
+            maxHeaderBytes: v.optional(createRange(1024, 65_536), 16_384),
+            /** Actions that the node remembers as owner. */
+            maxClaims: v.optional(createRange(100, 10_000_000), 200_000),
+            /** Bytes of answers that the node remembers as owner. */
+            maxClaimBytes: v.optional(createRange(65_536, 1_073_741_824), 16_777_216),
+        }),
+        {},
+    ),
+    drain: v.optional(v.strictObject({ timeoutSeconds: v.optional(createRange(1, 3600), 60) }), {}),
+    control: v.optional(
+        v.strictObject({
+            /** Switches off limits, queues and thresholds; for comparisons only. */
+            isAdmissionOff: v.optional(v.boolean(), false),
+        }),
+        {},
+    ),
+    logging: v.optional(v.strictObject({ level: v.optional(v.picklist(logLevels), "info") }), {}),
+});
+
+/** Checked settings with every default filled in. */
+export type Settings = v.InferOutput<typeof settingsSchema>;
+
+/** Reads and checks a settings file. */
+export function readSettings(file: string): Result<Settings, SettingsError> {
+    let text: string;
+    try {
+        text = readFileSync(file, "utf8");
+    }
+    catch (error) {
+        return createFailure({ kind: "unreadable", file, message: (error as Error).message });
+    }
+    return parseSettings(file, text);
+}
+
+/** Parses and checks the text of a settings file; `file` is for messages only. */
+export function parseSettings(file: string, text: string): Result<Settings, SettingsError> {
+    let raw: unknown;
+    try {
+        raw = parseToml(text);
+    }
+    catch (error) {
+        const line = error instanceof TomlError ? error.line : 0;
+        return createFailure({ kind: "syntax", file, line, message: (error as Error).message.split("\n")[0]! });
+    }
+    const parsed = v.safeParse(settingsSchema, raw, { abortEarly: true });
+    if (parsed.success) {
+        return createSuccess(parsed.output);
+    }
+    const issue = parsed.issues[0];
+    return createFailure({
+        kind: "value",
+        file,
+        key: v.getDotPath(issue) ?? "settings",
+        value: issue.received,
+        allowed: formatAllowed(issue),
+    });
+}
+
+/** Formats a settings error as one line for a person. */
+export function formatSettingsError(error: SettingsError): string {
+    switch (error.kind) {
+        case "unreadable":
+            return `${error.file}: ${error.message}`;
+        case "syntax":
+            return `${error.file}:${error.line}: ${error.message}`;
+        case "value":
+            return `${error.file}: ${error.key} = ${error.value}, allowed: ${error.allowed}`;
+    }
+}
--- /dev/null
+++ b/src/process/snapshots.ts
@@ -0,0 +1,78 @@
+/**
+ * Writes snapshots of the streams before their records expire.
+ *
+ * Any node may write one at any time: a reader takes the newest one that is complete, so neither several writers nor a
+ * writer that was paused do harm. Ranks by hash keep all nodes from writing at once.
+ */
+import type { LogService } from "../connection/logService.js";
+import { formatSlot } from "../version/member.js";
+import { hashText } from "../version/memberStream.js";
+import { formatSnapshot } from "../version/streamFold.js";
+import type { Clock } from "./clock.js";
+import type { Directory } from "./directory.js";
+import type { Logger } from "./logger.js";
+import type { Streams } from "./streams.js";
+import { streamKeys } from "./streams.js";
+
+/** Share of the retention after which a snapshot is due. */
+const dueShare = 0.25;
+/** Share of the retention that each further rank waits. */
+const rankShare = 0.05;
+/** Checks in each retention. */
+const checksPerRetention = 40;
+
+/** What the writer needs from the rest of the node. */
+export interface SnapshotParts {
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly log: LogService;
+    readonly streams: Streams;
+    readonly directory: Directory;
+    readonly retentionMs: number;
+}
+
+/** Writes snapshots when they are due, until the signal aborts. */
+export async function runSnapshotWriter(parts: SnapshotParts, signal: AbortSignal): Promise<void> {
+    const startedAt = parts.clock.readDate().getTime();
+    while (!signal.aborted) {
+        await parts.clock.sleep(parts.retentionMs / checksPerRetention, signal);
+        for (const key of streamKeys) {
+            if (isDue(parts, key, startedAt)) {
+                await writeSnapshot(parts, key);
+            }
+        }
+    }
+}
+
+function isDue(parts: SnapshotParts, key: (typeof streamKeys)[number], startedAt: number): boolean {
+    const replica = parts.streams[key];
+    if (replica.getThrough() < 0) {
+        return false;
+    }
+    const age = parts.clock.readDate().getTime() - (replica.getSnapshotTime() ?? startedAt);
+    return age > parts.retentionMs * (dueShare + rankShare * findRank(parts.directory, key));
+}
+
+/** Position of this node in the order in which nodes write snapshots of a stream. */
+function findRank(directory: Directory, key: string): number {
+    const own = hashText(`${key}|${formatSlot(directory.getSelf().member)}`);
+    return directory.listPeers()
+        .filter(update => update.health === "alive" && hashText(`${key}|${formatSlot(update.member)}`) > own)
+        .length;
+}
+
+async function writeSnapshot(parts: SnapshotParts, key: (typeof streamKeys)[number]): Promise<void> {
+    const replica = parts.streams[key];
+    const caughtUp = await replica.catchUp(parts.log);
+    const current = replica.get();
+    if (!caughtUp.ok || current === undefined) {
+        return;
+    }
+    const appended = await parts.log.append(replica.stream, formatSnapshot(current));
+    await replica.catchUp(parts.log);
+    parts.logger.info("snapshotWritten", {
+        stream: replica.stream,
+        through: current.through,
+        isAcknowledged: appended.ok,
+    });
+}
--- /dev/null
+++ b/src/request/action.ts
@@ -0,0 +1,131 @@
+/** An action as its caller states it in the headers of a request, checked against the customer's contract. */
+import { createHash, randomUUID } from "node:crypto";
+import type { IncomingHttpHeaders } from "node:http";
+import type { Result } from "../process/result.js";
+import { createFailure, createSuccess } from "../process/result.js";
+import type { Contract } from "../version/contract.js";
+import type { ContractState } from "../version/contractStream.js";
+import { findContract } from "../version/contractStream.js";
+import type { Reason } from "./answer.js";
+import { headerNames } from "./headers.js";
+import { maxKeyLength } from "./leg.js";
+import { computePriority } from "./priority.js";
+
+/** Longest deadline that a caller may state, in milliseconds. */
+const maxDeadlineMs = 3_600_000;
+/** Characters that an action key may hold. */
+const keyPattern = /^[\x21-\x7e]+$/;
+const integerPattern = /^[0-9]{1,9}$/;
+
+/** A caller's error in the headers of a request. */
+export interface ActionError {
+    readonly kind: "badHeader" | "unknownCustomer" | "unknownClass";
+    readonly reason: Reason;
+    readonly message: string;
+}
+
+/** Everything that all hops of an action share. */
+export interface ActionContext {
+    readonly key: string;
+    /** Number of this send by the caller; 0 when the caller did not say. */
+    readonly attempt: number;
+    readonly customer: string;
+    readonly actionClass: string;
+    readonly priority: number;
+    readonly resendWindowMs: number;
+    /** When this send arrived at its entry, in milliseconds since the epoch. */
+    readonly issuedAt: number;
+}
+
+/** An action at its entry. */
+export interface Action extends ActionContext {
+    readonly isIdempotent: boolean;
+    readonly deadlineMs: number;
+    readonly contract: Contract;
+}
+
+/** Parses the headers of a caller's request. */
+export function parseAction(
+    headers: IncomingHttpHeaders,
+    contracts: ContractState,
+    now: Date,
+): Result<Action, ActionError> {
+    const customer = findHeader(headers, headerNames.customer);
+    const className = findHeader(headers, headerNames.class);
+    if (customer === undefined || className === undefined) {
+        return createBadHeader(`${headerNames.customer} and ${headerNames.class} are required`);
+    }
+    const contract = findContract(contracts, customer);
+    if (contract === undefined) {
+        return createFailure({
+            kind: "unknownCustomer",
+            reason: "unknownCustomer",
+            message: "no contract for this customer",
+        });
+    }
+    const requestClass = Object.hasOwn(contract.classes, className) ? contract.classes[className] : undefined;
+    if (requestClass === undefined) {
+        return createFailure({
+            kind: "unknownClass",
+            reason: "unknownClass",
+            message: "no such class in the contract",
+        });
+    }
+    const deadline = parseInteger(findHeader(headers, headerNames.deadline), requestClass.deadlineMilliseconds);
+    if (deadline === undefined || deadline < 1 || deadline > maxDeadlineMs) {
+        return createBadHeader(`${headerNames.deadline} must be 1 to ${maxDeadlineMs}`);
+    }
+    const key = findHeader(headers, headerNames.key);
+    if (key === undefined && !requestClass.idempotent) {
+        return createBadHeader(`${headerNames.key} is required for a class that is not idempotent`);
+    }
+    if (key !== undefined && (key.length > maxKeyLength || !keyPattern.test(key))) {
+        return createBadHeader(`${headerNames.key} must be 1 to ${maxKeyLength} visible ASCII characters`);
+    }
+    // Without a key nobody can send the action again, so this is its first send.
+    const attempt = parseInteger(findHeader(headers, headerNames.attempt), key === undefined ? 1 : 0);
+    if (attempt === undefined) {
+        return createBadHeader(`${headerNames.attempt} must be a whole number`);
+    }
+    const scopedKey = `${customer}/${key ?? randomUUID()}`;
+    return createSuccess({
+        key: scopedKey,
+        attempt,
+        customer,
+        actionClass: className,
+        priority: computePriority(requestClass.worth, scopedKey),
+        resendWindowMs: contract.retries.resendWindowSeconds * 1000,
+        issuedAt: now.getTime(),
+        isIdempotent: requestClass.idempotent,
+        deadlineMs: deadline,
+        contract,
+    });
+}
+
+/** Derives the key of a call that a run makes, the same on every repeat of the run. */
+export function deriveCallKey(parentKey: string, service: string, method: string, path: string, step: string): string {
+    const digest = createHash("sha256").update([parentKey, service, method, path, step].join("\0")).digest("base64url");
+    return `call/${digest}`;
+}
+
+/** Hashes what a request asks for; equal requests have equal fingerprints. */
+export function computeFingerprint(service: string, method: string, path: string, body: Buffer): string {
+    return createHash("sha1").update(`${service}\0${method}\0${path}\0`).update(body).digest("base64url");
+}
+
+/** Finds a header that must not come twice. */
+export function findHeader(headers: IncomingHttpHeaders, name: string): string | undefined {
+    const value = headers[name];
+    return typeof value === "string" && value !== "" ? value : undefined;
+}
+
+function parseInteger(text: string | undefined, fallback: number): number | undefined {
+    if (text === undefined) {
+        return fallback;
+    }
+    return integerPattern.test(text) ? Number(text) : undefined;
+}
+
+function createBadHeader(message: string): { readonly ok: false; readonly error: ActionError; } {
+    return createFailure({ kind: "badHeader", reason: "badRequest", message });
+}
--- /dev/null
+++ b/src/request/dispatcher.ts
@@ -0,0 +1,229 @@
+/** Routes a call to an instance of its service, repeats it where that is safe, and settles what the caller is told. */
+import type { PeerAnswer, PeerCaller } from "../connection/peers.js";
+import type { Balancer } from "../process/balancer.js";
+import type { Claims } from "../process/claims.js";
+import type { Clock } from "../process/clock.js";
+import type { Directory } from "../process/directory.js";
+import type { LocalEndpoint } from "../process/localEndpoint.js";
+import type { RetryRatio } from "../process/rateLimit.js";
+import type { Member } from "../version/member.js";
+import { formatSlot, isSameMember } from "../version/member.js";
+import type { MemberState } from "../version/memberStream.js";
+import { findOwner } from "../version/memberStream.js";
+import type { Answer, NotRunAnswer, Reason } from "./answer.js";
+import { createNotRun, createUnknown } from "./answer.js";
+import { RetryBudget } from "./budget.js";
+import type { Call } from "./call.js";
+
+/** Instances that a call is offered to before its refusal is final. */
+const maxOffers = 4;
+/** Instances that may refuse a call as overloaded before its refusal is final. */
+const maxOverloadOffers = 2;
+/** Time between tries while a key moves from one owner to the next, in milliseconds. */
+const moveRetryMs = 25;
+/** Longest time that a call waits for its key to have an owner, in milliseconds. */
+const maxMoveWaitMs = 3000;
+/** Time after which a call whose key has no owner may be sent again, in milliseconds. */
+const noOwnerRetryMs = 1000;
+/** Refusals after which another instance may be asked at once. */
+const offerReasons: ReadonlySet<Reason> = new Set(["leaving", "notReady", "overloaded"]);
+/** Unknown outcomes after which an idempotent call may be repeated at once. */
+const repeatReasons: ReadonlySet<Reason> = new Set(["connectionLost", "endpointFailed"]);
+
+/** What the dispatcher needs from the rest of the node. */
+export interface DispatcherParts {
+    readonly clock: Clock;
+    readonly self: Member;
+    readonly directory: Directory;
+    readonly balancer: Balancer;
+    readonly retryRatio: RetryRatio;
+    readonly peers: PeerCaller;
+    readonly localEndpoint: LocalEndpoint;
+    readonly claims: Claims;
+    /** Members as folded from the log; `undefined` while not known. */
+    readonly getMembers: () => MemberState | undefined;
+}
+
+/** Routes calls. */
+export class Dispatcher {
+    constructor(private readonly parts: DispatcherParts) {}
+
+    /** Routes a call and returns its final answer. Never rejects. */
+    dispatch(call: Call): Promise<Answer> {
+        return isOwnersDecision(call) ? this.dispatchToOwner(call) : this.dispatchToAny(call);
+    }
+
+    /** Runs a claimed call once: here if the local endpoint can, else at another instance of the service. */
+    async runClaimed(call: Call): Promise<Answer> {
+        const { localEndpoint, self } = this.parts;
+        if (localEndpoint.isReady()) {
+            return localEndpoint.run(call);
+        }
+        const tried = new Set([formatSlot(self)]);
+        let refusal: Answer = createNotRun("notReady", noOwnerRetryMs, call.budget.getRemaining());
+        while (tried.size <= maxOffers) {
+            const member = this.chooseInstance(call, tried);
+            if (member === undefined) {
+                break;
+            }
+            tried.add(formatSlot(member));
+            refusal = await this.callInstance(member, call, "claimed", call.budget);
+            if (refusal.outcome !== "notRun" || !offerReasons.has(refusal.reason)) {
+                break;
+            }
+        }
+        return refusal;
+    }
+
+    /** Offers an idempotent call to instances until one completes it or the refusal is final. */
+    private async dispatchToAny(call: Call): Promise<Answer> {
+        const { retryRatio, clock } = this.parts;
+        const tried = new Set<string>();
+        let overloads = 0;
+        let mayHaveRun = false;
+        let answer: Answer = createNotRun("notReady", noOwnerRetryMs, call.budget.getRemaining());
+        retryRatio.recordCall();
+        for (let offers = 0; offers < maxOffers; offers += 1) {
+            const member = this.chooseInstance(call, tried);
+            if (member === undefined) {
+                break;
+            }
+            tried.add(formatSlot(member));
+            answer = await this.callInstance(member, mayHaveRun ? markRepeated(call) : call, "serve", call.budget);
+            if (answer.outcome === "completed" || clock.readMonotonic() >= call.deadline || call.signal.aborted) {
+                break;
+            }
+            if (answer.outcome === "unknown") {
+                mayHaveRun = true;
+                if (!repeatReasons.has(answer.reason) || !call.budget.takeRetry() || !retryRatio.takeRetry()) {
+                    break;
+                }
+                continue;
+            }
+            overloads += answer.reason === "overloaded" ? 1 : 0;
+            const isFinal = !offerReasons.has(answer.reason) || overloads >= maxOverloadOffers;
+            if (isFinal || (answer.reason === "overloaded" && !retryRatio.takeRetry())) {
+                break;
+            }
+        }
+        return settleAnswer(answer, call, mayHaveRun);
+    }
+
+    /** Has the owner of the call's key decide. What may have been delivered is never sent again. */
+    private async dispatchToOwner(call: Call): Promise<Answer> {
+        const { clock } = this.parts;
+        const giveUpAt = Math.min(call.deadline, clock.readMonotonic() + maxMoveWaitMs);
+        for (;;) {
+            const result = await this.askOwner(call);
+            if (result.isDecided) {
+                return settleAnswer(result.answer, call, false);
+            }
+            if (clock.readMonotonic() + moveRetryMs >= giveUpAt || call.signal.aborted) {
+                return call.context.attempt === 1
+                    ? createNotRun("noOwner", noOwnerRetryMs, call.budget.getRemaining())
+                    : createUnknown("noOwner", noOwnerRetryMs);
+            }
+            await clock.sleep(moveRetryMs, call.signal);
+        }
+    }
+
+    /** Asks the present owner once. The result is undecided if the call provably did not reach an owner. */
+    private async askOwner(call: Call): Promise<{ isDecided: boolean; answer: Answer; }> {
+        const { self, claims, getMembers } = this.parts;
+        const members = getMembers();
+        const owner = members === undefined ? undefined : findOwner(members, call.service, call.context.key);
+        const budget = call.budget.getRemaining();
+        if (owner === undefined) {
+            return { isDecided: false, answer: createNotRun("noOwner", noOwnerRetryMs, budget) };
+        }
+        if (isSameMember(owner, self)) {
+            const answer = await claims.serve(call);
+            return { isDecided: !isMoved(answer), answer };
+        }
+        call.budget.takeAll();
+        const { answer, isUndelivered } = await this.sendTimed(owner, call, "own", budget);
+        call.budget.takeBack(budget, answer.unspent);
+        return { isDecided: !isUndelivered && !isMoved(answer), answer };
+    }
+
+    private chooseInstance(call: Call, tried: ReadonlySet<string>): Member | undefined {
+        const { self, directory, balancer, localEndpoint } = this.parts;
+        const candidates = directory.listCandidates(call.service);
+        const isLocalUntried = call.service === self.service && !tried.has(formatSlot(self));
+        if (isLocalUntried && localEndpoint.isReady()) {
+            return self;
+        }
+        return balancer.choose(candidates.filter(member => !isSameMember(member, self)), tried);
+    }
+
+    /** Sends a call to one instance with a part of the budget, and takes back what it did not use. */
+    private async callInstance(
+        member: Member,
+        call: Call,
+        mode: "serve" | "claimed",
+        budget: RetryBudget,
+    ): Promise<Answer> {
+        const lent = budget.lend();
+        let answer: Answer;
+        if (isSameMember(member, this.parts.self)) {
+            answer = await this.parts.localEndpoint.run({ ...call, budget: new RetryBudget(lent) });
+        }
+        else {
+            answer = (await this.sendTimed(member, call, mode, lent)).answer;
+        }
+        budget.takeBack(lent, answer.unspent);
+        return { ...answer, unspent: budget.getRemaining() };
+    }
+
+    private async sendTimed(
+        member: Member,
+        call: Call,
+        mode: "serve" | "claimed" | "own",
+        lent: number,
+    ): Promise<PeerAnswer> {
+        const { balancer, clock, peers, directory } = this.parts;
+        const slot = formatSlot(member);
+        const startedAt = clock.readMonotonic();
+        balancer.startCall(slot);
+        const result = await peers.send(member, call, mode, lent);
+        const { answer } = result;
+        balancer.endCall(
+            slot,
+            clock.readMonotonic() - startedAt,
+            answer.outcome === "completed" || answer.reason === "cancelled",
+        );
+        if (answer.outcome === "notRun" && answer.reason === "leaving") {
+            directory.recordLeaving(slot);
+        }
+        return result;
+    }
+}
+
+/** Actions that must not run twice, and repeated sends of any action, are decided by the owner of the key. */
+export function isOwnersDecision(call: Pick<Call, "isIdempotent" | "isRoot" | "context">): boolean {
+    return !call.isIdempotent || (call.isRoot && call.context.attempt !== 1);
+}
+
+function isMoved(answer: Answer): answer is NotRunAnswer {
+    return answer.outcome === "notRun" && answer.reason === "moved";
+}
+
+/** A repeat of a call that was lost is no longer the first send of what its run calls. */
+function markRepeated(call: Call): Call {
+    return { ...call, context: { ...call.context, attempt: 0 } };
+}
+
+/**
+ * "Not run" is told only if no send of the action ran or can still run. That is known of a first send that was refused, and
+ * of a later send of an action that must not run twice: all of its sends pass through the owner of its key, which has
+ * refused this one and will refuse the earlier ones. The first send of an idempotent action does not pass there.
+ */
+function settleAnswer(answer: Answer, call: Call, mayHaveRun: boolean): Answer {
+    const settled = { ...answer, unspent: call.budget.getRemaining() };
+    const { attempt } = call.context;
+    const isKnown = attempt === 1 || (attempt > 1 && !call.isIdempotent);
+    if (settled.outcome !== "notRun" || (isKnown && !mayHaveRun)) {
+        return settled;
+    }
+    return createUnknown(settled.reason, settled.retryAfterMs, settled.threshold);
+}
--- /dev/null
+++ b/src/request/entry.ts
@@ -0,0 +1,139 @@
+/** Requests of outside callers: checks them against the contracts and refuses before any work is spent on them. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { createCloseSignal, sendAnswer, sendRefusal } from "../connection/httpServer.js";
+import type { Allowances } from "../process/allowances.js";
+import { computeFirstShare } from "../process/claims.js";
+import type { Clock } from "../process/clock.js";
+import type { DownstreamThresholds } from "../process/downstream.js";
+import type { Metrics } from "../process/metrics.js";
+import type { Quarantine } from "../process/quarantine.js";
+import type { ContractState } from "../version/contractStream.js";
+import type { Action } from "./action.js";
+import { computeFingerprint, parseAction } from "./action.js";
+import type { Answer, Reason } from "./answer.js";
+import { createNotRun, createUnknown, reasonStatus } from "./answer.js";
+import { readBody } from "./body.js";
+import { RetryBudget } from "./budget.js";
+import type { Call } from "./call.js";
+import type { Dispatcher } from "./dispatcher.js";
+import { isOwnersDecision } from "./dispatcher.js";
+import { copyPassingHeaders } from "./headers.js";
+
+/** Time after which a request that was refused here may be sent again, in milliseconds. */
+const retryAfterMs = 500;
+
+/** What the entry needs from the rest of the node. */
+export interface EntryParts {
+    readonly clock: Clock;
+    readonly service: string;
+    readonly maxBodyBytes: number;
+    readonly metrics: Metrics;
+    readonly quarantine: Quarantine;
+    readonly allowances: Allowances;
+    readonly downstream: DownstreamThresholds;
+    readonly dispatcher: Dispatcher;
+    /** Contracts in force; `undefined` while they are not known or may be out of date. */
+    readonly getContracts: () => Promise<ContractState | undefined>;
+}
+
+/** Serves one request of an outside caller. */
+export async function serveCaller(
+    parts: EntryParts,
+    request: IncomingMessage,
+    response: ServerResponse,
+): Promise<void> {
+    const startedAt = parts.clock.readMonotonic();
+    const now = parts.clock.readDate();
+    const signal = createCloseSignal(response);
+    const body = await readBody(request, parts.maxBodyBytes);
+    if (body === "cut") {
+        return;
+    }
+    if (body === "tooLarge") {
+        response.setHeader("connection", "close");
+        sendRefusal(
+            response,
+            reasonStatus.bodyTooLarge,
+            "not-run",
+            "bodyTooLarge",
+            undefined,
+            `at most ${parts.maxBodyBytes} bytes`,
+        );
+        return;
+    }
+    const contracts = await parts.getContracts();
+    if (contracts === undefined) {
+        sendAnswer(response, createRefusal("notReady", retryAfterMs, request));
+        return;
+    }
+    const parsed = parseAction(request.headers, contracts, now);
+    if (!parsed.ok) {
+        const { reason, message } = parsed.error;
+        sendRefusal(response, reasonStatus[reason], "not-run", reason, undefined, message);
+        return;
+    }
+    const call = createRootCall(parts, parsed.value, request, body, startedAt, signal);
+    const answer = findEarlyRefusal(parts, parsed.value, call) ?? await parts.dispatcher.dispatch(call);
+    parts.metrics.recordEntry(parsed.value, answer, parts.clock.readMonotonic() - startedAt);
+    sendAnswer(response, answer);
+}
+
+function createRootCall(
+    parts: EntryParts,
+    action: Action,
+    request: IncomingMessage,
+    body: Buffer,
+    startedAt: number,
+    signal: AbortSignal,
+): Call {
+    const method = request.method ?? "GET";
+    const path = request.url ?? "/";
+    const { bound } = action.contract.retries;
+    // The first send of an idempotent action leaves a part of the bound to the owner of its key, for later sends.
+    const budget = action.isIdempotent && action.attempt === 1 ? computeFirstShare(bound) : bound;
+    return {
+        context: action,
+        service: parts.service,
+        callClass: action.actionClass,
+        isIdempotent: action.isIdempotent,
+        isRoot: true,
+        fingerprint: computeFingerprint(parts.service, method, path, body),
+        method,
+        path,
+        headers: copyPassingHeaders(request.rawHeaders),
+        body,
+        deadline: startedAt + action.deadlineMs,
+        budget: new RetryBudget(budget),
+        signal,
+    };
+}
+
+/** Refuses before anything is sent on. A repeated send that its owner may know of is left to the owner. */
+function findEarlyRefusal(parts: EntryParts, action: Action, call: Call): Answer | undefined {
+    if (parts.quarantine.isRefused(call.fingerprint)) {
+        return refuseAction(action, "quarantined", undefined);
+    }
+    if (isOwnersDecision(call) && action.attempt !== 1) {
+        return undefined;
+    }
+    const waitMs = parts.allowances.take(action.contract);
+    if (waitMs > 0) {
+        return refuseAction(action, "allowance", waitMs);
+    }
+    if (!parts.downstream.isAdmitted(action.customer, action.actionClass, action.priority)) {
+        return refuseAction(action, "overloaded", retryAfterMs);
+    }
+    return undefined;
+}
+
+/** Only of a first send is it known here that no other send has run. */
+function refuseAction(action: Action, reason: Reason, waitMs: number | undefined): Answer {
+    return action.attempt === 1 ? createNotRun(reason, waitMs, 0) : createUnknown(reason, waitMs);
+}
+
+/** Refuses a request whose headers can't be checked yet. */
+function createRefusal(reason: Reason, waitMs: number, request: IncomingMessage): Answer {
+    return request.headers["turmericspoke-attempt"] === "1"
+        ? createNotRun(reason, waitMs, 0)
+        : createUnknown(reason, waitMs);
+}
--- /dev/null
+++ b/src/version/audit.ts
@@ -0,0 +1,148 @@
+/** Audit trail: every change on the log in order, with what the folds decided on it. */
+import type { LogRecord, LogService } from "../connection/logService.js";
+import type { Result } from "../process/result.js";
+import { createFailure, createSuccess } from "../process/result.js";
+import type { ContractState } from "./contractStream.js";
+import { contractRules, contractStreamName, findVerdict } from "./contractStream.js";
+import { memberRules, memberStreamName } from "./memberStream.js";
+import { quarantineRules, quarantineStreamName } from "./quarantineStream.js";
+import type { ReplicaError } from "./replica.js";
+import type { StreamState } from "./streamFold.js";
+import { applyPage } from "./streamFold.js";
+
+/** One line of the trail. */
+export interface AuditEvent {
+    readonly at: number;
+    readonly stream: string;
+    readonly offset: number;
+    /** What happened, for instance `publish` or `join`. */
+    readonly what: string;
+    /** Who did it: an operator or a slot. */
+    readonly who: string;
+    /** What it was done to, and what came of it. */
+    readonly detail: string;
+}
+
+/** Reads the whole trail that the log still keeps, oldest first. */
+export async function readAudit(log: LogService): Promise<Result<AuditEvent[], ReplicaError>> {
+    const events: AuditEvent[] = [];
+    for (const stream of [contractStreamName, memberStreamName, quarantineStreamName]) {
+        const records = await readStream(log, stream);
+        if (!records.ok) {
+            return records;
+        }
+        events.push(...describeStream(stream, records.value));
+    }
+    return createSuccess(events.sort((a, b) => a.at - b.at || a.offset - b.offset));
+}
+
+async function readStream(log: LogService, stream: string): Promise<Result<LogRecord[], ReplicaError>> {
+    const records: LogRecord[] = [];
+    for (let from = 0;;) {
+        const page = await log.read(stream, from);
+        if (!page.ok) {
+            return createFailure({ kind: "log", error: page.error });
+        }
+        records.push(...page.value.records);
+        const last = page.value.records.at(-1);
+        if (last === undefined || last.offset + 1 >= page.value.next) {
+            return createSuccess(records);
+        }
+        from = last.offset + 1;
+    }
+}
+
+function describeStream(stream: string, records: readonly LogRecord[]): AuditEvent[] {
+    const verdicts = stream === contractStreamName ? foldContracts(records) : undefined;
+    return records.map(record => ({
+        at: record.at,
+        stream,
+        offset: record.offset,
+        ...describeRecord(stream, record, verdicts),
+    }));
+}
+
+function foldContracts(records: readonly LogRecord[]): ContractState | undefined {
+    const page = { first: records[0]?.offset ?? 0, next: (records.at(-1)?.offset ?? -1) + 1, records };
+    const none: StreamState<ContractState> | undefined = undefined;
+    return applyPage(contractRules, none, page).current?.state;
+}
+
+type Description = Pick<AuditEvent, "what" | "who" | "detail">;
+
+function describeRecord(stream: string, record: LogRecord, contracts: ContractState | undefined): Description {
+    const body = parseJson(record.body);
+    if (isSnapshotBody(body)) {
+        return { what: "snapshot", who: "", detail: `through=${body.through}` };
+    }
+    const description = stream === contractStreamName
+        ? describePublication(body, contracts)
+        : stream === memberStreamName
+        ? describeMember(body)
+        : describeQuarantine(body);
+    return description ?? { what: "skipped", who: "", detail: `malformed record of ${record.body.length} characters` };
+}
+
+function describePublication(body: unknown, contracts: ContractState | undefined): Description | undefined {
+    const publication = contractRules.parseRecord(body);
+    if (publication === undefined) {
+        return undefined;
+    }
+    const verdict = contracts === undefined ? undefined : findVerdict(contracts, publication.id);
+    const outcome = verdict === undefined
+        ? "outcome=notRemembered"
+        : `outcome=${verdict.outcome} version=${verdict.version}`;
+    const detail = `customer=${publication.contract.customer} base=${publication.baseVersion} ${outcome}`;
+    return { what: "publish", who: publication.operator, detail };
+}
+
+function describeMember(body: unknown): Description | undefined {
+    const record = memberRules.parseRecord(body);
+    switch (record?.kind) {
+        case "join": {
+            const { address, controlPort, service, dataCentre, incarnation } = record.member;
+            return {
+                what: "join",
+                who: `${address}:${controlPort}`,
+                detail: `service=${service} dataCentre=${dataCentre} incarnation=${incarnation}`,
+            };
+        }
+        case "leave":
+            return { what: "leave", who: record.slot, detail: `incarnation=${record.incarnation}` };
+        case "handover":
+            return {
+                what: "handover",
+                who: record.from.slot,
+                detail: `to=${record.to.slot} partitions=${record.partitions.length}`,
+            };
+        case "retire":
+            return { what: "retire", who: record.operator, detail: `slot=${record.slot}` };
+        default:
+            return undefined;
+    }
+}
+
+function describeQuarantine(body: unknown): Description | undefined {
+    const record = quarantineRules.parseRecord(body);
+    switch (record?.kind) {
+        case "quarantine":
+            return { what: "quarantine", who: record.service, detail: `fingerprint=${record.fingerprint}` };
+        case "release":
+            return { what: "release", who: record.operator, detail: `fingerprint=${record.fingerprint}` };
+        default:
+            return undefined;
+    }
+}
+
+function isSnapshotBody(body: unknown): body is { readonly kind: "snapshot"; readonly through: number; } {
+    return typeof body === "object" && body !== null && (body as { kind?: unknown; }).kind === "snapshot";
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/version/contract.ts
@@ -0,0 +1,113 @@
+/**
+ * A customer's contract: what its requests are worth, which of them may be repeated and how much load may come.
+ *
+ * Operators write contracts in TOML. The parsed form is what goes on the log and what every node enforces.
+ */
+import { parse as parseToml, TomlError } from "smol-toml";
+import * as v from "valibot";
+import type { Result } from "../process/result.js";
+import { createFailure, createSuccess } from "../process/result.js";
+import { createRange, formatAllowed } from "./schema.js";
+
+/** Longest name of a customer or class, in characters. */
+export const maxNameLength = 64;
+/** Largest contract file, in bytes. */
+export const maxContractBytes = 65_536;
+/** Most classes that one contract may hold. */
+export const maxClasses = 64;
+
+/** What can be wrong with a contract file. `key` is the dotted path of the setting. */
+export type ContractError =
+    | { readonly kind: "tooLarge"; readonly bytes: number; readonly allowed: string; }
+    | { readonly kind: "syntax"; readonly line: number; readonly message: string; }
+    | { readonly kind: "value"; readonly key: string; readonly value: string; readonly allowed: string; };
+
+const nameSchema = v.pipe(
+    v.string(),
+    v.regex(/^[a-z][a-z0-9-]*$/, "lower-case letters, digits and hyphens"),
+    v.maxLength(maxNameLength),
+);
+
+/** One class of requests. */
+export const requestClassSchema = v.strictObject({
+    /** Rank under overload, 0 (refused first) to 100 (refused last). */
+    worth: createRange(0, 100),
+    /** Whether a request of this class may run more than once. */
+    idempotent: v.boolean(),
+    /** Time for the whole request when the caller states none, in milliseconds. */
+    deadlineMilliseconds: createRange(1, 600_000),
+});
+
+/** Shape of a contract. */
+export const contractSchema = v.strictObject({
+    customer: nameSchema,
+    allowance: v.strictObject({
+        /** Load that the customer may bring to the whole system, in requests a second. */
+        requestsPerSecond: createRange(0, 1_000_000),
+        /** Requests that may come at once above the steady rate. */
+        burst: createRange(1, 1_000_000),
+    }),
+    retries: v.strictObject({
+        /** Most repeated runs behind one action over the whole chain, callers' re-sends included. */
+        bound: createRange(0, 16),
+        /** Time within which a caller may send an action again, in seconds. */
+        resendWindowSeconds: createRange(1, 86_400),
+    }),
+    classes: v.pipe(
+        v.record(nameSchema, requestClassSchema),
+        v.check(
+            classes => Object.keys(classes).length >= 1 && Object.keys(classes).length <= maxClasses,
+            `1 to ${maxClasses} classes`,
+        ),
+    ),
+});
+
+/** A contract that passed {@link parseContract}. */
+export type Contract = v.InferOutput<typeof contractSchema>;
+/** One class of requests in a contract. */
+export type RequestClass = v.InferOutput<typeof requestClassSchema>;
+
+/** Parses and checks a contract file. */
+export function parseContract(text: string): Result<Contract, ContractError> {
+    const bytes = Buffer.byteLength(text);
+    if (bytes > maxContractBytes) {
+        return createFailure({ kind: "tooLarge", bytes, allowed: `at most ${maxContractBytes} bytes` });
+    }
+    let raw: unknown;
+    try {
+        raw = parseToml(text);
+    }
+    catch (error) {
+        const line = error instanceof TomlError ? error.line : 0;
+        const message = error instanceof Error ? error.message.split("\n")[0]! : String(error);
+        return createFailure({ kind: "syntax", line, message });
+    }
+    return checkContract(raw);
+}
+
+/** Checks a contract that is already an object, for instance one read from the log. */
+export function checkContract(raw: unknown): Result<Contract, ContractError> {
+    const parsed = v.safeParse(contractSchema, raw, { abortEarly: true });
+    if (parsed.success) {
+        return createSuccess(parsed.output);
+    }
+    const issue = parsed.issues[0];
+    return createFailure({
+        kind: "value",
+        key: v.getDotPath(issue) ?? "contract",
+        value: issue.received,
+        allowed: formatAllowed(issue),
+    });
+}
+
+/** Formats a contract error as one line for a person. */
+export function formatContractError(file: string, error: ContractError): string {
+    switch (error.kind) {
+        case "tooLarge":
+            return `${file}: ${error.bytes} bytes, allowed: ${error.allowed}`;
+        case "syntax":
+            return `${file}:${error.line}: ${error.message}`;
+        case "value":
+            return `${file}: ${error.key} = ${error.value}, allowed: ${error.allowed}`;
+    }
+}
--- /dev/null
+++ b/src/version/contractStream.ts
@@ -0,0 +1,117 @@
+/**
+ * The `contracts` stream: which version of each customer's contract is in force.
+ *
+ * A publication is accepted if its base version is the customer's current one; two operators' race is therefore decided
+ * by the order of the log, in the same way on every node. A repeated publication id changes nothing.
+ */
+import * as v from "valibot";
+import type { Contract } from "./contract.js";
+import { contractSchema } from "./contract.js";
+import { parseWith } from "./schema.js";
+import type { StreamRules } from "./streamFold.js";
+
+/** Name of the stream on the log service. */
+export const contractStreamName = "contracts";
+/** Verdicts that the state remembers, newest last. They also recognise a repeated publication id. */
+const rememberedVerdicts = 256;
+
+const publicationSchema = v.object({
+    kind: v.literal("publish"),
+    id: v.pipe(v.string(), v.minLength(1), v.maxLength(64)),
+    operator: v.pipe(v.string(), v.minLength(1), v.maxLength(64)),
+    baseVersion: v.pipe(v.number(), v.integer(), v.minValue(0)),
+    contract: contractSchema,
+});
+
+/** A publication of a contract, as it stands on the log. */
+export type Publication = v.InferOutput<typeof publicationSchema>;
+
+const verdictSchema = v.object({
+    id: v.string(),
+    operator: v.string(),
+    customer: v.string(),
+    offset: v.number(),
+    at: v.number(),
+    outcome: v.picklist(["accepted", "conflict"]),
+    /** Version in force for the customer after this publication. */
+    version: v.number(),
+});
+
+/** What the fold decided on one publication. */
+export type Verdict = v.InferOutput<typeof verdictSchema>;
+
+const versionedSchema = v.object({
+    version: v.number(),
+    offset: v.number(),
+    publicationId: v.string(),
+    contract: contractSchema,
+});
+
+/** A contract in force with its version; versions of a customer count from 1. */
+export type VersionedContract = v.InferOutput<typeof versionedSchema>;
+
+const stateSchema = v.object({
+    contracts: v.record(v.string(), versionedSchema),
+    verdicts: v.array(verdictSchema),
+});
+
+/** State of the stream. */
+export type ContractState = v.InferOutput<typeof stateSchema>;
+
+/** Rules of the stream. */
+export const contractRules: StreamRules<ContractState, Publication> = {
+    createState: () => ({ contracts: {}, verdicts: [] }),
+    parseRecord: body => parseWith(publicationSchema, body),
+    parseState: raw => parseWith(stateSchema, raw),
+    apply: applyPublication,
+};
+
+function applyPublication(state: ContractState, publication: Publication, offset: number, at: number): ContractState {
+    if (findVerdict(state, publication.id) !== undefined) {
+        return state;
+    }
+    const customer = publication.contract.customer;
+    const currentVersion = findVersion(state, customer);
+    const isAccepted = publication.baseVersion === currentVersion;
+    const version = isAccepted ? currentVersion + 1 : currentVersion;
+    const verdict: Verdict = {
+        id: publication.id,
+        operator: publication.operator,
+        customer,
+        offset,
+        at,
+        outcome: isAccepted ? "accepted" : "conflict",
+        version,
+    };
+    const verdicts = [...state.verdicts, verdict].slice(-rememberedVerdicts);
+    if (!isAccepted) {
+        return { contracts: state.contracts, verdicts };
+    }
+    const entry: VersionedContract = { version, offset, publicationId: publication.id, contract: publication.contract };
+    return { contracts: { ...state.contracts, [customer]: entry }, verdicts };
+}
+
+/** Finds what was decided on a publication, if the state still remembers it. */
+export function findVerdict(state: ContractState, publicationId: string): Verdict | undefined {
+    return state.verdicts.find(verdict => verdict.id === publicationId);
+}
+
+/** Formats a publication for the log. */
+export function formatPublication(publication: Publication): string {
+    return JSON.stringify(publication);
+}
+
+/** Finds the contract in force for a customer. */
+export function findContract(state: ContractState, customer: string): Contract | undefined {
+    return findEntry(state, customer)?.contract;
+}
+
+/** Finds the version in force for a customer; 0 when there is none. */
+export function findVersion(state: ContractState, customer: string): number {
+    return findEntry(state, customer)?.version ?? 0;
+}
+
+/** Customer names come from outside, so inherited properties of the record must not be found. */
+function findEntry(state: ContractState, customer: string): VersionedContract | undefined {
+    return Object.hasOwn(state.contracts, customer) ? state.contracts[customer] : undefined;
+}
--- /dev/null
+++ b/src/version/member.ts
@@ -0,0 +1,37 @@
+/** Identity and addresses of one node, as it announces itself to its peers and on the log. */
+import * as v from "valibot";
+import { createRange, shortTextSchema } from "./schema.js";
+
+const portSchema = createRange(1, 65_535);
+
+/** Shape of a member. */
+export const memberSchema = v.object({
+    /** IP number that the node's listeners are bound to. */
+    address: shortTextSchema,
+    /** Port for requests of peers. */
+    peerPort: portSchema,
+    /** Port for control messages of peers; with the address it names the node's slot. */
+    controlPort: portSchema,
+    /** Port of the admin listener. */
+    adminPort: portSchema,
+    service: shortTextSchema,
+    dataCentre: shortTextSchema,
+    /** Start time of the process in milliseconds since the epoch; a later process in the same slot has a higher one. */
+    incarnation: v.pipe(v.number(), v.integer(), v.minValue(1)),
+});
+
+/** One node in one incarnation. */
+export type Member = v.InferOutput<typeof memberSchema>;
+
+/** Name of a slot, `address:controlPort`. It outlives the processes that run in it. */
+export type SlotName = string;
+
+/** Formats the name of the slot that a member runs in. */
+export function formatSlot(member: Pick<Member, "address" | "controlPort">): SlotName {
+    return `${member.address}:${member.controlPort}`;
+}
+
+/** Whether two members are the same incarnation of the same slot. */
+export function isSameMember(a: Member, b: Member): boolean {
+    return a.incarnation === b.incarnation && formatSlot(a) === formatSlot(b);
+}
--- /dev/null
+++ b/src/version/memberStream.ts
@@ -0,0 +1,230 @@
+/**
+ * The `members` stream: announcements of nodes, and which node owns which keys of non-idempotent actions.
+ *
+ * The keys of each service are divided into {@link partitionCount} partitions. A partition has one owner at a time.
+ * Ownership moves only by proof, in the order of the log: the owner hands it over itself, a newer incarnation is bound to
+ * the owner's slot, or an operator retires the slot. No timeout moves it, so neither a pause nor a cut nor an outage of the
+ * log can make two owners.
+ */
+import { createHash } from "node:crypto";
+import * as v from "valibot";
+import type { Member, SlotName } from "./member.js";
+import { formatSlot, isSameMember, memberSchema } from "./member.js";
+import { createRange, parseWith, shortTextSchema } from "./schema.js";
+import type { StreamRules } from "./streamFold.js";
+
+/** Name of the stream on the log service. */
+export const memberStreamName = "members";
+/** Partitions of the key space of each service. */
+export const partitionCount = 64;
+
+/** Slot name of the owner of a partition that nobody owns. */
+const vacantSlot: SlotName = "vacant";
+
+const partitionSchema = createRange(0, partitionCount - 1);
+const slotIncarnationSchema = v.object({ slot: shortTextSchema, incarnation: v.pipe(v.number(), v.integer()) });
+
+/** One incarnation of a slot. */
+export type SlotIncarnation = v.InferOutput<typeof slotIncarnationSchema>;
+
+const recordSchema = v.variant("kind", [
+    v.object({ kind: v.literal("join"), member: memberSchema }),
+    v.object({ kind: v.literal("leave"), slot: shortTextSchema, incarnation: v.number() }),
+    v.object({
+        kind: v.literal("handover"),
+        service: shortTextSchema,
+        partitions: v.pipe(v.array(partitionSchema), v.maxLength(partitionCount)),
+        from: slotIncarnationSchema,
+        to: slotIncarnationSchema,
+    }),
+    v.object({ kind: v.literal("retire"), slot: shortTextSchema, operator: shortTextSchema }),
+]);
+
+/** A record of the stream. */
+export type MemberRecord = v.InferOutput<typeof recordSchema>;
+
+const ownershipSchema = v.object({
+    owner: slotIncarnationSchema,
+    /** Offset of the record that made this owner; it grows with each change of owner. */
+    epoch: v.number(),
+    /**
+     * How it became the owner: `first` of its service, by `handover` with the table of claims, or by `inheritance` from an
+     * owner that is gone and may have run actions that this one was not told of.
+     */
+    origin: v.picklist(["first", "handover", "inheritance"]),
+});
+
+/** Who owns a partition. */
+export type Ownership = v.InferOutput<typeof ownershipSchema>;
+
+const stateSchema = v.object({
+    members: v.record(v.string(), memberSchema),
+    /** By service, one entry for each partition. */
+    partitions: v.record(v.string(), v.array(ownershipSchema)),
+    /** Highest incarnation that was seen of each slot, those that left included. */
+    incarnations: v.record(v.string(), v.number()),
+});
+
+/** State of the stream. */
+export type MemberState = v.InferOutput<typeof stateSchema>;
+
+/** Rules of the stream. */
+export const memberRules: StreamRules<MemberState, MemberRecord> = {
+    createState: () => ({ members: {}, partitions: {}, incarnations: {} }),
+    parseRecord: body => parseWith(recordSchema, body),
+    parseState: raw => parseWith(stateSchema, raw),
+    apply: applyMemberRecord,
+};
+
+function applyMemberRecord(state: MemberState, record: MemberRecord, offset: number): MemberState {
+    switch (record.kind) {
+        case "join":
+            return applyJoin(state, record.member, offset);
+        case "leave":
+            return applyLeave(state, record, offset);
+        case "handover":
+            return applyHandover(state, record, offset);
+        case "retire":
+            return removeSlot(state, record.slot, offset);
+    }
+}
+
+/** A newer incarnation in a slot proves that the older one is gone, and inherits its partitions. */
+function applyJoin(state: MemberState, member: Member, offset: number): MemberState {
+    const slot = formatSlot(member);
+    const known = state.incarnations[slot] ?? 0;
+    if (member.incarnation <= known) {
+        return state;
+    }
+    const owner: SlotIncarnation = { slot, incarnation: member.incarnation };
+    const existing = state.partitions[member.service];
+    const partitions = existing === undefined || existing.length !== partitionCount
+        ? createPartitions(owner, offset)
+        : existing.map(entry =>
+            canInherit(entry, slot) ? { owner, epoch: offset, origin: "inheritance" as const } : entry
+        );
+    return {
+        members: { ...state.members, [slot]: member },
+        partitions: { ...state.partitions, [member.service]: partitions },
+        incarnations: { ...state.incarnations, [slot]: member.incarnation },
+    };
+}
+
+function canInherit(entry: Ownership, slot: SlotName): boolean {
+    return entry.owner.slot === slot || entry.owner.slot === vacantSlot;
+}
+
+/** The first member of a service owns every partition; nobody can have run anything before it. */
+function createPartitions(owner: SlotIncarnation, epoch: number): Ownership[] {
+    return Array.from({ length: partitionCount }, () => ({ owner, epoch, origin: "first" as const }));
+}
+
+/** A member appends its leave after its last run, so what it did not hand over may go to the others. */
+function applyLeave(state: MemberState, record: { slot: SlotName; incarnation: number; }, offset: number): MemberState {
+    return state.members[record.slot]?.incarnation === record.incarnation
+        ? removeSlot(state, record.slot, offset)
+        : state;
+}
+
+/** Moves those of the named partitions that the giver owns in the order of the log. */
+function applyHandover(
+    state: MemberState,
+    record: Extract<MemberRecord, { kind: "handover"; }>,
+    offset: number,
+): MemberState {
+    const partitions = state.partitions[record.service];
+    if (partitions === undefined) {
+        return state;
+    }
+    const moving = new Set(record.partitions);
+    const moved = partitions.map((entry, index) =>
+        moving.has(index) && isSameIncarnation(entry.owner, record.from)
+            ? { owner: record.to, epoch: offset, origin: "handover" as const }
+            : entry
+    );
+    return { ...state, partitions: { ...state.partitions, [record.service]: moved } };
+}
+
+/** Removes a slot whose owner is proven gone; what it owned goes to the remaining members of the service. */
+function removeSlot(state: MemberState, slot: SlotName, offset: number): MemberState {
+    const { [slot]: _removed, ...members } = state.members;
+    const partitions: Record<string, Ownership[]> = {};
+    for (const [service, entries] of Object.entries(state.partitions)) {
+        const heirs = listServiceMembers({ ...state, members }, service);
+        partitions[service] = entries.map((entry, index) =>
+            entry.owner.slot === slot ? createInherited(findRendezvous(heirs, String(index)), offset) : entry
+        );
+    }
+    return { ...state, members, partitions };
+}
+
+/** Without an heir the partition stays vacant until the next member of the service joins. */
+function createInherited(heir: Member | undefined, epoch: number): Ownership {
+    const owner = heir === undefined ? { slot: vacantSlot, incarnation: 0 } : createSlotIncarnation(heir);
+    return { owner, epoch, origin: "inheritance" };
+}
+
+/** Names a member's slot and incarnation. */
+export function createSlotIncarnation(member: Member): SlotIncarnation {
+    return { slot: formatSlot(member), incarnation: member.incarnation };
+}
+
+/** Whether both are the same incarnation of the same slot. */
+export function isSameIncarnation(a: SlotIncarnation, b: SlotIncarnation): boolean {
+    return a.slot === b.slot && a.incarnation === b.incarnation;
+}
+
+/** Lists the announced members of a service, ordered by slot. */
+export function listServiceMembers(state: MemberState, service: string): Member[] {
+    return Object.values(state.members)
+        .filter(member => member.service === service)
+        .sort((a, b) => formatSlot(a) < formatSlot(b) ? -1 : 1);
+}
+
+/** Chooses the member with the highest hash for a key, so that most choices stay when members come and go. */
+export function findRendezvous(members: readonly Member[], key: string): Member | undefined {
+    let best: Member | undefined;
+    let bestScore = -1;
+    for (const member of members) {
+        const score = hashText(`${formatSlot(member)}|${key}`);
+        if (score > bestScore) {
+            best = member;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+/** Finds the partition of an action key. */
+export function findPartition(key: string): number {
+    return hashText(key) % partitionCount;
+}
+
+/** Finds the member that owns an action key, if it is announced in the owning incarnation. */
+export function findOwner(state: MemberState, service: string, key: string): Member | undefined {
+    const entry = state.partitions[service]?.[findPartition(key)];
+    const member = entry === undefined ? undefined : state.members[entry.owner.slot];
+    return entry !== undefined && member?.incarnation === entry.owner.incarnation ? member : undefined;
+}
+
+/** Lists the partitions of a service that an incarnation owns. */
+export function listOwned(state: MemberState, service: string, owner: SlotIncarnation): number[] {
+    const entries = state.partitions[service] ?? [];
+    return entries.flatMap((entry, index) => isSameIncarnation(entry.owner, owner) ? [index] : []);
+}
+
+/** Whether a member is announced in just this incarnation. */
+export function isAnnounced(state: MemberState, member: Member): boolean {
+    const known = state.members[formatSlot(member)];
+    return known !== undefined && isSameMember(known, member);
+}
+
+/** 32-bit hash of a text, even over all texts. */
+export function hashText(text: string): number {
+    return createHash("sha1").update(text).digest().readUInt32BE(0);
+}
+
+/** Formats a record for the log. */
+export function formatMemberRecord(record: MemberRecord): string {
+    return JSON.stringify(record);
+}
