Tell an endpoint that became slower from one that has too much at once

Cause: the concurrency limit was lowered whenever runs took more than twice their usual time. A deep service that slows down by itself stays slow whatever the limit is, so the limit fell to 1 and most of its capacity lay idle.

Change: a lowering is a trial. If run times don't fall with the limit, the limit is restored and the new time counts as usual.

--- a/src/process/admission.ts
+++ b/src/process/admission.ts
@@ -3,30 +3,17 @@
  * threshold. A request that can't finish in time is refused at once with the time after which a re-send makes sense.
  */
 import type { Clock } from "./clock.js";
+import { ConcurrencyLimit } from "./concurrencyLimit.js";
 import { PriorityThreshold, windowMs } from "./threshold.js";
 
-/** Lowest concurrency limit. */
-const minLimit = 1;
-/** Concurrency limit before the endpoint announces its slots. */
-const initialLimit = 16;
 /** Queue places for each run that may be in progress. */
 const queueShare = 0.5;
 /** Longest wait in the queue that does not count as overload, in milliseconds. */
 const targetWaitMs = 20;
-/** Weight of a new sample in the average of run times. */
-const sampleWeight = 0.05;
-/** Ratio of recent to usual run time above which the limit is lowered. */
-const latencyTolerance = 2;
-/** Weight of a new sample in the usual run time, which follows slowly. */
-const baselineWeight = 0.002;
 /** Shortest time that a refused caller is told to wait, in milliseconds. */
 const minRetryAfterMs = 100;
 /** Longest time that a refused caller is told to wait, in milliseconds. */
 const maxRetryAfterMs = 2000;
-/** Share of slots that a cold endpoint may use at first; the ramp doubles it every {@link rampStepMs}. */
-const coldShare = 0.25;
-/** Time in which the ramp after a cold start doubles the limit, in milliseconds. */
-const rampStepMs = 500;
 
 /** Outcome of asking for a run. */
 export type AdmissionResult =
@@ -65,22 +52,20 @@
 export class Admission {
     private readonly threshold = new PriorityThreshold();
     private readonly queue: Waiter[] = [];
-    private limit = initialLimit;
-    private slots = initialLimit;
-    private rampStart: number | undefined;
+    private readonly limit: ConcurrencyLimit;
     private running = 0;
-    private recentMs = 0;
-    private usualMs = 0;
 
-    constructor(private readonly clock: Clock, private readonly isOff: boolean) {}
+    constructor(private readonly clock: Clock, private readonly isOff: boolean) {
+        this.limit = new ConcurrencyLimit(clock);
+    }
 
     getState(): AdmissionState {
         return {
-            limit: this.limit,
+            limit: this.limit.get(),
             running: this.running,
             queued: this.queue.length,
             threshold: this.getThreshold(),
-            averageRunMs: this.recentMs,
+            averageRunMs: this.limit.getRecentMs(),
         };
     }
 
@@ -91,13 +76,8 @@
 
     /** Sets the endpoint's number of slots. A cold endpoint starts with a part of them. */
     setSlots(slots: number, isCold: boolean): void {
-        if (slots !== this.slots) {
-            this.slots = slots;
-            this.limit = slots;
-        }
-        if (isCold) {
-            this.rampStart = this.clock.readMonotonic();
-        }
+        this.limit.setSlots(slots, isCold);
+        this.admitWaiting();
     }
 
     /** Asks for a run. Resolves at once unless the request has to wait in the queue. */
@@ -110,11 +90,11 @@
         if (!isAdmitted) {
             return Promise.resolve(this.createRefusal("overloaded"));
         }
-        if (this.running < this.getLimit() && this.queue.length === 0) {
+        if (this.running < this.limit.get() && this.queue.length === 0) {
             this.running += 1;
             return Promise.resolve(this.createAdmitted());
         }
-        if (this.estimateWaitMs() + this.recentMs > timeLeftMs) {
+        if (this.estimateWaitMs() + this.limit.getRecentMs() > timeLeftMs) {
             this.threshold.recordOverload();
             return Promise.resolve(this.createRefusal("deadline"));
         }
@@ -139,7 +119,7 @@
     }
 
     private enqueue(priority: number, timeLeftMs: number, signal: AbortSignal | undefined): Promise<AdmissionResult> {
-        if (this.queue.length >= Math.max(1, this.getLimit() * queueShare)) {
+        if (this.queue.length >= Math.max(1, this.limit.get() * queueShare)) {
             this.threshold.recordOverload();
             const last = this.queue[this.queue.length - 1];
             if (last === undefined || last.priority >= priority) {
@@ -149,7 +129,7 @@
         }
         return new Promise(resolve => {
             const now = this.clock.readMonotonic();
-            const waitMs = Math.max(0, timeLeftMs - this.recentMs);
+            const waitMs = Math.max(0, timeLeftMs - this.limit.getRecentMs());
             const waiter: Waiter = {
                 priority,
                 since: now,
@@ -178,7 +158,7 @@
     }
 
     private admitWaiting(): void {
-        while (this.running < this.getLimit()) {
+        while (this.running < this.limit.get()) {
             const waiter = this.queue.shift();
             if (waiter === undefined) {
                 return;
@@ -202,7 +182,7 @@
             this.running -= 1;
             this.threshold.recordCompleted();
             if (ownMs !== undefined) {
-                this.recordRun(ownMs);
+                this.limit.recordRun(ownMs);
             }
             this.admitWaiting();
         };
@@ -213,31 +193,8 @@
         return { kind: "refused", reason, retryAfterMs: this.computeRetryAfterMs() };
     }
 
-    /** Lowers the limit when runs take much longer than usual, and raises it slowly otherwise. */
-    private recordRun(ownMs: number): void {
-        this.recentMs = this.recentMs === 0 ? ownMs : this.recentMs + (ownMs - this.recentMs) * sampleWeight;
-        this.usualMs = this.usualMs === 0 ? ownMs : this.usualMs + (ownMs - this.usualMs) * baselineWeight;
-        const gradient = Math.min(1, latencyTolerance * this.usualMs / Math.max(this.recentMs, 0.001));
-        const next = this.limit + (gradient < 1 ? this.limit * (gradient - 1) * sampleWeight : 1 / this.limit);
-        this.limit = Math.min(this.slots, Math.max(minLimit, next));
-    }
-
-    /** Limit in force: the adaptive limit, held down by the ramp after a cold start. */
-    private getLimit(): number {
-        if (this.rampStart === undefined) {
-            return this.limit;
-        }
-        const steps = (this.clock.readMonotonic() - this.rampStart) / rampStepMs;
-        const share = coldShare * 2 ** steps;
-        if (share >= 1) {
-            this.rampStart = undefined;
-            return this.limit;
-        }
-        return Math.max(minLimit, this.limit * share);
-    }
-
     private estimateWaitMs(): number {
-        return (this.queue.length + 1) * this.recentMs / Math.max(1, this.getLimit());
+        return (this.queue.length + 1) * this.limit.getRecentMs() / Math.max(1, this.limit.get());
     }
 
     private computeRetryAfterMs(): number {
