--- /dev/null
+++ b/test/fakes.ts
@@ -0,0 +1,105 @@
+/** Small fakes at the interfaces of the product. */
+import type { LogError, LogPage, LogService } from "../src/connection/logService.js";
+import type { Clock } from "../src/process/clock.js";
+import type { Logger } from "../src/process/logger.js";
+import type { Result } from "../src/process/result.js";
+import { createFailure, createSuccess } from "../src/process/result.js";
+import type { Contract } from "../src/version/contract.js";
+
+/** Clock that stands still until a test moves it. */
+export class FakeClock implements Clock {
+    private now = 1_000_000;
+
+    readMonotonic(): number {
+        return this.now;
+    }
+
+    readDate(): Date {
+        return new Date(this.now);
+    }
+
+    async sleep(milliseconds: number): Promise<void> {
+        this.now += milliseconds;
+        await Promise.resolve();
+    }
+
+    /** Moves the time forward. */
+    addTime(milliseconds: number): void {
+        this.now += milliseconds;
+    }
+}
+
+/** What the next append on a {@link FakeLog} does. */
+export type AppendFault = "none" | "unavailable" | "answerLost" | "answerLostWithoutEffect";
+
+/** Log service in memory. */
+export class FakeLog implements LogService {
+    readonly streams = new Map<string, string[]>();
+    readonly faults: AppendFault[] = [];
+    first = 0;
+    isDown = false;
+    /** Runs before an append takes effect, for instance to let another writer go first. */
+    beforeAppend: (() => void) | undefined;
+
+    async append(stream: string, body: string): Promise<Result<number, LogError>> {
+        const fault = this.faults.shift() ?? "none";
+        if (this.isDown || fault === "unavailable") {
+            return createFailure({ kind: "unavailable", message: "down" });
+        }
+        const hook = this.beforeAppend;
+        this.beforeAppend = undefined;
+        hook?.();
+        if (fault === "answerLostWithoutEffect") {
+            return createFailure({ kind: "answerLost", message: "cut" });
+        }
+        const offset = this.write(stream, body);
+        return fault === "answerLost" ? createFailure({ kind: "answerLost", message: "cut" }) : createSuccess(offset);
+    }
+
+    async read(stream: string, from: number): Promise<Result<LogPage, LogError>> {
+        if (this.isDown) {
+            return createFailure({ kind: "unavailable", message: "down" });
+        }
+        return createSuccess(this.createPage(stream, from));
+    }
+
+    /** Appends without faults. */
+    write(stream: string, body: string): number {
+        const records = this.streams.get(stream) ?? [];
+        this.streams.set(stream, records);
+        records.push(body);
+        return records.length - 1;
+    }
+
+    /** Page of what is kept from an offset on. */
+    createPage(stream: string, from: number): LogPage {
+        const bodies = this.streams.get(stream) ?? [];
+        const records = bodies
+            .map((body, offset) => ({ offset, at: offset, body }))
+            .filter(record => record.offset >= Math.max(from, this.first));
+        return { first: this.first, next: bodies.length, records };
+    }
+}
+
+/** Logger that drops everything. */
+export const silentLogger: Logger = {
+    debug: () => undefined,
+    info: () => undefined,
+    warn: () => undefined,
+    error: () => undefined,
+};
+
+/** Contract for tests; `change` replaces whole sections. */
+export function createContract(customer: string, change: Partial<Contract> = {}): Contract {
+    return {
+        customer,
+        allowance: { requestsPerSecond: 5000, burst: 5000 },
+        retries: { bound: 4, resendWindowSeconds: 60 },
+        classes: {
+            browse: { worth: 20, idempotent: true, deadlineMilliseconds: 2000 },
+            advance: { worth: 80, idempotent: false, deadlineMilliseconds: 2000 },
+            lookup: { worth: 50, idempotent: true, deadlineMilliseconds: 1000 },
+        },
+        ...change,
+    };
+}
