--- a/src/connection/control.ts
+++ b/src/connection/control.ts
@@ -188,11 +188,21 @@
     };
 }
 
+/** Makes control calls to peers. */
+export interface ControlCaller {
+    /** Calls a peer. Never rejects. */
+    call<M extends ControlMethod>(
+        slot: string,
+        method: M,
+        request: ControlRequest<M>,
+        timeoutMs: number,
+    ): Promise<Result<ControlReply<M>, ControlError>>;
+}
+
 /** Connections for control calls to peers; idle ones are closed. */
-export class ControlClient {
+export class ControlClient implements ControlCaller {
     private readonly clients = new Map<string, Client>();
 
-    /** Calls a peer. Never rejects. */
     call<M extends ControlMethod>(
         slot: string,
         method: M,
--- a/src/connection/follower.ts
+++ b/src/connection/follower.ts
@@ -14,7 +14,7 @@
 import type { Member } from "../version/member.js";
 import { formatSlot, isSameMember } from "../version/member.js";
 import { hashText } from "../version/memberStream.js";
-import type { ControlClient, StreamOffsets } from "./control.js";
+import type { ControlCaller, StreamOffsets } from "./control.js";
 import type { LogService } from "./logService.js";
 
 /** Nodes on duty in each data centre. */
@@ -31,7 +31,7 @@
     readonly log: LogService;
     readonly streams: Streams;
     readonly directory: Directory;
-    readonly control: ControlClient;
+    readonly control: ControlCaller;
     readonly seeds: readonly string[];
     readonly pollMs: number;
     readonly idlePollMs: number;
--- a/src/connection/prober.ts
+++ b/src/connection/prober.ts
@@ -8,7 +8,7 @@
 import type { Directory } from "../process/directory.js";
 import type { Member } from "../version/member.js";
 import { formatSlot } from "../version/member.js";
-import type { ControlClient, ControlReply, ControlRequest, MemberUpdate, StreamOffsets } from "./control.js";
+import type { ControlCaller, ControlReply, ControlRequest, MemberUpdate, StreamOffsets } from "./control.js";
 
 /** Time between probes, in milliseconds. */
 const periodMs = 1000;
@@ -24,7 +24,7 @@
     readonly clock: Clock;
     readonly random: Random;
     readonly directory: Directory;
-    readonly control: ControlClient;
+    readonly control: ControlCaller;
     /** Told what a peer has folded. */
     readonly noticeOffsets: (offsets: StreamOffsets) => void;
 }
--- a/src/process/claims.ts
+++ b/src/process/claims.ts
@@ -319,9 +319,13 @@
     return call.isRoot && call.isIdempotent && call.context.attempt !== 1;
 }
 
-/** An attempt that was refused, or one before it, must not run later; its caller was told so. */
+/**
+ * An attempt that was refused, or one before it, must not run later: its caller was told so. A send without a number may be
+ * such an attempt once a numbered one was refused.
+ */
 function isStale(call: Call, claim: Claim): boolean {
-    return call.context.attempt !== 0 && call.context.attempt <= claim.refusedThrough;
+    const { attempt } = call.context;
+    return attempt === 0 ? claim.refusedThrough > 0 : attempt <= claim.refusedThrough;
 }
 
 /**
--- a/src/process/localEndpoint.ts
+++ b/src/process/localEndpoint.ts
@@ -5,6 +5,7 @@
 import type { Answer } from "../request/answer.js";
 import { createNotRun, createUnknown } from "../request/answer.js";
 import type { Call } from "../request/call.js";
+import type { Runner } from "../request/dispatcher.js";
 import { copyPassingHeaders, headerNames } from "../request/headers.js";
 import type { Admission, Release } from "./admission.js";
 import type { Clock } from "./clock.js";
@@ -45,7 +46,7 @@
 }
 
 /** The endpoint beside this node. */
-export class LocalEndpoint {
+export class LocalEndpoint implements Runner {
     private readonly pool: HttpPool;
     private announcement: Announcement | undefined;
     private announcedAt = 0;
@@ -74,7 +75,6 @@
         this.isGone = false;
     }
 
-    /** Whether the endpoint takes new work. */
     isReady(): boolean {
         return this.announcement !== undefined && !this.announcement.isDraining && !this.isGone && !this.isLeaving
             && this.parts.clock.readMonotonic() - this.announcedAt < announcementTimeoutMs;
@@ -95,7 +95,6 @@
         return this.inProgress;
     }
 
-    /** Runs a call, or refuses it. Never rejects. */
     async run(call: Call): Promise<Answer> {
         this.inProgress += 1;
         try {
--- a/src/process/ownership.ts
+++ b/src/process/ownership.ts
@@ -5,7 +5,7 @@
  * partitions and sends their claims to the next owner; after the append it takes them back only if the append provably had
  * no effect. A run in progress at the handover is told to the next owner when it ends.
  */
-import type { ClaimTransfer, ControlClient, ControlRequest } from "../connection/control.js";
+import type { ClaimTransfer, ControlCaller, ControlRequest } from "../connection/control.js";
 import { maxTransferClaims } from "../connection/control.js";
 import type { LogService } from "../connection/logService.js";
 import type { Member } from "../version/member.js";
@@ -42,7 +42,7 @@
     readonly self: Member;
     readonly members: MemberReplica;
     readonly log: LogService;
-    readonly control: ControlClient;
+    readonly control: ControlCaller;
     readonly directory: Directory;
     /** Whether the last read of the log succeeded. */
     readonly isLogUp: () => boolean;
@@ -204,7 +204,7 @@
     }
 
     /** Gives partitions to the member that owns the fewest, if this node owns more than its share. */
-    private async balance(): Promise<void> {
+    async balance(): Promise<void> {
         const { self, members, isLogUp } = this.parts;
         const state = members.get()?.state;
         if (state === undefined || !isLogUp() || !isAnnounced(state, self)) {
--- a/src/request/dispatcher.ts
+++ b/src/request/dispatcher.ts
@@ -4,7 +4,6 @@
 import type { Claims } from "../process/claims.js";
 import type { Clock } from "../process/clock.js";
 import type { Directory } from "../process/directory.js";
-import type { LocalEndpoint } from "../process/localEndpoint.js";
 import type { RetryRatio } from "../process/rateLimit.js";
 import type { Member } from "../version/member.js";
 import { formatSlot, isSameMember } from "../version/member.js";
@@ -21,8 +20,10 @@
 const maxOverloadOffers = 2;
 /** Time between tries while a key moves from one owner to the next, in milliseconds. */
 const moveRetryMs = 25;
-/** Longest time that a call waits for its key to have an owner, in milliseconds. */
+/** Longest time that a call waits while its key moves, in milliseconds. */
 const maxMoveWaitMs = 3000;
+/** Longest time that a call waits for news of an owner that can't be reached, in milliseconds. */
+const maxAbsenceWaitMs = 300;
 /** Time after which a call whose key has no owner may be sent again, in milliseconds. */
 const noOwnerRetryMs = 1000;
 /** Refusals after which another instance may be asked at once. */
@@ -30,6 +31,14 @@
 /** Unknown outcomes after which an idempotent call may be repeated at once. */
 const repeatReasons: ReadonlySet<Reason> = new Set(["connectionLost", "endpointFailed"]);
 
+/** Runs calls at the endpoint beside this node. */
+export interface Runner {
+    /** Whether the endpoint takes new work. */
+    isReady(): boolean;
+    /** Runs a call, or refuses it. Never rejects. */
+    run(call: Call): Promise<Answer>;
+}
+
 /** What the dispatcher needs from the rest of the node. */
 export interface DispatcherParts {
     readonly clock: Clock;
@@ -38,7 +47,7 @@
     readonly balancer: Balancer;
     readonly retryRatio: RetryRatio;
     readonly peers: PeerCaller;
-    readonly localEndpoint: LocalEndpoint;
+    readonly localEndpoint: Runner;
     readonly claims: Claims;
     /** Members as folded from the log; `undefined` while not known. */
     readonly getMembers: () => MemberState | undefined;
@@ -112,12 +121,14 @@
     /** Has the owner of the call's key decide. What may have been delivered is never sent again. */
     private async dispatchToOwner(call: Call): Promise<Answer> {
         const { clock } = this.parts;
-        const giveUpAt = Math.min(call.deadline, clock.readMonotonic() + maxMoveWaitMs);
+        const startedAt = clock.readMonotonic();
         for (;;) {
             const result = await this.askOwner(call);
             if (result.isDecided) {
                 return settleAnswer(result.answer, call, false);
             }
+            const maxWaitMs = isMoved(result.answer) ? maxMoveWaitMs : maxAbsenceWaitMs;
+            const giveUpAt = Math.min(call.deadline, startedAt + maxWaitMs);
             if (clock.readMonotonic() + moveRetryMs >= giveUpAt || call.signal.aborted) {
                 return call.context.attempt === 1
                     ? createNotRun("noOwner", noOwnerRetryMs, call.budget.getRemaining())
@@ -129,11 +140,12 @@
 
     /** Asks the present owner once. The result is undecided if the call provably did not reach an owner. */
     private async askOwner(call: Call): Promise<{ isDecided: boolean; answer: Answer; }> {
-        const { self, claims, getMembers } = this.parts;
+        const { self, claims, directory, getMembers } = this.parts;
         const members = getMembers();
         const owner = members === undefined ? undefined : findOwner(members, call.service, call.context.key);
         const budget = call.budget.getRemaining();
-        if (owner === undefined) {
+        const isSilent = owner !== undefined && directory.findHealth(formatSlot(owner)) === "faulty";
+        if (owner === undefined || isSilent) {
             return { isDecided: false, answer: createNotRun("noOwner", noOwnerRetryMs, budget) };
         }
         if (isSameMember(owner, self)) {
