--- a/src/process/localEndpoint.ts
+++ b/src/process/localEndpoint.ts
@@ -125,11 +125,7 @@
             return this.refuse(call, "quarantined", suspectRetryMs);
         }
         try {
-            const answer = await this.runAdmitted(call);
-            if (answer.outcome === "completed") {
-                quarantine.clear(call.fingerprint);
-            }
-            return answer;
+            return await this.runAdmitted(call);
         }
         finally {
             quarantine.endSuspect(call.fingerprint);
@@ -175,6 +171,7 @@
             const retryAfterMs = Number(findInList(result.headers, headerNames.retryAfterMs) ?? notReadyRetryMs);
             return createNotRun("overloaded", retryAfterMs, unspent, this.findThreshold(call));
         }
+        this.parts.quarantine.recordCompleted(call.fingerprint);
         return {
             outcome: "completed",
             status: result.status,
--- a/src/process/node.ts
+++ b/src/process/node.ts
@@ -347,7 +347,13 @@
         this.streams.contracts.addListener(current => {
             this.logger.info("contractsInForce", { through: current.through });
         });
+        let imposed = new Set<string>();
         this.streams.quarantine.addListener(current => {
+            const listed = new Set(current.state.entries.map(entry => entry.fingerprint));
+            [...imposed].filter(fingerprint => !listed.has(fingerprint)).forEach(fingerprint =>
+                this.quarantine.release(fingerprint)
+            );
+            imposed = listed;
             const now = this.clock.readDate().getTime();
             for (const entry of current.state.entries) {
                 if (entry.until > now) {
--- a/src/process/quarantine.ts
+++ b/src/process/quarantine.ts
@@ -1,8 +1,9 @@
 /**
  * Requests that crash the endpoints that run them.
  *
- * Whatever was in progress when an endpoint crashed is suspect. A suspect may run once more, never beside another suspect,
- * so that a bystander is cleared by its next run. A request that was in progress at two crashes is refused everywhere.
+ * Whatever was in progress when an endpoint crashed is suspect, unless an equal request has completed lately: what crashes one
+ * endpoint crashes each. A suspect may run once more, never beside another suspect, so that a bystander is cleared by its
+ * next run. A request that was in progress at two crashes is refused everywhere.
  */
 import type { Clock } from "./clock.js";
 
@@ -12,6 +13,8 @@
 export const quarantineMs = 600_000;
 /** Most requests that are remembered; the oldest are forgotten first. */
 const maxRemembered = 10_000;
+/** Most completed requests that are remembered; the oldest are forgotten first. */
+const maxCompleted = 20_000;
 
 /** Crashes that one request was in progress at. */
 interface Record {
@@ -22,31 +25,46 @@
 /** Memory of crashes, by the fingerprint of the request. */
 export class Quarantine {
     private readonly records = new Map<string, Record>();
+    private readonly completed = new Set<string>();
     private readonly runningSuspects = new Set<string>();
 
     constructor(private readonly clock: Clock) {}
 
     /** Notes that a request was in progress at a crash. Returns whether this put it under quarantine. */
     recordCrash(fingerprint: string, incident: string): boolean {
+        if (this.completed.has(fingerprint)) {
+            return false;
+        }
         const record = this.records.get(fingerprint) ?? { incidents: new Set<string>(), until: 0 };
         const wasRefused = record.incidents.size >= maxCrashes;
         record.incidents.add(incident);
         record.until = this.clock.readMonotonic() + quarantineMs;
         this.records.delete(fingerprint);
         this.records.set(fingerprint, record);
-        this.forgetOldest();
+        forgetOldest(this.records, maxRemembered);
         return !wasRefused && record.incidents.size >= maxCrashes;
     }
 
     /** Puts a request under quarantine by word of the log, for `milliseconds` from now. */
     impose(fingerprint: string, milliseconds: number): void {
+        if (this.completed.has(fingerprint)) {
+            return;
+        }
         const incidents = new Set(Array.from({ length: maxCrashes }, (_, index) => `log-${index}`));
         this.records.set(fingerprint, { incidents, until: this.clock.readMonotonic() + milliseconds });
-        this.forgetOldest();
+        forgetOldest(this.records, maxRemembered);
     }
 
-    /** Forgets a request, for instance after its suspect run ended well. */
-    clear(fingerprint: string): void {
+    /** Notes that a run of a request completed, which clears it. */
+    recordCompleted(fingerprint: string): void {
+        this.records.delete(fingerprint);
+        this.completed.delete(fingerprint);
+        this.completed.add(fingerprint);
+        forgetOldest(this.completed, maxCompleted);
+    }
+
+    /** Lets a request out of quarantine by word of an operator. */
+    release(fingerprint: string): void {
         this.records.delete(fingerprint);
     }
 
@@ -94,13 +112,14 @@
         }
         return record.incidents.size;
     }
+}
 
-    private forgetOldest(): void {
-        for (const fingerprint of this.records.keys()) {
-            if (this.records.size <= maxRemembered) {
-                return;
-            }
-            this.records.delete(fingerprint);
+/** Removes what was added first until no more than `size` is left. */
+function forgetOldest(memory: Map<string, unknown> | Set<string>, size: number): void {
+    for (const name of memory.keys()) {
+        if (memory.size <= size) {
+            return;
         }
+        memory.delete(name);
     }
 }
--- a/standin/caller.ts
+++ b/standin/caller.ts
@@ -85,20 +85,33 @@
     readonly isHard?: boolean;
 }
 
+/** What became of an action: the last answer, and all of them in order. */
+export interface ActionOutcome {
+    readonly key: string;
+    readonly told: Told;
+    readonly history: readonly Told[];
+}
+
+/** Header by which the stand-ins carry the key of the root action along, for the record only. */
+export const actionHeader = "x-action";
+
 /** Sends an action until it completes, or the sends are used up. Each send goes to another of the URLs. */
 export async function sendAction(
     urls: readonly string[],
     send: Omit<Send, "url">,
     persistence: Persistence,
-): Promise<Told & { sends: number; }> {
+): Promise<ActionOutcome> {
     const key = send.key ?? randomUUID();
+    const headers = { ...send.headers, [actionHeader]: key };
+    const history: Told[] = [];
     for (let attempt = 1;; attempt += 1) {
         const url = urls[Math.floor(Math.random() * urls.length)]!;
-        const told = await sendOnce({ ...send, key, attempt, url });
+        const told = await sendOnce({ ...send, key, attempt, url, headers });
+        history.push(told);
         const isOver = told.outcome === "completed" || attempt >= persistence.sends || told.status === 400
             || told.status === 403;
         if (isOver) {
-            return { ...told, sends: attempt };
+            return { key, told, history };
         }
         const waitMs = persistence.isHard === true ? persistence.pauseMs : told.retryAfterMs ?? persistence.pauseMs;
         await new Promise(resolve => setTimeout(resolve, waitMs * (0.75 + Math.random() / 2)));
--- a/standin/cluster.ts
+++ b/standin/cluster.ts
@@ -95,6 +95,24 @@
         await waitForLine(this.endpoint, "ready");
     }
 
+    /** Stops node and endpoint gracefully, one of them first. Returns both exit codes. */
+    async stop(first: "node" | "endpoint"): Promise<(number | null)[]> {
+        const order = first === "node" ? [this.node!, this.endpoint!] : [this.endpoint!, this.node!];
+        const codes: (number | null)[] = [];
+        for (const child of order) {
+            child.kill("SIGTERM");
+            codes.push(await waitForExit(child));
+        }
+        return codes;
+    }
+
+    /** Starts the endpoint again if it has ended. */
+    async restoreEndpoint(): Promise<void> {
+        if (this.endpoint?.exitCode !== null || this.endpoint.signalCode !== null) {
+            await this.startEndpoint();
+        }
+    }
+
     /** Changes the endpoint's behaviour. */
     async changeEndpoint(behaviour: Partial<EndpointBehaviour>): Promise<void> {
         await postJson(`http://${this.address}:${ports.endpoint}/control`, behaviour);
--- a/standin/endpoint.ts
+++ b/standin/endpoint.ts
@@ -11,6 +11,7 @@
 import process from "node:process";
 import { Pool } from "undici";
 import { headerNames } from "../src/request/headers.js";
+import { actionHeader } from "./caller.js";
 
 /** A call that each run makes to another service. */
 export interface EndpointCall {
@@ -52,6 +53,8 @@
     readonly class: string;
     readonly customer: string;
     readonly path: string;
+    /** Root action that the run belongs to, from the header {@link actionHeader}. */
+    readonly action: string;
     readonly event: "start" | "end";
     readonly at: number;
 }
@@ -75,6 +78,7 @@
         class: read(headerNames.class),
         customer: read(headerNames.customer),
         path: request.url ?? "",
+        action: read(actionHeader),
         event,
         at: Date.now(),
     };
@@ -114,6 +118,7 @@
         headers: {
             [headerNames.run]: String(request.headers[headerNames.run] ?? ""),
             [headerNames.service]: call.service,
+            [actionHeader]: String(request.headers[actionHeader] ?? ""),
             ...(call.class === undefined ? {} : { [headerNames.class]: call.class }),
         },
         body: "{}",
--- a/standin/load.ts
+++ b/standin/load.ts
@@ -1,5 +1,5 @@
 /** Load of many callers: actions arrive at a steady rate whatever becomes of the earlier ones, and outcomes are counted. */
-import type { Persistence, Told } from "./caller.js";
+import type { ActionOutcome, Persistence } from "./caller.js";
 import { sendAction } from "./caller.js";
 
 /** Actions of one class of one customer. */
@@ -10,17 +10,16 @@
     readonly urls: readonly string[];
     readonly perSecond: number;
     readonly path?: string;
+    readonly body?: string;
     readonly persistence: Persistence;
 }
 
 /** What became of one action. */
-export interface ActionResult {
+export interface ActionResult extends ActionOutcome {
     readonly flow: Flow;
     /** Time of arrival and of the final answer, in milliseconds since the load started. */
     readonly arrivedAt: number;
     readonly endedAt: number;
-    readonly told: Told;
-    readonly sends: number;
 }
 
 /** A running load. */
@@ -73,8 +72,8 @@
 
     private async runAction(flow: Flow): Promise<void> {
         const arrivedAt = this.now();
-        const { sends, ...told } = await sendAction(flow.urls, flow, flow.persistence);
-        this.results.push({ flow, arrivedAt, endedAt: this.now(), told, sends });
+        const outcome = await sendAction(flow.urls, flow, flow.persistence);
+        this.results.push({ flow, arrivedAt, endedAt: this.now(), ...outcome });
     }
 }
 
--- /dev/null
+++ b/standin/plans.ts
@@ -0,0 +1,43 @@
+/** Services and contracts that tests, torture and benchmarks share. */
+import type { Contract } from "../src/version/contract.js";
+import type { ServicePlan } from "./cluster.js";
+
+/** Creates a contract with the classes of all customers of the stand-ins. */
+export function createContract(
+    customer: string,
+    allowance = { requestsPerSecond: 5000, burst: 5000 },
+    bound = 4,
+): Contract {
+    return {
+        customer,
+        allowance,
+        retries: { bound, resendWindowSeconds: 60 },
+        classes: {
+            browse: { worth: 20, idempotent: true, deadlineMilliseconds: 1500 },
+            lookup: { worth: 50, idempotent: true, deadlineMilliseconds: 1000 },
+            advance: { worth: 80, idempotent: false, deadlineMilliseconds: 1500 },
+            certificate: { worth: 90, idempotent: false, deadlineMilliseconds: 1500 },
+        },
+    };
+}
+
+/** Three services in three data centres, each calling the next one down. */
+export function createChain(serviceMs: number, slots: number): ServicePlan[] {
+    return [
+        {
+            name: "ekspor",
+            slots,
+            serviceMs,
+            calls: [{ service: "kas-benang", path: "/record" }],
+            dataCentres: ["pekalongan", "klaten"],
+        },
+        {
+            name: "kas-benang",
+            slots,
+            serviceMs,
+            calls: [{ service: "katalog", class: "lookup", path: "/lookup" }],
+            dataCentres: ["klaten", "jepara", "pekalongan"],
+        },
+        { name: "katalog", slots, serviceMs, calls: [], dataCentres: ["jepara", "pekalongan"] },
+    ];
+}
