--- a/src/connection/control.ts
+++ b/src/connection/control.ts
@@ -55,9 +55,12 @@
 const claimSchema = v.object({
     key: v.pipe(v.string(), v.maxLength(512)),
     fingerprint: shortTextSchema,
+    isIdempotent: v.boolean(),
     state: v.picklist(["done", "unknown", "refused", "repeatable"]),
     /** Highest attempt number that was refused. */
     refusedThrough: v.number(),
+    /** Highest attempt number that was seen. */
+    seenThrough: v.number(),
     budgetLeft: v.number(),
     expiresInMs: v.number(),
     answer: v.optional(v.object({ status: v.number(), headers: v.array(v.string()), body: v.instance(Uint8Array) })),
--- a/src/process/claims.ts
+++ b/src/process/claims.ts
@@ -12,6 +12,8 @@
 import { RetryBudget } from "../request/budget.js";
 import type { Call } from "../request/call.js";
 import { findPartition } from "../version/memberStream.js";
+import type { Claim, Holding } from "./claim.js";
+import { createAdopted, createClaim, createTransfer, isCountedResend, isStale, takeRepeat } from "./claim.js";
 import type { Clock } from "./clock.js";
 
 /** Time after which a send that the owner does not take on may be tried again, in milliseconds. */
@@ -19,23 +21,6 @@
 /** Memory counted for a claim beside its answer, in bytes. */
 const claimOverheadBytes = 400;
 
-/** What is known of one action. */
-interface Claim {
-    state: "running" | ClaimTransfer["state"];
-    readonly fingerprint: string;
-    /** Highest attempt number that was refused; such an attempt must never run. */
-    refusedThrough: number;
-    /** Repeated runs that are left for re-sends of the action. */
-    budgetLeft: number;
-    expiresAt: number;
-    answer: CompletedAnswer | undefined;
-    /** Settles when the run in progress ends. */
-    running: Promise<Answer> | undefined;
-}
-
-/** How an owner stands to a partition. */
-export type Holding = "owned" | "inherited" | "releasing" | "foreign";
-
 /** Limits of the memory. */
 export interface ClaimLimits {
     readonly maxClaims: number;
@@ -111,15 +96,7 @@
         if (this.claims.size >= this.limits.maxClaims && !this.removeExpired()) {
             return this.createRefusal(call, holding);
         }
-        const claim: Claim = {
-            state: "refused",
-            fingerprint: call.fingerprint,
-            refusedThrough: 0,
-            budgetLeft: computeInitialBudget(call, holding),
-            expiresAt: 0,
-            answer: undefined,
-            running: undefined,
-        };
+        const claim = createClaim(call, holding);
         this.claims.set(call.context.key, claim);
         this.bytes += claimOverheadBytes;
         this.extend(claim, call);
@@ -146,11 +123,10 @@
         if (!isCountedResend(call)) {
             return this.startRun(call, claim, call.isRoot ? claim.budgetLeft : call.budget.getRemaining());
         }
-        if (claim.budgetLeft < 1) {
+        if (!takeRepeat(call, claim)) {
             return createUnknown("retryBound", Math.max(0, Math.round(claim.expiresAt - this.clock.readMonotonic())));
         }
-        claim.budgetLeft -= 1;
-        return this.startRun(call, claim, claim.budgetLeft);
+        return this.startRun(call, claim, 0);
     }
 
     private startRun(call: Call, claim: Claim, budget: number): Promise<Answer> {
@@ -182,7 +158,10 @@
         }
         const holding = this.findHolding(findPartition(call.context.key));
         if (holding === "foreign" || holding === "releasing") {
-            this.reportLateResult(call.context.key, this.createTransfer(call.context.key, claim));
+            this.reportLateResult(
+                call.context.key,
+                createTransfer(call.context.key, claim, this.clock.readMonotonic()),
+            );
         }
         return answer.outcome === "notRun" && hasRun
             ? createUnknown(answer.reason, answer.retryAfterMs, answer.threshold)
@@ -242,30 +221,12 @@
         const transfers: ClaimTransfer[] = [];
         for (const [key, claim] of this.claims) {
             if (partitions.has(findPartition(key))) {
-                transfers.push(this.createTransfer(key, claim));
+                transfers.push(createTransfer(key, claim, this.clock.readMonotonic()));
             }
         }
         return transfers;
     }
 
-    private createTransfer(key: string, claim: Claim): ClaimTransfer {
-        return {
-            key,
-            fingerprint: claim.fingerprint,
-            state: claim.state === "running" ? "unknown" : claim.state,
-            refusedThrough: claim.refusedThrough,
-            budgetLeft: claim.budgetLeft,
-            expiresInMs: Math.max(0, claim.expiresAt - this.clock.readMonotonic()),
-            ...(claim.answer === undefined ? {} : {
-                answer: {
-                    status: claim.answer.status,
-                    headers: [...claim.answer.headers],
-                    body: new Uint8Array(claim.answer.body),
-                },
-            }),
-        };
-    }
-
     /** Takes over claims from the owner before. */
     adopt(transfers: readonly ClaimTransfer[]): void {
         for (const transfer of transfers) {
@@ -277,7 +238,6 @@
     adoptLateResult(transfer: ClaimTransfer): void {
         const claim = this.claims.get(transfer.key);
         if (claim?.state === "unknown" && claim.fingerprint === transfer.fingerprint) {
-            this.removeClaim(transfer.key, claim);
             this.adoptOne(transfer);
         }
     }
@@ -292,59 +252,12 @@
     }
 
     private adoptOne(transfer: ClaimTransfer): void {
-        const answer: CompletedAnswer | undefined = transfer.answer === undefined ? undefined : {
-            outcome: "completed",
-            status: transfer.answer.status,
-            headers: transfer.answer.headers,
-            body: Buffer.from(transfer.answer.body),
-            isReplayed: true,
-            unspent: 0,
-            threshold: 0,
-        };
-        this.claims.set(transfer.key, {
-            state: transfer.state,
-            fingerprint: transfer.fingerprint,
-            refusedThrough: transfer.refusedThrough,
-            budgetLeft: transfer.budgetLeft,
-            expiresAt: this.clock.readMonotonic() + transfer.expiresInMs,
-            answer,
-            running: undefined,
-        });
-        this.bytes += claimOverheadBytes + (answer?.body.length ?? 0);
-    }
-}
-
-/** Whether a send of an action by its caller counts as one of its repeated runs when it runs. */
-function isCountedResend(call: Call): boolean {
-    return call.isRoot && call.isIdempotent && call.context.attempt !== 1;
-}
-
-/**
- * An attempt that was refused, or one before it, must not run later: its caller was told so. A send without a number may be
- * such an attempt once a numbered one was refused.
- */
-function isStale(call: Call, claim: Claim): boolean {
-    const { attempt } = call.context;
-    return attempt === 0 ? claim.refusedThrough > 0 : attempt <= claim.refusedThrough;
-}
-
-/**
- * Repeated runs that an action may still have. The first send of an idempotent action does not pass through the owner and
- * takes half of the bound with it, so only the other half is the owner's to give.
- */
-function computeInitialBudget(call: Call, holding: Holding): number {
-    const bound = call.budget.getRemaining();
-    if (!call.isRoot || !call.isIdempotent) {
-        return bound;
-    }
-    const left = bound - computeFirstShare(bound);
-    if (holding !== "inherited") {
-        return left;
+        const known = this.claims.get(transfer.key);
+        if (known !== undefined) {
+            this.removeClaim(transfer.key, known);
+        }
+        const claim = createAdopted(transfer, this.clock.readMonotonic());
+        this.claims.set(transfer.key, claim);
+        this.bytes += claimOverheadBytes + (claim.answer?.body.length ?? 0);
     }
-    return call.context.attempt === 0 ? 0 : Math.max(0, left - Math.max(0, call.context.attempt - 2) * left);
-}
-
-/** Repeated runs that the first send of an idempotent action may spend without its owner. */
-export function computeFirstShare(bound: number): number {
-    return Math.floor(bound / 2);
 }
--- a/src/process/node.ts
+++ b/src/process/node.ts
@@ -48,6 +48,8 @@
 const lingerMs = 1500;
 /** Time for the last record on the log, in milliseconds. */
 const withdrawTimeoutMs = 3000;
+/** Time between removals of what has expired, in milliseconds. */
+const housekeepingIntervalMs = 10_000;
 /** Time between looks at what is still in progress while stopping, in milliseconds. */
 const drainIntervalMs = 50;
 
@@ -206,6 +208,7 @@
         void this.freshness.run(signal);
         void this.admission.runWindows(signal);
         void this.ownership.run(signal);
+        void this.runHousekeeping(signal);
         void announceMember(this.getAnnouncerParts(), signal);
         void runSnapshotWriter({
             clock: this.clock,
@@ -301,6 +304,13 @@
         };
     }
 
+    private async runHousekeeping(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.clock.sleep(housekeepingIntervalMs, signal);
+            this.claims.removeExpired();
+        }
+    }
+
     private async drain(): Promise<void> {
         const giveUpAt = this.clock.readMonotonic() + this.settings.drain.timeoutSeconds * 1000;
         while (this.requestsInProgress > 0 && this.clock.readMonotonic() < giveUpAt) {
--- a/src/process/ownership.ts
+++ b/src/process/ownership.ts
@@ -22,7 +22,8 @@
     listServiceMembers,
     partitionCount,
 } from "../version/memberStream.js";
-import type { Claims, Holding } from "./claims.js";
+import type { Holding } from "./claim.js";
+import type { Claims } from "./claims.js";
 import type { Clock } from "./clock.js";
 import type { Directory } from "./directory.js";
 import type { Logger } from "./logger.js";
--- a/src/request/dispatcher.ts
+++ b/src/request/dispatcher.ts
@@ -1,6 +1,7 @@
 /** Routes a call to an instance of its service, repeats it where that is safe, and settles what the caller is told. */
 import type { PeerAnswer, PeerCaller } from "../connection/peers.js";
 import type { Balancer } from "../process/balancer.js";
+import { canRunWithoutOwner, isCountedResend } from "../process/claim.js";
 import type { Claims } from "../process/claims.js";
 import type { Clock } from "../process/clock.js";
 import type { Directory } from "../process/directory.js";
@@ -130,14 +131,22 @@
             const maxWaitMs = isMoved(result.answer) ? maxMoveWaitMs : maxAbsenceWaitMs;
             const giveUpAt = Math.min(call.deadline, startedAt + maxWaitMs);
             if (clock.readMonotonic() + moveRetryMs >= giveUpAt || call.signal.aborted) {
-                return call.context.attempt === 1
-                    ? createNotRun("noOwner", noOwnerRetryMs, call.budget.getRemaining())
-                    : createUnknown("noOwner", noOwnerRetryMs);
+                return this.finishWithoutOwner(call);
             }
             await clock.sleep(moveRetryMs, call.signal);
         }
     }
 
+    /** Settles a call whose owner can't be reached. A numbered re-send of an idempotent action may still run once. */
+    private finishWithoutOwner(call: Call): Promise<Answer> | Answer {
+        if (canRunWithoutOwner(call, call.budget.getRemaining())) {
+            return this.dispatchToAny({ ...call, budget: new RetryBudget(0) });
+        }
+        return call.context.attempt === 1
+            ? createNotRun("noOwner", noOwnerRetryMs, call.budget.getRemaining())
+            : createUnknown("noOwner", noOwnerRetryMs);
+    }
+
     /** Asks the present owner once. The result is undecided if the call provably did not reach an owner. */
     private async askOwner(call: Call): Promise<{ isDecided: boolean; answer: Answer; }> {
         const { self, claims, directory, getMembers } = this.parts;
@@ -213,7 +222,7 @@
 
 /** Actions that must not run twice, and repeated sends of any action, are decided by the owner of the key. */
 export function isOwnersDecision(call: Pick<Call, "isIdempotent" | "isRoot" | "context">): boolean {
-    return !call.isIdempotent || (call.isRoot && call.context.attempt !== 1);
+    return !call.isIdempotent || isCountedResend(call);
 }
 
 function isMoved(answer: Answer): answer is NotRunAnswer {
--- a/src/request/entry.ts
+++ b/src/request/entry.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createCloseSignal, sendAnswer, sendRefusal } from "../connection/httpServer.js";
 import type { Allowances } from "../process/allowances.js";
-import { computeFirstShare } from "../process/claims.js";
+import { computeFirstShare } from "../process/claim.js";
 import type { Clock } from "../process/clock.js";
 import type { DownstreamThresholds } from "../process/downstream.js";
 import type { Metrics } from "../process/metrics.js";
--- a/standin/caller.ts
+++ b/standin/caller.ts
@@ -104,8 +104,9 @@
     const key = send.key ?? randomUUID();
     const headers = { ...send.headers, [actionHeader]: key };
     const history: Told[] = [];
+    const first = Math.floor(Math.random() * urls.length);
     for (let attempt = 1;; attempt += 1) {
-        const url = urls[Math.floor(Math.random() * urls.length)]!;
+        const url = urls[(first + attempt) % urls.length]!;
         const told = await sendOnce({ ...send, key, attempt, url, headers });
         history.push(told);
         const isOver = told.outcome === "completed" || attempt >= persistence.sends || told.status === 400
--- a/standin/cluster.ts
+++ b/standin/cluster.ts
@@ -83,6 +83,7 @@
         const file = join(this.cluster.directory, `${this.name}.json`);
         const config: EndpointConfig = {
             ...this.plan,
+            instance: this.name,
             service: this.plan.name,
             address: this.address,
             port: ports.endpoint,
@@ -250,6 +251,11 @@
         return this.runTool("contract", "publish", file, "--operator", "bench", ...options);
     }
 
+    /** Appends a record that no fold can read. */
+    async publishMalformed(stream: string, body: string): Promise<void> {
+        await request(`${this.log}/streams/${stream}/records`, { method: "POST", body });
+    }
+
     /** Runs the command-line tool. */
     runTool(...words: string[]): Promise<{ code: number; output: string; }> {
         return new Promise(resolve => {
--- a/standin/endpoint.ts
+++ b/standin/endpoint.ts
@@ -36,6 +36,7 @@
 
 /** Configuration of an endpoint. */
 export interface EndpointConfig extends EndpointBehaviour {
+    readonly instance: string;
     readonly service: string;
     readonly address: string;
     readonly port: number;
@@ -48,6 +49,8 @@
 
 /** One line of the runs file. */
 export interface RunRecord {
+    /** Name of the instance that ran it. */
+    readonly instance: string;
     readonly service: string;
     readonly key: string;
     readonly class: string;
@@ -73,6 +76,7 @@
 function record(request: IncomingMessage, event: RunRecord["event"]): void {
     const read = (name: string): string => String(request.headers[name] ?? "");
     const line: RunRecord = {
+        instance: config.instance,
         service: config.service,
         key: read(headerNames.key),
         class: read(headerNames.class),
