Hold customers' allowances over the whole system

Cause: each node let in a customer's whole allowance, so the system let in as many times the allowance as it has nodes.

Change: a fifth of an allowance is a floor spread over all nodes; the rest is three pools with one coordinator each, in different data centres where possible, that lease shares by max-min fairness. A coordinator that has just become one grants only what holders have already, for the length of a lease.

Ruled out: one coordinator (its loss takes the whole allowance but the floor); two that each grant everything when they can't see each other (exceeds the allowance under a cut); equal shares without demand (a node with all of a customer's load gets 1/N).

--- a/src/connection/control.ts
+++ b/src/connection/control.ts
@@ -85,6 +85,17 @@
     /** Names the crash, so that a repeated report counts once. */
     incident: shortTextSchema,
 });
+const shareRequestSchema = v.object({
+    slot: shortTextSchema,
+    customer: shortTextSchema,
+    /** Rank of the pool among those of the customer's allowance. */
+    rank: createRange(0, 16),
+    /** Requests a second that the node wants from this pool. */
+    demand: v.pipe(v.number(), v.minValue(0)),
+    /** Requests a second that the node holds a lease for from this pool. */
+    held: v.pipe(v.number(), v.minValue(0)),
+});
+const shareReplySchema = v.object({ perSecond: v.pipe(v.number(), v.minValue(0)) });
 const emptySchema = v.object({});
 
 /** Names, requests and replies of the control calls. */
@@ -94,6 +105,7 @@
     pull: { request: pullSchema, reply: pullReplySchema },
     notify: { request: noticeSchema, reply: emptySchema },
     transfer: { request: transferSchema, reply: emptySchema },
+    requestShare: { request: shareRequestSchema, reply: shareReplySchema },
     reportCrash: { request: crashSchema, reply: emptySchema },
 } as const;
 
--- a/src/process/node.ts
+++ b/src/process/node.ts
@@ -1,6 +1,12 @@
 /** Puts a node together, starts its listeners and tasks, and stops it gracefully. */
 import { ControlClient, ControlServer } from "../connection/control.js";
-import type { ControlHandlers, ControlReply, MemberUpdate, StreamOffsets } from "../connection/control.js";
+import type {
+    ControlHandlers,
+    ControlReply,
+    ControlRequest,
+    MemberUpdate,
+    StreamOffsets,
+} from "../connection/control.js";
 import { Follower } from "../connection/follower.js";
 import type { RequestHandler } from "../connection/httpServer.js";
 import { HttpListener } from "../connection/httpServer.js";
@@ -12,6 +18,7 @@
 import { serveOutbound } from "../request/outbound.js";
 import { servePeer } from "../request/peerRequest.js";
 import type { ContractState } from "../version/contractStream.js";
+import { findContract } from "../version/contractStream.js";
 import type { Member } from "../version/member.js";
 import { formatSlot } from "../version/member.js";
 import { isAnnounced } from "../version/memberStream.js";
@@ -34,6 +41,7 @@
 import { RetryRatio } from "./rateLimit.js";
 import { RunTable } from "./runTable.js";
 import type { Settings } from "./settings.js";
+import { poolShare, ShareCoordinator } from "./shareCoordinator.js";
 import { runSnapshotWriter } from "./snapshots.js";
 import type { Streams } from "./streams.js";
 import { createStreams, getOffsets, isBehind, streamKeys } from "./streams.js";
@@ -65,6 +73,8 @@
     readonly quarantine: Quarantine;
     readonly metrics = new Metrics();
     readonly follower: Follower;
+    private readonly allowances: Allowances;
+    private readonly shares: ShareCoordinator;
     private readonly log: HttpLogService;
     private readonly control = new ControlClient();
     private readonly controlServer: ControlServer;
@@ -159,6 +169,13 @@
             claims: this.claims,
             getMembers: () => this.streams.members.get()?.state,
         });
+        this.allowances = new Allowances({
+            clock,
+            self: this.self,
+            control: this.control,
+            listAnnounced: () => Object.values(this.streams.members.get()?.state.members ?? {}),
+        });
+        this.shares = new ShareCoordinator(clock);
         const shared = {
             clock,
             service,
@@ -170,7 +187,7 @@
         const entry = {
             ...shared,
             quarantine: this.quarantine,
-            allowances: new Allowances(clock),
+            allowances: this.allowances,
             getContracts: () => this.getFreshContracts(),
         };
         const outbound = {
@@ -208,6 +225,7 @@
         void this.freshness.run(signal);
         void this.admission.runWindows(signal);
         void this.ownership.run(signal);
+        void this.allowances.run(signal);
         void this.runHousekeeping(signal);
         void announceMember(this.getAnnouncerParts(), signal);
         void runSnapshotWriter({
@@ -308,6 +326,7 @@
         while (!signal.aborted) {
             await this.clock.sleep(housekeepingIntervalMs, signal);
             this.claims.removeExpired();
+            this.shares.prune();
         }
     }
 
@@ -351,8 +370,10 @@
 
     private connectStreams(): void {
         this.streams.members.addListener(current => {
+            const announced = Object.values(current.state.members);
             this.directory.mergeAnnounced(current.state);
-            this.peers.retain(Object.values(current.state.members));
+            this.shares.noteMembers(announced, this.self);
+            this.peers.retain(announced);
         });
         this.streams.contracts.addListener(current => {
             this.logger.info("contractsInForce", { through: current.through });
@@ -387,6 +408,7 @@
                 this.ownership.acceptTransfer(request);
                 return {};
             },
+            requestShare: async request => this.grantShare(request),
             reportCrash: async request => {
                 this.quarantine.recordCrash(request.fingerprint, request.incident);
                 return {};
@@ -394,6 +416,14 @@
         };
     }
 
+    private grantShare(request: ControlRequest<"requestShare">): ControlReply<"requestShare"> {
+        const contracts = this.streams.contracts.get()?.state;
+        const contract = contracts === undefined ? undefined : findContract(contracts, request.customer);
+        const pool = (contract?.allowance.requestsPerSecond ?? 0) * poolShare;
+        const { customer, rank, slot, demand, held } = request;
+        return { perSecond: this.shares.grant(customer, rank, pool, slot, demand, held) };
+    }
+
     private answerPull(offsets: StreamOffsets): ControlReply<"pull"> {
         const reply: { -readonly [K in keyof ControlReply<"pull">]: ControlReply<"pull">[K]; } = {
             updates: this.listUpdates(),
