--- a/standin/endpoint.ts
+++ b/standin/endpoint.ts
@@ -28,6 +28,8 @@
     readonly calls: readonly EndpointCall[];
     /** Share of runs whose answer is lost after the run took effect, 0 to 1. */
     readonly loseAnswers?: number;
+    /** Share of answers that are cut in the middle, 0 to 1. */
+    readonly cutAnswers?: number;
     /** Longest queue before the endpoint sheds by itself; unlimited when missing. */
     readonly shedAbove?: number;
     /** Time after the start in which runs take three times as long, in milliseconds. */
@@ -58,7 +60,9 @@
     readonly path: string;
     /** Root action that the run belongs to, from the header {@link actionHeader}. */
     readonly action: string;
-    readonly event: "start" | "end";
+    readonly event: "start" | "end" | "cancelled";
+    /** Time that was left at the start, in milliseconds. */
+    readonly deadlineMs: number;
     readonly at: number;
 }
 
@@ -84,6 +88,7 @@
         path: request.url ?? "",
         action: read(actionHeader),
         event,
+        deadlineMs: Number(read(headerNames.deadline)),
         at: Date.now(),
     };
     appendFileSync(config.runsFile, JSON.stringify(line) + "\n");
@@ -133,6 +138,11 @@
 
 async function runRequest(request: IncomingMessage, response: ServerResponse, body: Buffer): Promise<void> {
     record(request, "start");
+    response.once("close", () => {
+        if (!response.writableEnded) {
+            record(request, "cancelled");
+        }
+    });
     if (request.url?.includes("crash") === true) {
         process.exit(70);
     }
@@ -154,7 +164,14 @@
         digest: createHash("sha256").update(body).digest("hex"),
         filler: "x".repeat(bytes),
     });
-    response.writeHead(isComplete ? 200 : 502, { "content-type": "application/json" });
+    response.writeHead(isComplete ? 200 : 502, {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(answer),
+    });
+    if (Math.random() < (behaviour.cutAnswers ?? 0)) {
+        response.write(answer.slice(0, answer.length / 2), () => response.destroy());
+        return;
+    }
     response.end(answer);
 }
 
--- a/standin/faults.ts
+++ b/standin/faults.ts
@@ -3,9 +3,7 @@
 import type { Cluster, Instance } from "./cluster.js";
 import { waitForExit } from "./cluster.js";
 import { createContract } from "./plans.js";
-
-/** Source of random numbers in [0, 1). */
-export type Random = () => number;
+import type { Random } from "./random.js";
 
 /** One kind of fault. */
 export interface Fault {
--- a/test/cluster/faults.test.ts
+++ b/test/cluster/faults.test.ts
@@ -3,20 +3,12 @@
 import { faults } from "../../standin/faults.js";
 import { Load } from "../../standin/load.js";
 import { findViolations } from "../../standin/promises.js";
+import { createRandom } from "../../standin/random.js";
 import { bound, createCluster, createFlows, listFailures, sleep } from "./harness.js";
 
 /** Time before and after the fault, in milliseconds. */
 const marginMs = 1000;
 
-/** Repeats the same draws for the same seed. */
-function createRandom(seed: number): () => number {
-    let state = seed;
-    return () => {
-        state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-        return state / 2 ** 32;
-    };
-}
-
 describe("promises under a fault", () => {
     let cluster: Cluster;
 
@@ -39,4 +31,23 @@
             expect(listFailures(last)).to.deep.equal([]);
         });
     }
+
+    const pairs: readonly (readonly [string, string])[] = [
+        ["log out", "node killed"],
+        ["log loses answers", "instance replaced"],
+        ["node frozen", "endpoint crashed"],
+        ["answers cut", "endpoint slow"],
+    ];
+    for (const [index, names] of pairs.entries()) {
+        it(`hold with ${names.join(" and ")} together`, async () => {
+            const load = new Load(createFlows(cluster, 40));
+            await sleep(marginMs);
+            const drawn = faults.filter(fault => names.includes(fault.name));
+            await Promise.all(drawn.map((fault, nth) => fault.apply(cluster, createRandom(100 * (index + 1) + nth))));
+            await cluster.waitUntilSettled();
+            await sleep(marginMs);
+            const results = await load.stop();
+            expect(findViolations(results, cluster.readRuns(), bound)).to.deep.equal([]);
+        });
+    }
 });
