--- a/test/cluster/leaving.test.ts
+++ b/test/cluster/leaving.test.ts
@@ -47,6 +47,7 @@
             expect(late).to.deep.equal([]);
             expect(await exited).to.equal(0);
             const own = runs.filter(run => run.instance === leaver!.name);
+            expect(own.filter(run => run.event === "cancelled")).to.deep.equal([]);
             expect(own.filter(run => run.event === "start").length).to.equal(
                 own.filter(run => run.event === "end").length,
             );
