--- /dev/null
+++ b/bench/capacity.ts
@@ -0,0 +1,128 @@
+/**
+ * Cost of control at rest for growing numbers of nodes: processor time, resident memory, bytes and reads of the log, and the
+ * time until a contract is in force everywhere. Every node is a daemon process of its own; there are no endpoints.
+ *
+ * Run with `npm run bench:capacity -- [--sizes 10,30,60,120] [--seconds 20]`. Bytes are those of the TCP connections of one
+ * node's address, read with `ss`, so they include the framing of HTTP and gRPC.
+ */
+import { spawnSync } from "node:child_process";
+import { appendFileSync, mkdirSync } from "node:fs";
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { Cluster, postJson, waitFor } from "../standin/cluster.js";
+import { createContract } from "../standin/plans.js";
+import { readUsage } from "./processUsage.js";
+
+const services = 6;
+const dataCentres = ["pekalongan", "klaten", "jepara"];
+/** Time for all nodes to know each other, in milliseconds. */
+const settleTimeoutMs = 180_000;
+
+const { values } = parseArgs({
+    options: { sizes: { type: "string", default: "10,30,60,120" }, seconds: { type: "string", default: "20" } },
+});
+
+function sleep(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
+
+/** Bytes sent and received so far on the open TCP connections of an address. */
+function readBytes(address: string): number {
+    const listing = spawnSync("ss", ["-tinH", "src", address]).stdout.toString();
+    const sent = [...listing.matchAll(/bytes_sent:(\d+)/g)].reduce((sum, match) => sum + Number(match[1]), 0);
+    const received = [...listing.matchAll(/bytes_received:(\d+)/g)].reduce((sum, match) => sum + Number(match[1]), 0);
+    return sent + received;
+}
+
+async function readLogCounts(cluster: Cluster): Promise<{ appends: number; reads: number; }> {
+    return await postJson(`${cluster.log}/control`, {}) as { appends: number; reads: number; };
+}
+
+function createCluster(size: number): Cluster {
+    const plans = Array.from({ length: services }, (_, index) => ({
+        name: `service-${index}`,
+        slots: 10,
+        serviceMs: 1,
+        calls: [],
+        dataCentres: Array.from(
+            { length: Math.ceil((size - index) / services) },
+            (_each, nth) => dataCentres[nth % dataCentres.length]!,
+        ),
+    }));
+    return new Cluster({ services: plans, contracts: [] });
+}
+
+async function startNodes(cluster: Cluster): Promise<void> {
+    await cluster.startLog();
+    cluster.instances.forEach(instance => instance.startNode());
+    const size = cluster.instances.length;
+    for (const instance of cluster.instances) {
+        const isSettled = async (): Promise<boolean> => {
+            const status = await instance.readStatus();
+            return status?.isAnnounced === true && status.members.length >= size && status.partitionsOwned > 0;
+        };
+        await waitFor(isSettled, settleTimeoutMs, `${instance.name} to settle`);
+    }
+}
+
+/** Time from the tool's word until all nodes show the version, in milliseconds. */
+async function measureSpread(cluster: Cluster, version: number): Promise<number> {
+    const result = await cluster.publish(createContract("weavers", { requestsPerSecond: 100, burst: version }));
+    if (result.code !== 0) {
+        throw new Error(result.output);
+    }
+    const startedAt = performance.now();
+    const waiting = new Set(cluster.instances);
+    while (waiting.size > 0) {
+        await Promise.all([...waiting].map(async instance => {
+            if (((await instance.readStatus())?.versions["weavers"] ?? 0) >= version) {
+                waiting.delete(instance);
+            }
+        }));
+        await sleep(20);
+    }
+    return performance.now() - startedAt;
+}
+
+async function measureSize(size: number): Promise<void> {
+    const cluster = createCluster(size);
+    try {
+        await startNodes(cluster);
+        await sleep(8000);
+        const { instances } = cluster;
+        const [subject] = instances;
+        const readCpu = (): number => instances.reduce((sum, instance) => sum + readUsage(instance.node?.pid).cpuMs, 0);
+        const seconds = Number(values.seconds);
+        const before = { cpu: readCpu(), bytes: readBytes(subject!.address), log: await readLogCounts(cluster) };
+        await sleep(seconds * 1000);
+        const after = { cpu: readCpu(), bytes: readBytes(subject!.address), log: await readLogCounts(cluster) };
+        const resident = instances.map(instance => readUsage(instance.node?.pid).residentBytes / 2 ** 20);
+        const spreads = [
+            await measureSpread(cluster, 1),
+            await measureSpread(cluster, 2),
+            await measureSpread(cluster, 3),
+        ];
+        const figures = {
+            nodes: instances.length,
+            cpuPercent: (after.cpu - before.cpu) / (seconds * 10) / instances.length,
+            residentMegabytes: resident.reduce((sum, each) => sum + each, 0) / resident.length,
+            maxResidentMegabytes: Math.max(...resident),
+            bytesPerSecond: (after.bytes - before.bytes) / seconds,
+            logReadsPerSecond: (after.log.reads - before.log.reads) / seconds,
+            logAppendsPerSecond: (after.log.appends - before.log.appends) / seconds,
+            appendsToStart: before.log.appends,
+            spreadMs: Math.max(...spreads),
+        };
+        process.stdout.write(`${JSON.stringify(figures)}\n`);
+        appendFileSync("reports/capacity.jsonl", JSON.stringify(figures) + "\n");
+    }
+    finally {
+        await cluster.stop();
+    }
+}
+
+mkdirSync("reports", { recursive: true });
+for (const size of values.sizes.split(",")) {
+    await measureSize(Number(size));
+}
+process.exit(0);
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,15 @@
+/** The package: what a program needs to read and check contracts, to call a node, and to follow the log. */
+export type { LogError, LogPage, LogRecord, LogService } from "./connection/logService.js";
+export { HttpLogService } from "./connection/logService.js";
+export type { Clock } from "./process/clock.js";
+export { SystemClock } from "./process/clock.js";
+export type { Result } from "./process/result.js";
+export type { Reason } from "./request/answer.js";
+export { reasons } from "./request/answer.js";
+export { headerNames } from "./request/headers.js";
+export type { AuditEvent } from "./version/audit.js";
+export { readAudit } from "./version/audit.js";
+export type { Contract, ContractError, RequestClass } from "./version/contract.js";
+export { formatContractError, parseContract } from "./version/contract.js";
+export type { PublishResult } from "./version/publisher.js";
+export { publishContract } from "./version/publisher.js";
--- a/src/process/admission.ts
+++ b/src/process/admission.ts
@@ -15,6 +15,11 @@
 /** Longest time that a refused caller is told to wait, in milliseconds. */
 const maxRetryAfterMs = 2000;
 
+/** How requests are admitted. */
+export const admissionModes = ["adaptive", "static", "off"] as const;
+/** One of {@link admissionModes}. */
+export type AdmissionMode = (typeof admissionModes)[number];
+
 /** Outcome of asking for a run. */
 export type AdmissionResult =
     | { readonly kind: "admitted"; readonly release: Release; }
@@ -55,8 +60,8 @@
     private readonly limit: ConcurrencyLimit;
     private running = 0;
 
-    constructor(private readonly clock: Clock, private readonly isOff: boolean) {
-        this.limit = new ConcurrencyLimit(clock);
+    constructor(private readonly clock: Clock, private readonly mode: AdmissionMode) {
+        this.limit = new ConcurrencyLimit(clock, mode === "adaptive");
     }
 
     getState(): AdmissionState {
@@ -71,7 +76,7 @@
 
     /** Priority below which requests are refused on arrival. */
     getThreshold(): number {
-        return this.isOff ? 0 : this.threshold.getLevel();
+        return this.mode === "adaptive" ? this.threshold.getLevel() : 0;
     }
 
     /** Sets the endpoint's number of slots. A cold endpoint starts with a part of them. */
@@ -83,11 +88,11 @@
     /** Asks for a run. Resolves at once unless the request has to wait in the queue. */
     request(priority: number, timeLeftMs: number, signal?: AbortSignal): Promise<AdmissionResult> {
         const isAdmitted = this.threshold.isAdmitted(priority);
-        if (this.isOff) {
+        if (this.mode === "off") {
             this.running += 1;
             return Promise.resolve(this.createAdmitted());
         }
-        if (!isAdmitted) {
+        if (!isAdmitted && this.mode === "adaptive") {
             return Promise.resolve(this.createRefusal("overloaded"));
         }
         if (this.running < this.limit.get() && this.queue.length === 0) {
--- a/src/process/concurrencyLimit.ts
+++ b/src/process/concurrencyLimit.ts
@@ -43,7 +43,7 @@
     private trial: Trial | undefined;
     private rampStart: number | undefined;
 
-    constructor(private readonly clock: Clock) {}
+    constructor(private readonly clock: Clock, private readonly isAdaptive: boolean) {}
 
     /** Limit in force: the adaptive limit, held down by the ramp after a cold start. */
     get(): number {
@@ -80,6 +80,9 @@
     recordRun(milliseconds: number): void {
         this.recentMs = average(this.recentMs, milliseconds, recentWeight);
         this.usualMs = average(this.usualMs, milliseconds, milliseconds < this.usualMs ? recentWeight : usualWeight);
+        if (!this.isAdaptive) {
+            return;
+        }
         if (this.recentMs <= tolerance * this.usualMs) {
             this.trial = undefined;
             this.limit = Math.min(this.slots, this.limit + 1 / this.limit);
--- a/src/process/node.ts
+++ b/src/process/node.ts
@@ -107,7 +107,7 @@
             offsets: unknownOffsets,
         });
         this.quarantine = new Quarantine(clock);
-        this.admission = new Admission(clock, settings.control.isAdmissionOff);
+        this.admission = new Admission(clock, settings.control.admission);
         this.peers = new HttpPeers(clock, limits.maxBodyBytes);
         this.follower = new Follower({
             clock,
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -4,6 +4,7 @@
 import { parse as parseToml, TomlError } from "smol-toml";
 import * as v from "valibot";
 import { createRange, formatAllowed, shortTextSchema } from "../version/schema.js";
+import { admissionModes } from "./admission.js";
 import { logLevels } from "./logger.js";
 import type { Result } from "./result.js";
 import { createFailure, createSuccess } from "./result.js";
@@ -70,8 +71,8 @@
     drain: v.optional(v.strictObject({ timeoutSeconds: v.optional(createRange(1, 3600), 60) }), {}),
     control: v.optional(
         v.strictObject({
-            /** Switches off limits, queues and thresholds; for comparisons only. */
-            isAdmissionOff: v.optional(v.boolean(), false),
+            /** `static` keeps the limit at the endpoint's slots and has no threshold; `off` admits everything. For comparisons. */
+            admission: v.optional(v.picklist(admissionModes), "adaptive"),
         }),
         {},
     ),
--- a/standin/cluster.ts
+++ b/standin/cluster.ts
@@ -38,8 +38,10 @@
     readonly services: readonly ServicePlan[];
     readonly contracts: readonly Contract[];
     readonly logRetentionMs?: number;
-    /** Lines that replace the default `[control]` section of all nodes. */
+    /** Further lines of all nodes' settings. */
     readonly nodeSettings?: string;
+    /** Folder with another build of the daemon, for comparisons. */
+    readonly daemonRoot?: string;
 }
 
 /** One instance: an endpoint and its node. */
@@ -76,7 +78,7 @@
     startNode(): void {
         const file = join(this.cluster.directory, `${this.name}.toml`);
         writeFileSync(file, this.formatSettings());
-        this.node = this.cluster.spawn(this.name, ["src/daemon.js", "--config", file]);
+        this.node = this.cluster.spawn(this.name, ["src/daemon.js", "--config", file], this.cluster.daemonRoot);
     }
 
     async startEndpoint(): Promise<void> {
@@ -190,12 +192,14 @@
     readonly instances: Instance[] = [];
     readonly nodeSettings: string;
     readonly logRetentionMs: number | undefined;
+    readonly daemonRoot: string;
     private readonly subnet = `127.${10 + Math.floor(Math.random() * 200)}.${1 + Math.floor(Math.random() * 250)}`;
     private readonly children = new Set<ChildProcess>();
 
     constructor(private readonly plan: ClusterPlan) {
         this.nodeSettings = plan.nodeSettings ?? "";
         this.logRetentionMs = plan.logRetentionMs;
+        this.daemonRoot = plan.daemonRoot ?? root;
         let host = 10;
         for (const service of plan.services) {
             for (const dataCentre of service.dataCentres) {
@@ -217,9 +221,7 @@
 
     /** Starts everything, publishes the contracts and waits until all nodes are ready and the keys are spread. */
     async start(): Promise<void> {
-        const retention = this.plan.logRetentionMs === undefined ? [] : [String(this.plan.logRetentionMs)];
-        const log = this.spawn("log", ["standin/logServer.js", `${this.subnet}.1`, String(ports.log), ...retention]);
-        await waitForLine(log, "ready");
+        await this.startLog();
         await Promise.all(this.instances.map(instance => instance.start()));
         for (const contract of this.plan.contracts) {
             const result = await this.publish(contract);
@@ -230,6 +232,13 @@
         await this.waitUntilSettled();
     }
 
+    /** Starts the log alone. */
+    async startLog(): Promise<void> {
+        const retention = this.plan.logRetentionMs === undefined ? [] : [String(this.plan.logRetentionMs)];
+        const log = this.spawn("log", ["standin/logServer.js", `${this.subnet}.1`, String(ports.log), ...retention]);
+        await waitForLine(log, "ready");
+    }
+
     /** Waits until all running nodes are ready, know the contracts and share the keys of their service. */
     async waitUntilSettled(): Promise<void> {
         const customers = this.plan.contracts.map(contract => contract.customer);
@@ -283,8 +292,8 @@
     }
 
     /** Starts a process whose output goes into a file of the cluster's directory. */
-    spawn(name: string, words: string[]): ChildProcess {
-        const child = spawn(process.execPath, [join(root, words[0]!), ...words.slice(1)], {
+    spawn(name: string, words: string[], from = root): ChildProcess {
+        const child = spawn(process.execPath, [join(from, words[0]!), ...words.slice(1)], {
             stdio: ["ignore", "pipe", "pipe"],
         });
         const file = createWriteStream(join(this.directory, `${name}.log`), { flags: "a" });
--- a/standin/demo.ts
+++ b/standin/demo.ts
@@ -12,6 +12,8 @@
 const phaseMs = { before: 6000, overload: 7000, after: 8000 };
 /** Time after the start of the load that is not counted, in milliseconds. */
 const warmUpMs = 2000;
+/** Usual rate of browsing. */
+const browsesPerSecond = 120;
 /** Stated outcomes. */
 const stated = { valuableShareInOverload: 0.9, recoveryMs: 5000, recoveredShare: 0.95 };
 
@@ -70,7 +72,7 @@
 
 async function runLoad(): Promise<{ results: ActionResult[]; overloadAt: number; endAt: number; }> {
     const load = new Load([
-        createFlow("weavers", "browse", "katalog", 120),
+        createFlow("weavers", "browse", "katalog", browsesPerSecond),
         createFlow("treasurers", "advance", "kas-benang", 30),
         createFlow("clerks", "certificate", "ekspor", 20),
     ]);
@@ -78,10 +80,10 @@
     const overloadAt = load.now();
     const deep = cluster.listService("katalog");
     await Promise.all(deep.map(instance => instance.changeEndpoint({ serviceMs: 160 })));
-    load.setRate(flow => flow.customer === "weavers", 3);
+    load.setRate(flow => flow.customer === "weavers", browsesPerSecond * 3);
     await sleep(phaseMs.overload);
     await Promise.all(deep.map(instance => instance.changeEndpoint({ serviceMs: 40 })));
-    load.setRate(flow => flow.customer === "weavers", 1);
+    load.setRate(flow => flow.customer === "weavers", browsesPerSecond);
     const endAt = load.now();
     await sleep(phaseMs.after);
     return { results: await load.stop(), overloadAt, endAt };
--- a/standin/load.ts
+++ b/standin/load.ts
@@ -42,10 +42,10 @@
         return performance.now() - this.startedAt;
     }
 
-    /** Changes the rate of the flows that match, as a multiple of their usual one. */
-    setRate(isMeant: (flow: Flow) => boolean, factor: number): void {
+    /** Changes the rate of the flows that match. */
+    setRate(isMeant: (flow: Flow) => boolean, perSecond: number): void {
         for (const flow of this.flows.filter(isMeant)) {
-            this.rates.set(flow, flow.perSecond * factor);
+            this.rates.set(flow, perSecond);
         }
     }
 
