Split the node's assembly from control handlers, crash reports, gauges and the count of work

Cause: process/node.ts had grown to 500 lines with five jobs. Behaviour is the same but for one thing: a request that arrives while peers are known to have a newer contract waits up to 0.5 s for this node to catch up, where it was refused at once.

--- /dev/null
+++ b/src/process/crashReporter.ts
@@ -0,0 +1,69 @@
+/** Spreads the word on requests that crash endpoints, and follows the log's word on them. */
+import type { ControlCaller } from "../connection/control.js";
+import type { LogService } from "../connection/logService.js";
+import type { Member } from "../version/member.js";
+import { formatSlot } from "../version/member.js";
+import type { QuarantineState } from "../version/quarantineStream.js";
+import { formatQuarantineRecord, quarantineStreamName } from "../version/quarantineStream.js";
+import type { Clock } from "./clock.js";
+import type { Directory } from "./directory.js";
+import type { Logger } from "./logger.js";
+import type { Quarantine } from "./quarantine.js";
+import { quarantineMs } from "./quarantine.js";
+
+/** Time for a report to a peer, in milliseconds. */
+const reportTimeoutMs = 1000;
+
+/** What the reporter needs from the rest of the node. */
+export interface CrashReporterParts {
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly self: Member;
+    readonly log: LogService;
+    readonly control: ControlCaller;
+    readonly directory: Directory;
+    readonly quarantine: Quarantine;
+}
+
+/** Reports crashes and applies the `quarantine` stream. */
+export class CrashReporter {
+    private imposed: ReadonlySet<string> = new Set();
+
+    constructor(private readonly parts: CrashReporterParts) {}
+
+    /** Tells the other instances of the service at once, and the log when the request is refused from now on. */
+    report(fingerprint: string, incident: string): void {
+        const { clock, logger, self, log, control, directory, quarantine } = this.parts;
+        const isNowRefused = quarantine.recordCrash(fingerprint, incident);
+        const request = { from: self, fingerprint, incident };
+        for (const update of directory.listPeers()) {
+            if (update.member.service === self.service) {
+                void control.call(formatSlot(update.member), "reportCrash", request, reportTimeoutMs);
+            }
+        }
+        if (isNowRefused) {
+            logger.warn("quarantined", { fingerprint });
+            const until = clock.readDate().getTime() + quarantineMs;
+            const record = formatQuarantineRecord({ kind: "quarantine", fingerprint, service: self.service, until });
+            void log.append(quarantineStreamName, record);
+        }
+    }
+
+    /** Refuses what the log lists, and lets go what it no longer lists. */
+    applyStream(state: QuarantineState): void {
+        const { clock, quarantine } = this.parts;
+        const listed = new Set(state.entries.map(entry => entry.fingerprint));
+        for (const fingerprint of this.imposed) {
+            if (!listed.has(fingerprint)) {
+                quarantine.release(fingerprint);
+            }
+        }
+        this.imposed = listed;
+        const now = clock.readDate().getTime();
+        for (const entry of state.entries) {
+            if (entry.until > now) {
+                quarantine.impose(entry.fingerprint, entry.until - now);
+            }
+        }
+    }
+}
--- a/src/process/node.ts
+++ b/src/process/node.ts
@@ -1,12 +1,6 @@
 /** Puts a node together, starts its listeners and tasks, and stops it gracefully. */
 import { ControlClient, ControlServer } from "../connection/control.js";
-import type {
-    ControlHandlers,
-    ControlReply,
-    ControlRequest,
-    MemberUpdate,
-    StreamOffsets,
-} from "../connection/control.js";
+import type { StreamOffsets } from "../connection/control.js";
 import { Follower } from "../connection/follower.js";
 import type { RequestHandler } from "../connection/httpServer.js";
 import { HttpListener } from "../connection/httpServer.js";
@@ -18,11 +12,9 @@
 import { serveOutbound } from "../request/outbound.js";
 import { servePeer } from "../request/peerRequest.js";
 import type { ContractState } from "../version/contractStream.js";
-import { findContract } from "../version/contractStream.js";
 import type { Member } from "../version/member.js";
 import { formatSlot } from "../version/member.js";
 import { isAnnounced } from "../version/memberStream.js";
-import { formatQuarantineRecord, quarantineStreamName } from "../version/quarantineStream.js";
 import { serveAdmin } from "./admin.js";
 import { Admission } from "./admission.js";
 import { Allowances } from "./allowances.js";
@@ -30,24 +22,26 @@
 import { Balancer } from "./balancer.js";
 import { Claims } from "./claims.js";
 import type { Clock } from "./clock.js";
+import { createControlHandlers } from "./controlHandlers.js";
+import { CrashReporter } from "./crashReporter.js";
 import { Directory, unknownOffsets } from "./directory.js";
 import { DownstreamThresholds } from "./downstream.js";
 import { Freshness } from "./freshness.js";
+import { addGauges } from "./gauges.js";
 import { LocalEndpoint } from "./localEndpoint.js";
 import type { Logger } from "./logger.js";
 import { Metrics } from "./metrics.js";
 import { Ownership } from "./ownership.js";
-import { Quarantine, quarantineMs } from "./quarantine.js";
+import { Quarantine } from "./quarantine.js";
 import { RetryRatio } from "./rateLimit.js";
 import { RunTable } from "./runTable.js";
 import type { Settings } from "./settings.js";
-import { poolShare, ShareCoordinator } from "./shareCoordinator.js";
+import { ShareCoordinator } from "./shareCoordinator.js";
 import { runSnapshotWriter } from "./snapshots.js";
 import type { Streams } from "./streams.js";
-import { createStreams, getOffsets, isBehind, streamKeys } from "./streams.js";
+import { createStreams, getOffsets, isBehind } from "./streams.js";
+import { WorkInProgress } from "./workInProgress.js";
 
-/** Time for a control call, in milliseconds. */
-const callTimeoutMs = 1000;
 /** Longest resend window assumed while no contract is known, in milliseconds. */
 const defaultResendWindowMs = 600_000;
 /** Peers that are told at once that this node is leaving. */
@@ -58,8 +52,10 @@
 const withdrawTimeoutMs = 3000;
 /** Time between removals of what has expired, in milliseconds. */
 const housekeepingIntervalMs = 10_000;
-/** Time between looks at what is still in progress while stopping, in milliseconds. */
-const drainIntervalMs = 50;
+/** Longest time that a request waits for this node to learn of a newer contract, in milliseconds. */
+const maxCatchUpWaitMs = 500;
+/** Time between looks while a request waits, in milliseconds. */
+const catchUpCheckMs = 10;
 
 /** One node: all that a process of the daemon holds. */
 export class Node {
@@ -84,7 +80,8 @@
     private readonly runs = new RunTable();
     private readonly listeners: { readonly port: number; readonly listener: HttpListener; }[];
     private readonly stopping = new AbortController();
-    private requestsInProgress = 0;
+    private readonly work: WorkInProgress;
+    private readonly crashes: CrashReporter;
     private isLeaving = false;
 
     constructor(readonly settings: Settings, private readonly clock: Clock, private readonly logger: Logger) {
@@ -107,6 +104,16 @@
             offsets: unknownOffsets,
         });
         this.quarantine = new Quarantine(clock);
+        this.crashes = new CrashReporter({
+            clock,
+            logger,
+            self: this.self,
+            log: this.log,
+            control: this.control,
+            directory: this.directory,
+            quarantine: this.quarantine,
+        });
+        this.work = new WorkInProgress(clock);
         this.admission = new Admission(clock, settings.control.admission);
         this.peers = new HttpPeers(clock, limits.maxBodyBytes);
         this.follower = new Follower({
@@ -137,7 +144,7 @@
             runs: this.runs,
             quarantine: this.quarantine,
             downstream,
-            reportCrash: (fingerprint, incident) => this.reportCrash(fingerprint, incident),
+            reportCrash: (fingerprint, incident) => this.crashes.report(fingerprint, incident),
         });
         this.ownership = new Ownership({
             clock,
@@ -206,9 +213,17 @@
             { port: listeners.peer, listener: this.createListener((req, res) => servePeer(peer, req, res)) },
             { port: listeners.admin, listener: this.createListener((req, res) => serveAdmin(this, req, res), false) },
         ];
-        this.controlServer = new ControlServer(this.createControlHandlers());
+        this.controlServer = new ControlServer(createControlHandlers({
+            streams: this.streams,
+            directory: this.directory,
+            follower: this.follower,
+            prober: this.prober,
+            ownership: this.ownership,
+            quarantine: this.quarantine,
+            shares: this.shares,
+        }));
         this.connectStreams();
-        this.addGauges();
+        addGauges(this);
     }
 
     /** Binds all listeners and starts the tasks of the process. */
@@ -247,7 +262,7 @@
     async stop(): Promise<void> {
         const startedAt = this.clock.readMonotonic();
         this.isLeaving = true;
-        this.logger.info("stopping", { requests: this.requestsInProgress });
+        this.logger.info("stopping", { requests: this.work.getCount() });
         this.localEndpoint.stopTakingWork();
         this.directory.updateSelf({ health: "leaving" });
         const peers = this.directory.listPeers().filter(update => update.health === "alive").map(update =>
@@ -255,7 +270,9 @@
         );
         await this.prober.spreadSelf(peers.slice(0, maxLeaveNotices));
         await this.ownership.handOverAll();
-        await this.drain();
+        if (!await this.work.drain(this.settings.drain.timeoutSeconds * 1000)) {
+            this.logger.warn("drainTimedOut", { requests: this.work.getCount() });
+        }
         await this.ownership.handOverAll();
         await withdrawMember(this.getAnnouncerParts(), withdrawTimeoutMs);
         await this.clock.sleep(Math.max(0, lingerMs - (this.clock.readMonotonic() - startedAt)));
@@ -287,11 +304,6 @@
         return this.localEndpoint.isReady() ? undefined : "the endpoint is not announced, drains or does not answer";
     }
 
-    /** Requests of any side that are in progress. */
-    getRequestsInProgress(): number {
-        return this.requestsInProgress;
-    }
-
     /** Whether this node is announced on the log in this incarnation. */
     isAnnounced(): boolean {
         const state = this.streams.members.get()?.state;
@@ -304,24 +316,12 @@
             this.logger.error("handlerFailed", { cause: error instanceof Error ? error.stack : String(error) });
         };
         return new HttpListener(
-            isCounted ? this.createCounting(handler) : handler,
+            isCounted ? this.work.track(handler) : handler,
             this.settings.limits.maxHeaderBytes,
             onError,
         );
     }
 
-    private createCounting(handler: RequestHandler): RequestHandler {
-        return async (request, response) => {
-            this.requestsInProgress += 1;
-            try {
-                await handler(request, response);
-            }
-            finally {
-                this.requestsInProgress -= 1;
-            }
-        };
-    }
-
     private async runHousekeeping(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             await this.clock.sleep(housekeepingIntervalMs, signal);
@@ -330,21 +330,20 @@
         }
     }
 
-    private async drain(): Promise<void> {
-        const giveUpAt = this.clock.readMonotonic() + this.settings.drain.timeoutSeconds * 1000;
-        while (this.requestsInProgress > 0 && this.clock.readMonotonic() < giveUpAt) {
-            await this.clock.sleep(drainIntervalMs);
-        }
-        if (this.requestsInProgress > 0) {
-            this.logger.warn("drainTimedOut", { requests: this.requestsInProgress });
-        }
-    }
-
-    /** Contracts in force, once it is sure that they are: not while peers are known to have newer ones. */
+    /**
+     * Contracts in force, once it is sure that they are. While peers are known to have newer ones, a request waits for this
+     * node to catch up; `undefined` when that takes too long.
+     */
     private async getFreshContracts(): Promise<ContractState | undefined> {
         await this.freshness.waitUntilFresh();
-        const isOutdated = this.streams.contracts.getThrough() < this.follower.getSeen().contracts;
-        return isOutdated ? undefined : this.streams.contracts.get()?.state;
+        const giveUpAt = this.clock.readMonotonic() + maxCatchUpWaitMs;
+        while (this.streams.contracts.getThrough() < this.follower.getSeen().contracts) {
+            if (this.clock.readMonotonic() >= giveUpAt) {
+                return undefined;
+            }
+            await this.clock.sleep(catchUpCheckMs);
+        }
+        return this.streams.contracts.get()?.state;
     }
 
     private async confirmState(): Promise<boolean> {
@@ -378,123 +377,6 @@
         this.streams.contracts.addListener(current => {
             this.logger.info("contractsInForce", { through: current.through });
         });
-        let imposed = new Set<string>();
-        this.streams.quarantine.addListener(current => {
-            const listed = new Set(current.state.entries.map(entry => entry.fingerprint));
-            [...imposed].filter(fingerprint => !listed.has(fingerprint)).forEach(fingerprint =>
-                this.quarantine.release(fingerprint)
-            );
-            imposed = listed;
-            const now = this.clock.readDate().getTime();
-            for (const entry of current.state.entries) {
-                if (entry.until > now) {
-                    this.quarantine.impose(entry.fingerprint, entry.until - now);
-                }
-            }
-        });
-    }
-
-    private createControlHandlers(): ControlHandlers {
-        return {
-            probe: async request => this.prober.answerProbe(request),
-            probeIndirectly: request => this.prober.answerIndirectProbe(request),
-            pull: async request => this.answerPull(request.offsets),
-            notify: async request => {
-                this.directory.mergeUpdate(request.from);
-                this.follower.noticeOffsets(request.offsets);
-                return {};
-            },
-            transfer: async request => {
-                this.ownership.acceptTransfer(request);
-                return {};
-            },
-            requestShare: async request => this.grantShare(request),
-            reportCrash: async request => {
-                this.quarantine.recordCrash(request.fingerprint, request.incident);
-                return {};
-            },
-        };
-    }
-
-    private grantShare(request: ControlRequest<"requestShare">): ControlReply<"requestShare"> {
-        const contracts = this.streams.contracts.get()?.state;
-        const contract = contracts === undefined ? undefined : findContract(contracts, request.customer);
-        const pool = (contract?.allowance.requestsPerSecond ?? 0) * poolShare;
-        const { customer, rank, slot, demand, held } = request;
-        return { perSecond: this.shares.grant(customer, rank, pool, slot, demand, held) };
-    }
-
-    private answerPull(offsets: StreamOffsets): ControlReply<"pull"> {
-        const reply: { -readonly [K in keyof ControlReply<"pull">]: ControlReply<"pull">[K]; } = {
-            updates: this.listUpdates(),
-        };
-        for (const key of streamKeys) {
-            const current = this.streams[key].get();
-            if (current !== undefined && current.through > offsets[key]) {
-                reply[key] = current;
-            }
-        }
-        return reply;
-    }
-
-    private listUpdates(): MemberUpdate[] {
-        return this.directory.listAll();
-    }
-
-    /** Tells the other instances of the service at once, and the log when the request is refused from now on. */
-    private reportCrash(fingerprint: string, incident: string): void {
-        const isNowRefused = this.quarantine.recordCrash(fingerprint, incident);
-        const request = { from: this.self, fingerprint, incident };
-        for (const update of this.directory.listPeers()) {
-            if (update.member.service === this.self.service) {
-                void this.control.call(formatSlot(update.member), "reportCrash", request, callTimeoutMs);
-            }
-        }
-        if (isNowRefused) {
-            this.logger.warn("quarantined", { fingerprint });
-            const until = this.clock.readDate().getTime() + quarantineMs;
-            const record = { kind: "quarantine" as const, fingerprint, service: this.self.service, until };
-            void this.log.append(quarantineStreamName, formatQuarantineRecord(record));
-        }
-    }
-
-    private addGauges(): void {
-        const { metrics, admission, claims, ownership, quarantine, directory } = this;
-        metrics.addGauge(
-            "runs_in_progress",
-            "Requests running at the local endpoint.",
-            () => admission.getState().running,
-        );
-        metrics.addGauge("runs_queued", "Requests waiting for the local endpoint.", () => admission.getState().queued);
-        metrics.addGauge(
-            "concurrency_limit",
-            "Requests that may run at the same time.",
-            () => admission.getState().limit,
-        );
-        metrics.addGauge(
-            "priority_threshold",
-            "Priority below which requests are refused.",
-            () => admission.getThreshold(),
-        );
-        metrics.addGauge("claims", "Actions remembered as owner of their keys.", () => claims.getSize());
-        metrics.addGauge("claim_bytes", "Memory of remembered actions in bytes.", () => claims.getBytes());
-        metrics.addGauge("partitions_owned", "Partitions of the service's keys owned.", () => ownership.countOwned());
-        metrics.addGauge(
-            "quarantined_requests",
-            "Requests refused because they crash endpoints.",
-            () => quarantine.countRefused(),
-        );
-        metrics.addGauge("members", "Members known.", () => directory.listAll().length);
-        metrics.addGauge(
-            "contracts_offset",
-            "Offset through which contracts are in force.",
-            () => this.streams.contracts.getThrough(),
-        );
-        metrics.addGauge(
-            "log_up",
-            "Whether the last read of the log succeeded.",
-            () => this.follower.isLogUp() ? 1 : 0,
-        );
-        metrics.addGauge("resident_memory_bytes", "Resident memory of the process.", () => process.memoryUsage.rss());
+        this.streams.quarantine.addListener(current => this.crashes.applyStream(current.state));
     }
 }
--- a/src/request/entry.ts
+++ b/src/request/entry.ts
@@ -17,7 +17,7 @@
 import type { Call } from "./call.js";
 import type { Dispatcher } from "./dispatcher.js";
 import { isOwnersDecision } from "./dispatcher.js";
-import { copyPassingHeaders } from "./headers.js";
+import { copyPassingHeaders, headerNames } from "./headers.js";
 
 /** Time after which a request that was refused here may be sent again, in milliseconds. */
 const retryAfterMs = 500;
@@ -63,7 +63,7 @@
     }
     const contracts = await parts.getContracts();
     if (contracts === undefined) {
-        sendAnswer(response, createRefusal("notReady", retryAfterMs, request));
+        sendAnswer(response, createRefusal(request.headers[headerNames.attempt] === "1", "notReady", retryAfterMs));
         return;
     }
     const parsed = parseAction(request.headers, contracts, now);
@@ -111,29 +111,22 @@
 /** Refuses before anything is sent on. A repeated send that its owner may know of is left to the owner. */
 function findEarlyRefusal(parts: EntryParts, action: Action, call: Call): Answer | undefined {
     if (parts.quarantine.isRefused(call.fingerprint)) {
-        return refuseAction(action, "quarantined", undefined);
+        return createRefusal(action.attempt === 1, "quarantined", undefined);
     }
     if (isOwnersDecision(call) && action.attempt !== 1) {
         return undefined;
     }
     const waitMs = parts.allowances.take(action.contract);
     if (waitMs > 0) {
-        return refuseAction(action, "allowance", waitMs);
+        return createRefusal(action.attempt === 1, "allowance", waitMs);
     }
     if (!parts.downstream.isAdmitted(action.customer, action.actionClass, action.priority)) {
-        return refuseAction(action, "overloaded", retryAfterMs);
+        return createRefusal(action.attempt === 1, "overloaded", retryAfterMs);
     }
     return undefined;
 }
 
 /** Only of a first send is it known here that no other send has run. */
-function refuseAction(action: Action, reason: Reason, waitMs: number | undefined): Answer {
-    return action.attempt === 1 ? createNotRun(reason, waitMs, 0) : createUnknown(reason, waitMs);
-}
-
-/** Refuses a request whose headers can't be checked yet. */
-function createRefusal(reason: Reason, waitMs: number, request: IncomingMessage): Answer {
-    return request.headers["turmericspoke-attempt"] === "1"
-        ? createNotRun(reason, waitMs, 0)
-        : createUnknown(reason, waitMs);
+function createRefusal(isFirstSend: boolean, reason: Reason, waitMs: number | undefined): Answer {
+    return isFirstSend ? createNotRun(reason, waitMs, 0) : createUnknown(reason, waitMs);
 }
