Raise the priority threshold by what was refused, and apply it to re-sends too

Change: overload is a queue that never empties in a window of 200 ms, or a tenth of arrivals refused; the threshold rises by the refused share, and falls bucket by bucket, twice as many in each further calm window; the queue has a place for each slot; re-sends of idempotent actions are checked at the entry, others by the owner before they run.

Ruled out: the concurrency limit (at 5 of 5 slots throughout) and metastability (retries 1.63 sends per action, falling).

--- a/src/process/admission.ts
+++ b/src/process/admission.ts
@@ -7,9 +7,9 @@
 import { PriorityThreshold, windowMs } from "./threshold.js";
 
 /** Queue places for each run that may be in progress. */
-const queueShare = 0.5;
-/** Longest wait in the queue that does not count as overload, in milliseconds. */
-const targetWaitMs = 20;
+const queueShare = 1;
+/** Fewest queue places. */
+const minQueue = 4;
 /** Shortest time that a refused caller is told to wait, in milliseconds. */
 const minRetryAfterMs = 100;
 /** Longest time that a refused caller is told to wait, in milliseconds. */
@@ -38,8 +38,6 @@
 /** A request that waits for a place. */
 interface Waiter {
     readonly priority: number;
-    readonly since: number;
-    readonly deadline: number;
     readonly settle: (result: AdmissionResult) => void;
     readonly timer: NodeJS.Timeout;
 }
@@ -59,6 +57,8 @@
     private readonly queue: Waiter[] = [];
     private readonly limit: ConcurrencyLimit;
     private running = 0;
+    /** Shortest queue in this window. */
+    private shortestQueue = 0;
 
     constructor(private readonly clock: Clock, private readonly mode: AdmissionMode) {
         this.limit = new ConcurrencyLimit(clock, mode === "adaptive");
@@ -100,7 +100,7 @@
             return Promise.resolve(this.createAdmitted());
         }
         if (this.estimateWaitMs() + this.limit.getRecentMs() > timeLeftMs) {
-            this.threshold.recordOverload();
+            this.threshold.recordRefused();
             return Promise.resolve(this.createRefusal("deadline"));
         }
         return this.enqueue(priority, timeLeftMs, signal);
@@ -108,10 +108,8 @@
 
     /** Ends a window of the threshold; called every {@link windowMs}. */
     closeWindow(): void {
-        if (this.queue.some(waiter => this.clock.readMonotonic() - waiter.since > targetWaitMs)) {
-            this.threshold.recordOverload();
-        }
-        this.threshold.closeWindow();
+        this.threshold.closeWindow(this.shortestQueue > 0);
+        this.shortestQueue = this.queue.length;
         this.admitWaiting();
     }
 
@@ -124,8 +122,8 @@
     }
 
     private enqueue(priority: number, timeLeftMs: number, signal: AbortSignal | undefined): Promise<AdmissionResult> {
-        if (this.queue.length >= Math.max(1, this.limit.get() * queueShare)) {
-            this.threshold.recordOverload();
+        if (this.queue.length >= Math.max(minQueue, this.limit.get() * queueShare)) {
+            this.threshold.recordRefused();
             const last = this.queue[this.queue.length - 1];
             if (last === undefined || last.priority >= priority) {
                 return Promise.resolve(this.createRefusal("overloaded"));
@@ -133,15 +131,12 @@
             this.removeWaiter(last, this.createRefusal("overloaded"));
         }
         return new Promise(resolve => {
-            const now = this.clock.readMonotonic();
             const waitMs = Math.max(0, timeLeftMs - this.limit.getRecentMs());
             const waiter: Waiter = {
                 priority,
-                since: now,
-                deadline: now + waitMs,
                 settle: resolve,
                 timer: setTimeout(() => {
-                    this.threshold.recordOverload();
+                    this.threshold.recordRefused();
                     this.removeWaiter(waiter, this.createRefusal("deadline"));
                 }, waitMs),
             };
@@ -157,6 +152,7 @@
         const index = this.queue.indexOf(waiter);
         if (index !== -1) {
             this.queue.splice(index, 1);
+            this.shortestQueue = Math.min(this.shortestQueue, this.queue.length);
             clearTimeout(waiter.timer);
             waiter.settle(result);
         }
@@ -165,13 +161,11 @@
     private admitWaiting(): void {
         while (this.running < this.limit.get()) {
             const waiter = this.queue.shift();
+            this.shortestQueue = Math.min(this.shortestQueue, this.queue.length);
             if (waiter === undefined) {
                 return;
             }
             clearTimeout(waiter.timer);
-            if (this.clock.readMonotonic() - waiter.since > targetWaitMs) {
-                this.threshold.recordOverload();
-            }
             this.running += 1;
             waiter.settle(this.createAdmitted());
         }
@@ -185,7 +179,6 @@
             }
             isReleased = true;
             this.running -= 1;
-            this.threshold.recordCompleted();
             if (ownMs !== undefined) {
                 this.limit.recordRun(ownMs);
             }
--- a/src/process/node.ts
+++ b/src/process/node.ts
@@ -174,6 +174,7 @@
             peers: this.peers,
             localEndpoint: this.localEndpoint,
             claims: this.claims,
+            downstream,
             getMembers: () => this.streams.members.get()?.state,
         });
         this.allowances = new Allowances({
--- a/src/request/dispatcher.ts
+++ b/src/request/dispatcher.ts
@@ -5,6 +5,7 @@
 import type { Claims } from "../process/claims.js";
 import type { Clock } from "../process/clock.js";
 import type { Directory } from "../process/directory.js";
+import type { DownstreamThresholds } from "../process/downstream.js";
 import type { RetryRatio } from "../process/rateLimit.js";
 import type { Member } from "../version/member.js";
 import { formatSlot, isSameMember } from "../version/member.js";
@@ -27,6 +28,8 @@
 const maxAbsenceWaitMs = 300;
 /** Time after which a call whose key has no owner may be sent again, in milliseconds. */
 const noOwnerRetryMs = 1000;
+/** Time after which a call that a service behind would refuse may be sent again, in milliseconds. */
+const overloadedRetryMs = 500;
 /** Refusals after which another instance may be asked at once. */
 const offerReasons: ReadonlySet<Reason> = new Set(["leaving", "notReady", "overloaded"]);
 /** Unknown outcomes after which an idempotent call may be repeated at once. */
@@ -50,6 +53,7 @@
     readonly peers: PeerCaller;
     readonly localEndpoint: Runner;
     readonly claims: Claims;
+    readonly downstream: DownstreamThresholds;
     /** Members as folded from the log; `undefined` while not known. */
     readonly getMembers: () => MemberState | undefined;
 }
@@ -65,7 +69,12 @@
 
     /** Runs a claimed call once: here if the local endpoint can, else at another instance of the service. */
     async runClaimed(call: Call): Promise<Answer> {
-        const { localEndpoint, self } = this.parts;
+        const { localEndpoint, self, downstream } = this.parts;
+        const { customer, actionClass, priority, attempt } = call.context;
+        // The entry lets later sends pass to the owner, who refuses them here if a service behind would.
+        if (call.isRoot && attempt !== 1 && !downstream.isAdmitted(customer, actionClass, priority)) {
+            return createNotRun("overloaded", overloadedRetryMs, call.budget.getRemaining());
+        }
         if (localEndpoint.isReady()) {
             return localEndpoint.run(call);
         }
--- a/src/request/entry.ts
+++ b/src/request/entry.ts
@@ -16,7 +16,6 @@
 import { RetryBudget } from "./budget.js";
 import type { Call } from "./call.js";
 import type { Dispatcher } from "./dispatcher.js";
-import { isOwnersDecision } from "./dispatcher.js";
 import { copyPassingHeaders, headerNames } from "./headers.js";
 
 /** Time after which a request that was refused here may be sent again, in milliseconds. */
@@ -108,12 +107,12 @@
     };
 }
 
-/** Refuses before anything is sent on. A repeated send that its owner may know of is left to the owner. */
+/** Refuses before anything is sent on. A later send of an action that must not run twice is left to the owner of its key. */
 function findEarlyRefusal(parts: EntryParts, action: Action, call: Call): Answer | undefined {
     if (parts.quarantine.isRefused(call.fingerprint)) {
         return createRefusal(action.attempt === 1, "quarantined", undefined);
     }
-    if (isOwnersDecision(call) && action.attempt !== 1) {
+    if (!action.isIdempotent && action.attempt !== 1) {
         return undefined;
     }
     const waitMs = parts.allowances.take(action.contract);
