Give partitions to members that joined when all shares were even

An owner gave only what it had above the rounded-up share, so with 4 each of 16 members the next four got nothing. The first hypothesis, handovers stuck on appends, was ruled out by a test that joins nodes one after the other against the fake log.

Change: an owner gives to a member below its share that has at least two fewer than itself, drawn at random, as several givers see the same poorest one. Announcements read from the log are no longer spread as news on probes, since every node reads them: bytes at 60 nodes were 7.8 kB/s while the news of the start was still going round.

--- a/src/process/directory.ts
+++ b/src/process/directory.ts
@@ -70,7 +70,11 @@
             }
         }
         for (const member of Object.values(state.members)) {
-            this.mergeUpdate({ member, health: "alive", refutation: 0, offsets: unknownOffsets });
+            const update: MemberUpdate = { member, health: "alive", refutation: 0, offsets: unknownOffsets };
+            if (this.mergeUpdate(update)) {
+                // Every node reads the announcement itself, so it is no news to send on.
+                this.entries.get(formatSlot(member))!.sends = Infinity;
+            }
         }
     }
 
--- a/src/process/node.ts
+++ b/src/process/node.ts
@@ -148,6 +148,7 @@
         });
         this.ownership = new Ownership({
             clock,
+            random: Math.random,
             logger,
             self: this.self,
             members: this.streams.members,
--- a/src/process/ownership.ts
+++ b/src/process/ownership.ts
@@ -22,6 +22,7 @@
     listServiceMembers,
     partitionCount,
 } from "../version/memberStream.js";
+import type { Random } from "./balancer.js";
 import type { Holding } from "./claim.js";
 import type { Claims } from "./claims.js";
 import type { Clock } from "./clock.js";
@@ -39,6 +40,7 @@
 /** What ownership needs from the rest of the node. */
 export interface OwnershipParts {
     readonly clock: Clock;
+    readonly random: Random;
     readonly logger: Logger;
     readonly self: Member;
     readonly members: MemberReplica;
@@ -102,7 +104,7 @@
     async run(signal: AbortSignal): Promise<void> {
         const { clock } = this.parts;
         while (!signal.aborted) {
-            await clock.sleep(balanceIntervalMs * (0.75 + Math.random() / 2), signal);
+            await clock.sleep(balanceIntervalMs * (0.75 + this.parts.random() / 2), signal);
             await this.balance();
             await this.sendLateResults();
         }
@@ -204,23 +206,24 @@
         }
     }
 
-    /** Gives partitions to the member that owns the fewest, if this node owns more than its share. */
+    /** Gives partitions to a member that owns less than its share and at least two fewer than this node. */
     async balance(): Promise<void> {
         const { self, members, isLogUp } = this.parts;
         const state = members.get()?.state;
         if (state === undefined || !isLogUp() || !isAnnounced(state, self)) {
             return;
         }
-        const count = listServiceMembers(state, self.service).length;
         const own = listOwned(state, self.service, createSlotIncarnation(self));
-        const excess = own.length - Math.ceil(partitionCount / count);
-        const poorest = this.listHeirs(state)
+        const heirs = this.listHeirs(state)
             .map(member => ({ member, owned: listOwned(state, self.service, createSlotIncarnation(member)).length }))
-            .sort((a, b) => a.owned - b.owned)[0];
-        const want = poorest === undefined ? 0 : Math.floor(partitionCount / count) - poorest.owned;
-        const moving = Math.min(excess, want);
-        if (poorest !== undefined && moving > 0) {
-            await this.handOver(own.slice(-moving), poorest.member);
+            .filter(heir => heir.owned + 1 < own.length);
+        // Several givers that see the same poorest member would give it too much, so each draws one.
+        const fair = Math.floor(partitionCount / listServiceMembers(state, self.service).length);
+        const poor = heirs.filter(heir => heir.owned < fair);
+        const drawn = poor[Math.floor(this.parts.random() * poor.length)];
+        if (drawn !== undefined) {
+            const moving = Math.min(Math.floor((own.length - drawn.owned) / 2), fair - drawn.owned);
+            await this.handOver(own.slice(-moving), drawn.member);
         }
     }
 
--- a/test/atMostOnce.test.ts
+++ b/test/atMostOnce.test.ts
@@ -214,6 +214,20 @@
         });
     }
 
+    for (const count of [2, 3, 7, 20, 30]) {
+        it(`spreads the keys evenly over ${count} nodes that join one after the other`, async () => {
+            const model = new Model(1);
+            await model.start();
+            while (model.nodes.length < count) {
+                model.addNode();
+                await model.settle();
+            }
+            const owned = model.nodes.map(each => each.ownership.countOwned());
+            expect(owned.reduce((sum, each) => sum + each, 0)).to.equal(64);
+            expect(Math.min(...owned)).to.equal(Math.floor(64 / count));
+        });
+    }
+
     it("keeps running with the log down", async () => {
         const model = new Model(nodeCount);
         await model.start();
--- a/test/ownershipModel.ts
+++ b/test/ownershipModel.ts
@@ -28,6 +28,7 @@
 import { formatSlot } from "../src/version/member.js";
 import { formatMemberRecord, memberRules, memberStreamName } from "../src/version/memberStream.js";
 import { Replica } from "../src/version/replica.js";
+import { createRandom } from "../standin/random.js";
 import { FakeClock, FakeLog, silentLogger } from "./fakes.js";
 
 const service = "kas-benang";
@@ -49,6 +50,7 @@
 export class Model {
     readonly clock = new FakeClock();
     readonly log = new FakeLog();
+    readonly random = createRandom(1);
     readonly nodes: ModelNode[] = [];
     readonly runs: RunEvent[] = [];
     /** Fates of the next messages between nodes. */
@@ -73,6 +75,13 @@
         await this.settle();
     }
 
+    /** Starts one more node in a slot of its own. */
+    addNode(): void {
+        const node = this.createNode(this.nodes.length);
+        this.nodes.push(node);
+        node.join();
+    }
+
     /** Kills a node and starts a newer incarnation in its slot. */
     replace(index: number): void {
         this.nodes[index]!.isDead = true;
@@ -84,13 +93,18 @@
     /** Lets all living nodes read the log and balance the partitions. */
     async settle(): Promise<void> {
         for (let round = 0; round < this.nodes.length * 2; round += 1) {
-            for (const node of this.nodes) {
-                await node.catchUp();
-            }
+            await this.catchUpAll();
             for (const node of this.nodes) {
                 await node.ownership.balance();
             }
         }
+        await this.catchUpAll();
+    }
+
+    private async catchUpAll(): Promise<void> {
+        for (const node of this.nodes) {
+            await node.catchUp();
+        }
     }
 
     /** Delivers the messages that were held up. */
@@ -173,6 +187,7 @@
         this.members.addListener(current => this.directory.mergeAnnounced(current.state));
         this.ownership = new Ownership({
             clock,
+            random: model.random,
             logger: silentLogger,
             self,
             members: this.members,
