Refuse all of an allowance of 0, and let a node's first request in

Also: a refresh after a pause is confirmed by its own reads only, not by an older read of the follower that ends meanwhile; readiness waits for newer contracts alone, since nobody living may know the newest members while the log is out.

Tests: a first request for three allowances; threshold, limit and queue of admission.

--- a/src/connection/follower.ts
+++ b/src/connection/follower.ts
@@ -41,7 +41,6 @@
 export class Follower {
     private wake: AbortController = new AbortController();
     private isLogReadable = false;
-    private isPeerHeard = false;
     private seen: StreamOffsets = unknownOffsets;
 
     constructor(private readonly parts: FollowerParts) {}
@@ -51,11 +50,6 @@
         return this.isLogReadable;
     }
 
-    /** Whether the last refresh reached the log or, failing that, a peer. */
-    isConfirmed(): boolean {
-        return this.isLogReadable || this.isPeerHeard;
-    }
-
     /** Notes what a peer has folded; wakes the follower if that is more than what is folded here. */
     noticeOffsets(offsets: StreamOffsets): void {
         this.seen = joinOffsets(this.seen, offsets);
@@ -90,8 +84,8 @@
         }
     }
 
-    /** Reads the log once, or asks peers if it can't be read. */
-    async refresh(): Promise<void> {
+    /** Reads the log once, or asks peers if it can't be read. False when neither answered. */
+    async refresh(): Promise<boolean> {
         const { logger, streams, log } = this.parts;
         const failure = await catchUpAll(streams, log);
         const isReadable = failure === undefined;
@@ -99,26 +93,24 @@
             logger.info(isReadable ? "logReadable" : "logUnreadable", { cause: failure });
         }
         this.isLogReadable = isReadable;
-        if (!isReadable) {
-            await this.pullFromPeers();
-        }
+        return isReadable || this.pullFromPeers();
     }
 
     /** Asks a few peers, those that know most first, and the seeds while no peer is known. */
-    private async pullFromPeers(): Promise<void> {
+    private async pullFromPeers(): Promise<boolean> {
         const { directory, control, streams, seeds } = this.parts;
         const peers = directory.listPeers()
             .filter(update => update.health === "alive" || update.health === "leaving")
             .sort((a, b) => b.offsets.contracts - a.offsets.contracts || b.offsets.members - a.offsets.members)
             .map(update => formatSlot(update.member));
-        this.isPeerHeard = false;
+        let isAnyHeard = false;
         const slots = (peers.length > 0 ? peers : seeds).slice(0, maxPullPeers);
         for (const slot of slots) {
             const reply = await control.call(slot, "pull", { offsets: getOffsets(streams) }, callTimeoutMs);
             if (!reply.ok) {
                 continue;
             }
-            this.isPeerHeard = true;
+            isAnyHeard = true;
             for (const update of reply.value.updates) {
                 directory.mergeUpdate(update);
                 this.seen = joinOffsets(this.seen, update.offsets);
@@ -130,6 +122,7 @@
                 }
             }
         }
+        return isAnyHeard;
     }
 
     private computePauseMs(): number {
--- a/src/process/allowances.ts
+++ b/src/process/allowances.ts
@@ -123,9 +123,7 @@
         };
         this.accounts.set(contract.customer, account);
         this.applyRate(account);
-        account.bucket.add(
-            this.computeFloor(account) / contract.allowance.requestsPerSecond * contract.allowance.burst,
-        );
+        account.bucket.add(this.computeFirstTokens(account));
         // The first request already shows demand; a lease is there before the floor's burst is used up.
         account.demand = this.computeFloor(account) * 2;
         this.askForShares(account);
@@ -176,6 +174,12 @@
         return account.contract.allowance.requestsPerSecond * floorShare / nodes;
     }
 
+    /** The floor's part of the burst; at least one request, so that a node's first one is not refused for nothing. */
+    private computeFirstTokens(account: Account): number {
+        const { requestsPerSecond, burst } = account.contract.allowance;
+        return requestsPerSecond === 0 ? 0 : Math.max(1, this.computeFloor(account) / requestsPerSecond * burst);
+    }
+
     private computeAccountRate(account: Account): number {
         const leased = account.leases.map((_lease, rank) => this.findLease(account, rank)?.perSecond ?? 0);
         return this.computeFloor(account) + leased.reduce((sum, perSecond) => sum + perSecond, 0);
--- a/src/process/node.ts
+++ b/src/process/node.ts
@@ -39,7 +39,7 @@
 import { ShareCoordinator } from "./shareCoordinator.js";
 import { runSnapshotWriter } from "./snapshots.js";
 import type { Streams } from "./streams.js";
-import { createStreams, getOffsets, isBehind } from "./streams.js";
+import { createStreams } from "./streams.js";
 import { WorkInProgress } from "./workInProgress.js";
 
 /** Longest resend window assumed while no contract is known, in milliseconds. */
@@ -135,7 +135,7 @@
             control: this.control,
             noticeOffsets,
         });
-        this.freshness = new Freshness(clock, logger, () => this.confirmState());
+        this.freshness = new Freshness(clock, logger, () => this.follower.refresh());
         const downstream = new DownstreamThresholds(clock);
         this.localEndpoint = new LocalEndpoint(settings.endpoint.url, limits.maxBodyBytes, {
             clock,
@@ -297,8 +297,8 @@
         if (this.streams.contracts.get() === undefined || this.streams.members.get() === undefined) {
             return "contracts or members are not known yet";
         }
-        if (isBehind(getOffsets(this.streams), this.follower.getSeen())) {
-            return "peers know more than this node";
+        if (this.streams.contracts.getThrough() < this.follower.getSeen().contracts) {
+            return "peers know newer contracts than this node";
         }
         if (!this.freshness.isFresh()) {
             return "the state is not confirmed after a pause";
@@ -348,11 +348,6 @@
         return this.streams.contracts.get()?.state;
     }
 
-    private async confirmState(): Promise<boolean> {
-        await this.follower.refresh();
-        return this.follower.isConfirmed();
-    }
-
     private getAnnouncerParts() {
         return {
             clock: this.clock,
--- /dev/null
+++ b/test/admission.test.ts
@@ -0,0 +1,105 @@
+import { expect } from "chai";
+import type { AdmissionResult } from "../src/process/admission.js";
+import { Admission } from "../src/process/admission.js";
+import { ConcurrencyLimit } from "../src/process/concurrencyLimit.js";
+import { PriorityThreshold } from "../src/process/threshold.js";
+import { FakeClock } from "./fakes.js";
+
+const low = 20 * 128;
+const high = 90 * 128;
+
+/** Plays windows in which so many requests of each priority arrive and so many of those that enter are refused. */
+function playWindows(threshold: PriorityThreshold, windows: number, refused: number): void {
+    for (let window = 0; window < windows; window += 1) {
+        for (let index = 0; index < 100; index += 1) {
+            threshold.isAdmitted(low + index);
+            threshold.isAdmitted(high + index);
+        }
+        for (let index = 0; index < refused; index += 1) {
+            threshold.recordRefused();
+        }
+        threshold.closeWindow(refused > 0);
+    }
+}
+
+describe("priority threshold", () => {
+    const cases: readonly {
+        readonly name: string;
+        readonly windows: number;
+        readonly refused: number;
+        readonly within: [number, number];
+    }[] = [
+        { name: "stays at 0 without overload", windows: 5, refused: 0, within: [0, 0] },
+        {
+            name: "rises into the less valuable class by the refused share",
+            windows: 1,
+            refused: 50,
+            within: [low + 32, low + 96],
+        },
+        { name: "goes on rising while the overload lasts", windows: 6, refused: 90, within: [low + 96, high + 127] },
+    ];
+    for (const { name, windows, refused, within } of cases) {
+        it(name, () => {
+            const threshold = new PriorityThreshold();
+            playWindows(threshold, windows, refused);
+            expect(threshold.getLevel()).to.be.within(...within);
+        });
+    }
+
+    it("is back at 0 within two seconds of calm", () => {
+        const threshold = new PriorityThreshold();
+        playWindows(threshold, 6, 90);
+        playWindows(threshold, 10, 0);
+        expect(threshold.getLevel()).to.equal(0);
+    });
+});
+
+describe("concurrency limit", () => {
+    const endpoints: readonly {
+        readonly name: string;
+        readonly computeMs: (limit: number) => number;
+        readonly within: [number, number];
+    }[] = [
+        { name: "stays at the slots while run times are as usual", computeMs: () => 10, within: [20, 20] },
+        { name: "comes back when the endpoint is slower at any limit", computeMs: () => 60, within: [18, 20] },
+        { name: "falls when runs get slower with their number", computeMs: limit => 6 * limit, within: [1, 12] },
+    ];
+    for (const { name, computeMs, within } of endpoints) {
+        it(name, () => {
+            const limit = new ConcurrencyLimit(new FakeClock(), true);
+            limit.setSlots(20, false);
+            for (let run = 0; run < 200; run += 1) {
+                limit.recordRun(10);
+            }
+            for (let run = 0; run < 1000; run += 1) {
+                limit.recordRun(computeMs(limit.get()));
+            }
+            expect(limit.get()).to.be.within(...within);
+        });
+    }
+
+    it("starts low for a cold endpoint and is whole after a second", () => {
+        const clock = new FakeClock();
+        const limit = new ConcurrencyLimit(clock, true);
+        limit.setSlots(20, true);
+        expect(limit.get()).to.equal(5);
+        clock.addTime(1000);
+        expect(limit.get()).to.equal(20);
+    });
+});
+
+describe("admission queue", () => {
+    it("serves the most valuable first and gives up the least valuable when it is full", async () => {
+        const admission = new Admission(new FakeClock(), "adaptive");
+        admission.setSlots(1, false);
+        const running = await admission.request(low, 1000);
+        const results: [string, Promise<AdmissionResult>][] = ["low", "low", "low", "low", "high"].map(
+            name => [name, admission.request(name === "high" ? high : low, 1000)],
+        );
+        if (running.kind === "admitted") {
+            running.release(10);
+        }
+        expect((await results[4]![1]).kind).to.equal("admitted");
+        expect((await results[3]![1]).kind).to.equal("refused");
+    });
+});
--- a/test/allowances.test.ts
+++ b/test/allowances.test.ts
@@ -56,6 +56,11 @@
         }
     }
 
+    /** Sends one request to the first node; returns what the caller is told to wait. */
+    takeOnce(each: typeof contract): number {
+        return this.nodes[0]!.take(each);
+    }
+
     /** Requests a second that each node lets in. */
     readRates(): number[] {
         return this.nodes.map(node => node.computeRate("weavers"));
@@ -144,6 +149,19 @@
         );
     });
 
+    const firstRequests: readonly { readonly rate: number; readonly burst: number; readonly isAdmitted: boolean; }[] = [
+        { rate: 0, burst: 1, isAdmitted: false },
+        { rate: 1000, burst: 8, isAdmitted: true },
+        { rate: 1, burst: 1, isAdmitted: true },
+    ];
+    for (const { rate, burst, isAdmitted } of firstRequests) {
+        it(`of ${rate} a second and a burst of ${burst} ${isAdmitted ? "admits" : "refuses"} a first request`, () => {
+            const allowance = { requestsPerSecond: rate, burst };
+            const waitMs = new System().takeOnce(createContract("weavers", { allowance }));
+            expect(waitMs === 0).to.equal(isAdmitted);
+        });
+    }
+
     const shares: readonly {
         readonly name: string;
         readonly demand: number;
