Remove code that nothing calls, and name the limit of news once

Cause: read as a newcomer, the balancer's retain and the run table's size had no caller, the HTTP pool knew a header that only the peers need, and the prober wrote out the number that control.ts names. Behaviour is the same.

The whole npm test was not run on this commit.

--- a/src/connection/httpPool.ts
+++ b/src/connection/httpPool.ts
@@ -2,7 +2,6 @@
 import type { Dispatcher } from "undici";
 import { Pool } from "undici";
 import { joinChunks } from "../request/body.js";
-import { headerNames } from "../request/headers.js";
 import type { HeaderList } from "../request/headers.js";
 
 /** One request to send. */
@@ -176,8 +175,3 @@
     }
     return undefined;
 }
-
-/** Finds the reply header of a node. */
-export function findReply(headers: HeaderList): string | undefined {
-    return findInList(headers, headerNames.reply);
-}
--- a/src/connection/peers.ts
+++ b/src/connection/peers.ts
@@ -9,7 +9,7 @@
 import { decodeReply, encodeLeg } from "../request/leg.js";
 import type { Member } from "../version/member.js";
 import type { HttpAnswer, HttpFailure } from "./httpPool.js";
-import { findReply, HttpPool } from "./httpPool.js";
+import { findInList, HttpPool } from "./httpPool.js";
 
 /** Time that a call may take beyond its deadline, so that the callee's own answer arrives first, in milliseconds. */
 const graceMs = 50;
@@ -89,7 +89,7 @@
         const reason = result.isCancelled ? "cancelled" : result.isTimeout ? "deadline" : "connectionLost";
         return { answer: createUnknown(reason, unreachableRetryMs), isUndelivered: false };
     }
-    const reply = decodeReply(findReply(result.headers));
+    const reply = decodeReply(findInList(result.headers, headerNames.reply));
     if (reply === undefined) {
         return { answer: createUnknown("connectionLost", unreachableRetryMs), isUndelivered: false };
     }
--- a/src/connection/prober.ts
+++ b/src/connection/prober.ts
@@ -9,6 +9,7 @@
 import type { Member } from "../version/member.js";
 import { formatSlot } from "../version/member.js";
 import type { ControlCaller, ControlReply, ControlRequest, MemberUpdate, StreamOffsets } from "./control.js";
+import { maxUpdates } from "./control.js";
 
 /** Time between probes, in milliseconds. */
 const periodMs = 1000;
@@ -54,7 +55,7 @@
         this.parts.directory.recordAlive(request.from.member);
         return {
             isAlive: true,
-            updates: [this.parts.directory.getSelf(), ...this.parts.directory.listNews()].slice(0, 12),
+            updates: [this.parts.directory.getSelf(), ...this.parts.directory.listNews()].slice(0, maxUpdates),
         };
     }
 
--- a/src/process/balancer.ts
+++ b/src/process/balancer.ts
@@ -68,15 +68,6 @@
         experience.sampledAt = now;
     }
 
-    /** Forgets slots that are no longer members. */
-    retain(slots: ReadonlySet<SlotName>): void {
-        for (const slot of this.experiences.keys()) {
-            if (!slots.has(slot)) {
-                this.experiences.delete(slot);
-            }
-        }
-    }
-
     private computeCost(member: Member, now: number): number {
         const experience = this.getExperience(formatSlot(member));
         return (experience.inFlight + 1) * (1 + this.computeAverage(experience, now));
--- a/src/process/runTable.ts
+++ b/src/process/runTable.ts
@@ -65,8 +65,4 @@
     find(token: string | undefined): Run | undefined {
         return token === undefined ? undefined : this.runs.get(token);
     }
-
-    getSize(): number {
-        return this.runs.size;
-    }
 }
