--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -9,8 +9,9 @@
 import { appendFileSync, mkdirSync } from "node:fs";
 import process from "node:process";
 import { parseArgs } from "node:util";
-import { Cluster, postJson, waitFor } from "../standin/cluster.js";
+import { Cluster } from "../standin/cluster.js";
 import { createContract } from "../standin/plans.js";
+import { postJson, waitFor } from "../standin/processes.js";
 import { readUsage } from "./processUsage.js";
 
 const services = 6;
--- a/src/cli.ts
+++ b/src/cli.ts
@@ -6,26 +6,49 @@
 import {
     checkContractFile,
     diffContract,
-    exitCodes,
     listContracts,
     publishContractFile,
-    releaseQuarantine,
-    retireSlot,
-    showAudit,
     showContract,
-    showHistory,
-    showStatus,
-} from "./process/commands.js";
-import type { ToolOptions } from "./process/commands.js";
+} from "./process/contractCommands.js";
+import type { KeySource } from "./process/keys.js";
+import { formatKeyError, readKeys } from "./process/keys.js";
+import { releaseQuarantine, retireSlot, showAudit, showHistory, showStatus } from "./process/operatorCommands.js";
+import type { ToolOptions } from "./process/tool.js";
+import { exitCodes } from "./process/tool.js";
+
+/** Options as they stand on the command line. */
+interface ToolWords {
+    readonly log: string;
+    readonly json: boolean;
+    readonly "records-key-file": string | undefined;
+    readonly "admin-key-file": string | undefined;
+}
 
 /** Runs a command and ends the process with its exit code. */
-function runCommand<Arguments extends ToolOptions>(command: (words: Arguments) => Promise<number>) {
-    return async (words: Arguments): Promise<void> => {
-        process.exitCode = await command(words);
+function runCommand<Rest>(command: (options: ToolOptions & Rest) => Promise<number>) {
+    return async (words: ToolWords & Rest): Promise<void> => {
+        const keys = readKeys({
+            records: findKeySource(words["records-key-file"], "TURMERICSPOKE_RECORDS_KEY"),
+            admin: findKeySource(words["admin-key-file"], "TURMERICSPOKE_ADMIN_KEY"),
+        });
+        if (!keys.ok) {
+            process.stderr.write(`${formatKeyError(keys.error)}\n`);
+            process.exitCode = exitCodes.usage;
+            return;
+        }
+        process.exitCode = await command({ ...words, keys: keys.value });
     };
 }
 
-function addContractCommands(tool: Argv<ToolOptions>): Argv<ToolOptions> {
+/** A key comes from the file that was named, else from the environment, else there is none. */
+function findKeySource(file: string | undefined, environment: string): KeySource | undefined {
+    if (file !== undefined) {
+        return { file };
+    }
+    return process.env[environment] === undefined ? undefined : { environment };
+}
+
+function addContractCommands(tool: Argv<ToolWords>): Argv<ToolWords> {
     const file = { type: "string", demandOption: true, describe: "contract in TOML" } as const;
     const customer = { type: "string", demandOption: true, describe: "customer" } as const;
     return tool
@@ -82,6 +105,14 @@
         default: process.env["TURMERICSPOKE_LOG"] ?? "",
         describe: "URL of the log service (or TURMERICSPOKE_LOG)",
     })
+    .option("records-key-file", {
+        type: "string",
+        describe: "file with the key that signs records (or TURMERICSPOKE_RECORDS_KEY)",
+    })
+    .option("admin-key-file", {
+        type: "string",
+        describe: "file with the key of the admin pages (or TURMERICSPOKE_ADMIN_KEY)",
+    })
     .option("json", { type: "boolean", default: false, describe: "print JSON" })
     .command("contract", "publish and look at contracts", tool => addContractCommands(tool))
     .command("audit", "list every change on the log", words => words, runCommand(showAudit))
--- a/src/connection/control.ts
+++ b/src/connection/control.ts
@@ -5,9 +5,10 @@
  * that check the log's records check them too, so no generated code is needed.
  */
 import type { sendUnaryData, ServerUnaryCall, ServiceDefinition, UntypedServiceImplementation } from "@grpc/grpc-js";
-import { Client, credentials, Server, ServerCredentials, status } from "@grpc/grpc-js";
+import { Client, credentials, Metadata, Server, ServerCredentials, status } from "@grpc/grpc-js";
 import { Packr } from "msgpackr";
 import * as v from "valibot";
+import type { SecretKey } from "../process/keys.js";
 import type { Result } from "../process/result.js";
 import { createFailure, createSuccess } from "../process/result.js";
 import { memberSchema } from "../version/member.js";
@@ -109,6 +110,8 @@
     reportCrash: { request: crashSchema, reply: emptySchema },
 } as const;
 
+/** Names of all control calls. */
+export const controlMethods = Object.keys(methods) as ControlMethod[];
 /** Name of a control call. */
 export type ControlMethod = keyof typeof methods;
 /** Request of a control call. */
@@ -125,17 +128,20 @@
     | { readonly kind: "unreachable"; readonly message: string; }
     | { readonly kind: "malformed"; readonly method: ControlMethod; };
 
+/** Metadata field that carries the peers' key. */
+const keyField = "authorization";
+
 const codec = new Packr({ useRecords: false });
 
 function createDefinition(): ServiceDefinition {
     const definition: Record<string, ServiceDefinition[string]> = {};
-    for (const method of Object.keys(methods)) {
+    for (const method of controlMethods) {
         definition[method] = {
             path: `/turmericspoke.Control/${method}`,
             requestStream: false,
             responseStream: false,
             requestSerialize: encodeMessage,
-            requestDeserialize: decodeMessage,
+            requestDeserialize: (bytes: Buffer) => bytes,
             responseSerialize: encodeMessage,
             responseDeserialize: decodeMessage,
         };
@@ -157,14 +163,21 @@
     }
 }
 
+/** Decodes and checks a request of a peer; `undefined` when it is malformed. */
+export function decodeControlRequest<M extends ControlMethod>(method: M, bytes: Buffer): ControlRequest<M> | undefined {
+    const parsed = v.safeParse(methods[method].request, decodeMessage(bytes));
+    return parsed.success ? parsed.output as ControlRequest<M> : undefined;
+}
+
 /** Listener for the control calls of peers. */
 export class ControlServer {
     private readonly server = new Server({ "grpc.max_receive_message_length": maxMessageBytes });
 
-    constructor(handlers: ControlHandlers) {
+    /** With a key, calls without it are refused. */
+    constructor(handlers: ControlHandlers, key: SecretKey | undefined) {
         const implementation: UntypedServiceImplementation = {};
-        for (const method of Object.keys(methods) as ControlMethod[]) {
-            implementation[method] = createHandler(method, handlers);
+        for (const method of controlMethods) {
+            implementation[method] = createHandler(method, handlers, key);
         }
         this.server.addService(createDefinition(), implementation);
     }
@@ -189,14 +202,19 @@
     }
 }
 
-function createHandler<M extends ControlMethod>(method: M, handlers: ControlHandlers) {
-    return (call: ServerUnaryCall<unknown, unknown>, respond: sendUnaryData<unknown>): void => {
-        const parsed = v.safeParse(methods[method].request, call.request);
-        if (!parsed.success) {
+function createHandler<M extends ControlMethod>(method: M, handlers: ControlHandlers, key: SecretKey | undefined) {
+    return (call: ServerUnaryCall<Buffer, unknown>, respond: sendUnaryData<unknown>): void => {
+        const isAllowed = key?.isBearer(String(call.metadata.get(keyField)[0])) ?? true;
+        if (!isAllowed) {
+            respond({ code: status.UNAUTHENTICATED, details: "the call needs the peers' key" });
+            return;
+        }
+        const request = decodeControlRequest(method, call.request);
+        if (request === undefined) {
             respond({ code: status.INVALID_ARGUMENT, details: `malformed ${method}` });
             return;
         }
-        handlers[method](parsed.output as ControlRequest<M>).then(
+        handlers[method](request).then(
             reply => respond(null, reply),
             (error: unknown) => respond({ code: status.INTERNAL, details: String(error) }),
         );
@@ -217,6 +235,13 @@
 /** Connections for control calls to peers; idle ones are closed. */
 export class ControlClient implements ControlCaller {
     private readonly clients = new Map<string, Client>();
+    private readonly metadata = new Metadata();
+
+    constructor(key: SecretKey | undefined) {
+        if (key !== undefined) {
+            this.metadata.set(keyField, key.formatBearer());
+        }
+    }
 
     call<M extends ControlMethod>(
         slot: string,
@@ -230,6 +255,7 @@
                 encodeMessage,
                 decodeMessage,
                 request,
+                this.metadata,
                 { deadline: new Date(Date.now() + timeoutMs) },
                 (error, reply) => {
                     if (error !== null) {
--- a/src/connection/peers.ts
+++ b/src/connection/peers.ts
@@ -1,9 +1,11 @@
 /** Connections to the peer listeners of other nodes. */
 import type { Clock } from "../process/clock.js";
+import type { SecretKey } from "../process/keys.js";
 import type { Answer } from "../request/answer.js";
 import { createNotRun, createUnknown } from "../request/answer.js";
 import type { Call } from "../request/call.js";
 import { createLeg } from "../request/call.js";
+import type { HeaderList } from "../request/headers.js";
 import { copyPassingHeaders, headerNames } from "../request/headers.js";
 import type { Leg } from "../request/leg.js";
 import { decodeReply, encodeLeg } from "../request/leg.js";
@@ -32,7 +34,11 @@
 export class HttpPeers implements PeerCaller {
     private readonly pools = new Map<string, HttpPool>();
 
-    constructor(private readonly clock: Clock, private readonly maxBodyBytes: number) {}
+    private readonly keyHeader: HeaderList;
+
+    constructor(private readonly clock: Clock, private readonly maxBodyBytes: number, key: SecretKey | undefined) {
+        this.keyHeader = key === undefined ? [] : [headerNames.peerKey, key.formatBearer()];
+    }
 
     async send(member: Member, call: Call, mode: Leg["mode"], lent: number): Promise<PeerAnswer> {
         const leg = createLeg(call, mode, lent, this.clock.readMonotonic());
@@ -42,7 +48,7 @@
         const result = await this.getPool(member).send({
             method: call.method,
             path: call.path,
-            headers: [...call.headers, headerNames.leg, encodeLeg(leg)],
+            headers: [...call.headers, ...this.keyHeader, headerNames.leg, encodeLeg(leg)],
             body: call.body,
             timeoutMs: leg.deadlineMs + graceMs,
             signal: call.signal,
--- /dev/null
+++ b/src/connection/signedLog.ts
@@ -0,0 +1,51 @@
+/**
+ * Log service whose records are signed by a shared key, so that only operators and nodes that hold it can change anything.
+ *
+ * The signature covers the name of the stream, so that a record can't be copied to another one. A record without a valid
+ * signature is handed on without a body, which every fold skips as malformed.
+ */
+import * as v from "valibot";
+import type { SecretKey } from "../process/keys.js";
+import type { Result } from "../process/result.js";
+import { createSuccess } from "../process/result.js";
+import { parseJson, parseWith } from "../version/schema.js";
+import type { LogError, LogPage, LogRecord, LogService } from "./logService.js";
+import { HttpLogService } from "./logService.js";
+
+const envelopeSchema = v.object({ signature: v.string(), body: v.string() });
+
+/** Creates the client of the log service; with a key its records are signed. */
+export function createLogService(url: string, timeoutMs: number, key: SecretKey | undefined): LogService {
+    const log = new HttpLogService(url, timeoutMs);
+    return key === undefined ? log : new SignedLogService(log, key);
+}
+
+/** Signs what is appended and checks what is read. */
+export class SignedLogService implements LogService {
+    constructor(private readonly inner: LogService, private readonly key: SecretKey) {}
+
+    append(stream: string, body: string): Promise<Result<number, LogError>> {
+        const signature = this.key.sign(createSignedText(stream, body));
+        return this.inner.append(stream, JSON.stringify({ signature, body }));
+    }
+
+    async read(stream: string, from: number): Promise<Result<LogPage, LogError>> {
+        const page = await this.inner.read(stream, from);
+        if (!page.ok) {
+            return page;
+        }
+        const records = page.value.records.map(record => this.checkRecord(stream, record));
+        return createSuccess({ ...page.value, records });
+    }
+
+    private checkRecord(stream: string, record: LogRecord): LogRecord {
+        const envelope = parseWith(envelopeSchema, parseJson(record.body));
+        const isGenuine = envelope !== undefined
+            && this.key.isSigned(createSignedText(stream, envelope.body), envelope.signature);
+        return { ...record, body: isGenuine ? envelope.body : "" };
+    }
+}
+
+function createSignedText(stream: string, body: string): string {
+    return `${stream}\n${body}`;
+}
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -2,6 +2,7 @@
 /** The daemon: `turmericspoked --config node.toml`. Exit codes: 0 stopped gracefully, 1 failed to start, 2 bad settings. */
 import { parseArgs } from "node:util";
 import { SystemClock } from "./process/clock.js";
+import { formatKeyError, keyNames, readKeys } from "./process/keys.js";
 import { createLogger } from "./process/logger.js";
 import { Node } from "./process/node.js";
 import { formatSettingsError, readSettings } from "./process/settings.js";
@@ -17,9 +18,16 @@
     if (!settings.ok) {
         exitWith(2, formatSettingsError(settings.error));
     }
+    const keys = readKeys(settings.value.keys);
+    if (!keys.ok) {
+        exitWith(2, `${file}: ${formatKeyError(keys.error)}`);
+    }
     const clock = new SystemClock();
     const logger = createLogger(clock, settings.value.logging.level);
-    const node = new Node(settings.value, clock, logger);
+    for (const name of keyNames.filter(each => keys.value[each] === undefined)) {
+        logger.warn("keyMissing", { key: name });
+    }
+    const node = new Node(settings.value, keys.value, clock, logger);
     try {
         await node.start();
     }
--- a/src/process/admin.ts
+++ b/src/process/admin.ts
@@ -3,7 +3,7 @@
 import * as v from "valibot";
 import { sendJson } from "../connection/httpServer.js";
 import { readBody } from "../request/body.js";
-import { createRange, parseWith, shortTextSchema } from "../version/schema.js";
+import { createRange, parseJson, parseWith, shortTextSchema } from "../version/schema.js";
 import type { Node } from "./node.js";
 import { getOffsets } from "./streams.js";
 
@@ -16,9 +16,18 @@
     isDraining: v.optional(v.boolean(), false),
 });
 
+/** Pages that need no key: probes of the platform ask for them. */
+const openPages: readonly string[] = ["GET /healthz", "GET /readyz"];
+
 /** Serves one request on the admin listener. */
 export async function serveAdmin(node: Node, request: IncomingMessage, response: ServerResponse): Promise<void> {
-    switch (`${request.method} ${request.url}`) {
+    const page = `${request.method} ${request.url}`;
+    const isAllowed = node.keys.admin?.isBearer(request.headers.authorization) ?? true;
+    if (!isAllowed && !openPages.includes(page)) {
+        sendJson(response, 401, { error: "this page needs the admin key" });
+        return;
+    }
+    switch (page) {
         case "GET /healthz":
             sendJson(response, 200, { status: "ok" });
             return;
@@ -48,7 +57,9 @@
 
 async function serveAnnouncement(node: Node, request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await readBody(request, maxBodyBytes);
-    const announcement = Buffer.isBuffer(body) ? parseWith(announcementSchema, parseJson(body)) : undefined;
+    const announcement = Buffer.isBuffer(body)
+        ? parseWith(announcementSchema, parseJson(body.toString("utf8")))
+        : undefined;
     if (announcement === undefined) {
         sendJson(response, 400, { error: "expected {boot, slots, isDraining}" });
         return;
@@ -57,15 +68,6 @@
     sendJson(response, 200, { inProgress: node.localEndpoint.getInProgress() });
 }
 
-function parseJson(body: Buffer): unknown {
-    try {
-        return JSON.parse(body.toString("utf8"));
-    }
-    catch {
-        return undefined;
-    }
-}
-
 /** State of a node as the command-line tool shows it. */
 function createStatus(node: Node) {
     const contracts = node.streams.contracts.get()?.state.contracts ?? {};
--- a/src/process/node.ts
+++ b/src/process/node.ts
@@ -4,9 +4,10 @@
 import { Follower } from "../connection/follower.js";
 import type { RequestHandler } from "../connection/httpServer.js";
 import { HttpListener } from "../connection/httpServer.js";
-import { HttpLogService } from "../connection/logService.js";
+import type { LogService } from "../connection/logService.js";
 import { HttpPeers } from "../connection/peers.js";
 import { Prober } from "../connection/prober.js";
+import { createLogService } from "../connection/signedLog.js";
 import { Dispatcher } from "../request/dispatcher.js";
 import { serveCaller } from "../request/entry.js";
 import { serveOutbound } from "../request/outbound.js";
@@ -28,6 +29,7 @@
 import { DownstreamThresholds } from "./downstream.js";
 import { Freshness } from "./freshness.js";
 import { addGauges } from "./gauges.js";
+import type { Keys } from "./keys.js";
 import { LocalEndpoint } from "./localEndpoint.js";
 import type { Logger } from "./logger.js";
 import { Metrics } from "./metrics.js";
@@ -71,8 +73,8 @@
     readonly follower: Follower;
     private readonly allowances: Allowances;
     private readonly shares: ShareCoordinator;
-    private readonly log: HttpLogService;
-    private readonly control = new ControlClient();
+    private readonly log: LogService;
+    private readonly control: ControlClient;
     private readonly controlServer: ControlServer;
     private readonly peers: HttpPeers;
     private readonly prober: Prober;
@@ -84,7 +86,12 @@
     private readonly crashes: CrashReporter;
     private isLeaving = false;
 
-    constructor(readonly settings: Settings, private readonly clock: Clock, private readonly logger: Logger) {
+    constructor(
+        readonly settings: Settings,
+        readonly keys: Keys,
+        private readonly clock: Clock,
+        private readonly logger: Logger,
+    ) {
         const { address, listeners, service, dataCentre, limits } = settings;
         this.self = {
             address,
@@ -96,7 +103,8 @@
             incarnation: clock.readDate().getTime(),
         };
         this.streams = createStreams(logger);
-        this.log = new HttpLogService(settings.log.url, settings.log.timeoutMilliseconds);
+        this.log = createLogService(settings.log.url, settings.log.timeoutMilliseconds, keys.records);
+        this.control = new ControlClient(keys.peers);
         this.directory = new Directory(clock, {
             member: this.self,
             health: "alive",
@@ -115,7 +123,7 @@
         });
         this.work = new WorkInProgress(clock);
         this.admission = new Admission(clock, settings.control.admission);
-        this.peers = new HttpPeers(clock, limits.maxBodyBytes);
+        this.peers = new HttpPeers(clock, limits.maxBodyBytes, keys.peers);
         this.follower = new Follower({
             clock,
             logger,
@@ -205,7 +213,7 @@
             directory: this.directory,
             getContracts: () => this.streams.contracts.get()?.state,
         };
-        const peer = { ...shared, claims: this.claims, localEndpoint: this.localEndpoint };
+        const peer = { ...shared, key: keys.peers, claims: this.claims, localEndpoint: this.localEndpoint };
         this.listeners = [
             { port: listeners.caller, listener: this.createListener((req, res) => serveCaller(entry, req, res)) },
             {
@@ -215,15 +223,18 @@
             { port: listeners.peer, listener: this.createListener((req, res) => servePeer(peer, req, res)) },
             { port: listeners.admin, listener: this.createListener((req, res) => serveAdmin(this, req, res), false) },
         ];
-        this.controlServer = new ControlServer(createControlHandlers({
-            streams: this.streams,
-            directory: this.directory,
-            follower: this.follower,
-            prober: this.prober,
-            ownership: this.ownership,
-            quarantine: this.quarantine,
-            shares: this.shares,
-        }));
+        this.controlServer = new ControlServer(
+            createControlHandlers({
+                streams: this.streams,
+                directory: this.directory,
+                follower: this.follower,
+                prober: this.prober,
+                ownership: this.ownership,
+                quarantine: this.quarantine,
+                shares: this.shares,
+            }),
+            keys.peers,
+        );
         this.connectStreams();
         addGauges(this);
     }
--- /dev/null
+++ b/src/process/operatorCommands.ts
@@ -0,0 +1,129 @@
+/** Commands of the command-line tool on the running system. Each prints its result and returns the exit code. */
+import { request } from "undici";
+import type { AuditEvent } from "../version/audit.js";
+import { readAudit } from "../version/audit.js";
+import type { Member } from "../version/member.js";
+import { formatSlot } from "../version/member.js";
+import { formatMemberRecord, memberRules, memberStreamName } from "../version/memberStream.js";
+import { formatReplicaError } from "../version/publisher.js";
+import { formatQuarantineRecord, quarantineStreamName } from "../version/quarantineStream.js";
+import { Replica } from "../version/replica.js";
+import type { SecretKey } from "./keys.js";
+import type { ToolOptions } from "./tool.js";
+import { createCheckedLog, createLog, exitCodes, print, printError } from "./tool.js";
+
+/** Time for a node's status page, in milliseconds. */
+const statusTimeoutMs = 1000;
+
+/** `contract history CUSTOMER` */
+export async function showHistory(options: ToolOptions & { readonly customer: string; }): Promise<number> {
+    return printAudit(
+        options,
+        event => event.what === "publish" && event.detail.startsWith(`customer=${options.customer} `),
+    );
+}
+
+/** `audit` */
+export async function showAudit(options: ToolOptions): Promise<number> {
+    return printAudit(options, () => true);
+}
+
+async function printAudit(options: ToolOptions, isWanted: (event: AuditEvent) => boolean): Promise<number> {
+    const events = await readAudit(createLog(options));
+    if (!events.ok) {
+        return printError(exitCodes.unavailable, formatReplicaError(events.error));
+    }
+    const wanted = events.value.filter(isWanted);
+    print(options, wanted, wanted.map(formatAuditEvent));
+    return exitCodes.done;
+}
+
+function formatAuditEvent(event: AuditEvent): string {
+    const time = new Date(event.at).toISOString();
+    return `time=${time} stream=${event.stream} offset=${event.offset} what=${event.what} who=${event.who} ${event.detail}`;
+}
+
+/** `status` */
+export async function showStatus(options: ToolOptions): Promise<number> {
+    const replica = new Replica(memberStreamName, memberRules, () => undefined);
+    const caughtUp = await replica.catchUp(createLog(options));
+    if (!caughtUp.ok) {
+        return printError(exitCodes.unavailable, formatReplicaError(caughtUp.error));
+    }
+    const members = Object.values(replica.get()!.state.members);
+    const rows = await Promise.all(
+        members.map(async member => ({ member, status: await readStatus(member, options.keys.admin) })),
+    );
+    print(options, rows, rows.map(({ member, status }) => formatStatus(member, status)));
+    return exitCodes.done;
+}
+
+/** Parts of the status page that the tool shows. */
+interface StatusPage {
+    readonly isReady: boolean;
+    readonly isLogUp: boolean;
+    readonly versions: Readonly<Record<string, number>>;
+    readonly admission: { readonly limit: number; readonly running: number; readonly threshold: number; };
+    readonly partitionsOwned: number;
+}
+
+async function readStatus(member: Member, key: SecretKey | undefined): Promise<StatusPage | undefined> {
+    try {
+        const reply = await request(`http://${member.address}:${member.adminPort}/status`, {
+            headers: key === undefined ? {} : { authorization: key.formatBearer() },
+            headersTimeout: statusTimeoutMs,
+            bodyTimeout: statusTimeoutMs,
+            signal: AbortSignal.timeout(statusTimeoutMs),
+        });
+        return await reply.body.json() as StatusPage;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function formatStatus(member: Member, status: StatusPage | undefined): string {
+    const name = `slot=${formatSlot(member)} service=${member.service} dataCentre=${member.dataCentre}`;
+    if (status === undefined) {
+        return `${name} state=silent`;
+    }
+    const versions = Object.entries(status.versions).map(([customer, version]) => `${customer}:${version}`).join(",");
+    const { limit, running, threshold } = status.admission;
+    return `${name} state=${status.isReady ? "ready" : "notReady"} logUp=${status.isLogUp} limit=${limit.toFixed(1)} `
+        + `running=${running} threshold=${threshold} partitions=${status.partitionsOwned} versions=${versions}`;
+}
+
+/** `retire SLOT` */
+export async function retireSlot(
+    options: ToolOptions & { readonly slot: string; readonly operator: string; },
+): Promise<number> {
+    const record = formatMemberRecord({ kind: "retire", slot: options.slot, operator: options.operator });
+    return appendRecord(options, memberStreamName, record, `retired ${options.slot}`);
+}
+
+/** `release FINGERPRINT` */
+export async function releaseQuarantine(
+    options: ToolOptions & { readonly fingerprint: string; readonly operator: string; },
+): Promise<number> {
+    const record = formatQuarantineRecord({
+        kind: "release",
+        fingerprint: options.fingerprint,
+        operator: options.operator,
+    });
+    return appendRecord(options, quarantineStreamName, record, `released ${options.fingerprint}`);
+}
+
+/** Appends a record that may safely stand on the log twice. */
+async function appendRecord(options: ToolOptions, stream: string, record: string, done: string): Promise<number> {
+    const opened = await createCheckedLog(options);
+    if ("code" in opened) {
+        return opened.code;
+    }
+    const appended = await opened.log.append(stream, record);
+    if (appended.ok) {
+        print(options, { offset: appended.value }, [`${done}, offset ${appended.value}`]);
+        return exitCodes.done;
+    }
+    const code = appended.error.kind === "answerLost" ? exitCodes.unknown : exitCodes.unavailable;
+    return printError(code, `${appended.error.kind}: ${appended.error.message}; the command may be repeated`);
+}
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -26,6 +26,11 @@
 const urlSchema = v.pipe(v.string(), v.regex(/^http:\/\/[0-9.:[\]a-f]+$/, "http://IP:PORT"));
 const slotSchema = v.pipe(v.string(), v.regex(/^[0-9.:[\]a-f]+:[0-9]+$/, "IP:PORT"));
 
+const keySourceSchema = v.optional(v.union([
+    v.strictObject({ file: shortTextSchema }),
+    v.strictObject({ environment: shortTextSchema }),
+]));
+
 const settingsSchema = v.strictObject({
     service: shortTextSchema,
     dataCentre: shortTextSchema,
@@ -57,6 +62,18 @@
     peers: v.optional(v.strictObject({ seeds: v.optional(v.pipe(v.array(slotSchema), v.maxLength(64)), []) }), {
         seeds: [],
     }),
+    /** Where shared keys are read from; an interface without a key is open. */
+    keys: v.optional(
+        v.strictObject({
+            /** Status, metrics and the endpoint's announcements. */
+            admin: keySourceSchema,
+            /** Requests and control messages between nodes. */
+            peers: keySourceSchema,
+            /** Signatures of the records on the log. */
+            records: keySourceSchema,
+        }),
+        {},
+    ),
     limits: v.optional(
         v.strictObject({
             maxBodyBytes: v.optional(createRange(1024, 67_108_864), 4_194_304),
--- a/src/request/headers.ts
+++ b/src/request/headers.ts
@@ -13,6 +13,8 @@
     retryAfter: "retry-after",
     retryAfterMs: "turmericspoke-retry-after-ms",
     replayed: "turmericspoke-replayed",
+    /** Between nodes: the peers' key. */
+    peerKey: "turmericspoke-peer-key",
     /** Between nodes: the leg's context, encoded by {@link encodeLeg}. */
     leg: "turmericspoke-leg",
     /** Between nodes: what the answer carries back, encoded by {@link encodeReply}. */
--- a/src/request/peerRequest.ts
+++ b/src/request/peerRequest.ts
@@ -3,6 +3,7 @@
 import { createCloseSignal, sendRefusal } from "../connection/httpServer.js";
 import type { Claims } from "../process/claims.js";
 import type { Clock } from "../process/clock.js";
+import type { SecretKey } from "../process/keys.js";
 import type { LocalEndpoint } from "../process/localEndpoint.js";
 import { findHeader } from "./action.js";
 import type { Answer } from "./answer.js";
@@ -22,12 +23,19 @@
     readonly clock: Clock;
     readonly service: string;
     readonly maxBodyBytes: number;
+    /** Key that peers have to send. */
+    readonly key: SecretKey | undefined;
     readonly claims: Claims;
     readonly localEndpoint: LocalEndpoint;
 }
 
 /** Serves one request of another node. */
 export async function servePeer(parts: PeerParts, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (!(parts.key?.isBearer(findHeader(request.headers, headerNames.peerKey)) ?? true)) {
+        response.setHeader("connection", "close");
+        sendRefusal(response, reasonStatus.badRequest, "not-run", "badRequest", undefined, "the peers' key is missing");
+        return;
+    }
     const arrivedAt = parts.clock.readMonotonic();
     const signal = createCloseSignal(response);
     const body = await readBody(request, parts.maxBodyBytes);
--- a/src/version/audit.ts
+++ b/src/version/audit.ts
@@ -7,8 +7,9 @@
 import { memberRules, memberStreamName } from "./memberStream.js";
 import { quarantineRules, quarantineStreamName } from "./quarantineStream.js";
 import type { ReplicaError } from "./replica.js";
+import { parseJson } from "./schema.js";
 import type { StreamState } from "./streamFold.js";
-import { applyPage } from "./streamFold.js";
+import { applyPage, isSnapshot } from "./streamFold.js";
 
 /** One line of the trail. */
 export interface AuditEvent {
@@ -72,7 +73,7 @@
 
 function describeRecord(stream: string, record: LogRecord, contracts: ContractState | undefined): Description {
     const body = parseJson(record.body);
-    if (isSnapshotBody(body)) {
+    if (isSnapshot(body)) {
         return { what: "snapshot", who: "", detail: `through=${body.through}` };
     }
     const description = stream === contractStreamName
@@ -133,16 +134,3 @@
             return undefined;
     }
 }
-
-function isSnapshotBody(body: unknown): body is { readonly kind: "snapshot"; readonly through: number; } {
-    return typeof body === "object" && body !== null && (body as { kind?: unknown; }).kind === "snapshot";
-}
-
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/src/version/schema.ts
+++ b/src/version/schema.ts
@@ -10,6 +10,16 @@
     return parsed.success ? parsed.output : undefined;
 }
 
+/** Parses JSON that came from outside; `undefined` when it is malformed. */
+export function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
+
 /** An integer within limits. */
 export function createRange(minimum: number, maximum: number) {
     return v.pipe(v.number(), v.integer(), v.minValue(minimum), v.maxValue(maximum));
--- a/src/version/streamFold.ts
+++ b/src/version/streamFold.ts
@@ -6,6 +6,7 @@
  * and a reader that has a state already never goes back to a snapshot.
  */
 import type { LogPage, LogRecord } from "../connection/logService.js";
+import { parseJson } from "./schema.js";
 
 /** Largest record that a fold looks at, in bytes; longer ones are skipped. */
 export const maxRecordBytes = 1_048_576;
@@ -27,7 +28,7 @@
 }
 
 /** Body of a snapshot record. */
-interface SnapshotBody {
+export interface SnapshotBody {
     readonly kind: "snapshot";
     readonly through: number;
     readonly state: unknown;
@@ -117,15 +118,11 @@
     if (Buffer.byteLength(record.body) > maxRecordBytes) {
         return undefined;
     }
-    try {
-        return JSON.parse(record.body);
-    }
-    catch {
-        return undefined;
-    }
+    return parseJson(record.body);
 }
 
-function isSnapshot(body: unknown): body is SnapshotBody {
+/** Whether a record's body is a snapshot; its state may still be malformed. */
+export function isSnapshot(body: unknown): body is SnapshotBody {
     return typeof body === "object" && body !== null
         && (body as SnapshotBody).kind === "snapshot"
         && Number.isSafeInteger((body as SnapshotBody).through);
--- a/standin/cluster.ts
+++ b/standin/cluster.ts
@@ -9,23 +9,15 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
+import type { KeyName } from "../src/process/keys.js";
 import type { Contract } from "../src/version/contract.js";
-import type { EndpointBehaviour, EndpointConfig, RunRecord } from "./endpoint.js";
+import type { EndpointBehaviour, RunRecord } from "./endpoint.js";
+import { Instance, ports, readyTimeoutMs } from "./instance.js";
 import type { LogFaults } from "./logServer.js";
+import { formatContract } from "./plans.js";
+import { postJson, waitFor, waitForLine } from "./processes.js";
 
 const root = fileURLToPath(new URL("../", import.meta.url));
-const ports = {
-    caller: 7001,
-    outbound: 7002,
-    peer: 7003,
-    control: 7004,
-    admin: 7005,
-    endpoint: 8000,
-    log: 7000,
-} as const;
-/** Time for a process to become ready, in milliseconds. */
-const readyTimeoutMs = 20_000;
-
 /** One service of a cluster. */
 export interface ServicePlan extends EndpointBehaviour {
     readonly name: string;
@@ -40,152 +32,12 @@
     readonly logRetentionMs?: number;
     /** Further lines of all nodes' settings. */
     readonly nodeSettings?: string;
+    /** Keys of all nodes, by name. */
+    readonly keys?: Readonly<Partial<Record<KeyName, string>>>;
     /** Folder with another build of the daemon, for comparisons. */
     readonly daemonRoot?: string;
 }
 
-/** One instance: an endpoint and its node. */
-export class Instance {
-    node: ChildProcess | undefined;
-    endpoint: ChildProcess | undefined;
-
-    constructor(
-        private readonly cluster: Cluster,
-        readonly plan: ServicePlan,
-        readonly dataCentre: string,
-        readonly address: string,
-        readonly name: string,
-    ) {}
-
-    get callerUrl(): string {
-        return `http://${this.address}:${ports.caller}`;
-    }
-
-    get adminUrl(): string {
-        return `http://${this.address}:${ports.admin}`;
-    }
-
-    get runsFile(): string {
-        return join(this.cluster.directory, `${this.name}.runs`);
-    }
-
-    /** Starts the node and the endpoint. */
-    async start(): Promise<void> {
-        this.startNode();
-        await this.startEndpoint();
-    }
-
-    startNode(): void {
-        const file = join(this.cluster.directory, `${this.name}.toml`);
-        writeFileSync(file, this.formatSettings());
-        this.node = this.cluster.spawn(this.name, ["src/daemon.js", "--config", file], this.cluster.daemonRoot);
-    }
-
-    async startEndpoint(): Promise<void> {
-        const file = join(this.cluster.directory, `${this.name}.json`);
-        const config: EndpointConfig = {
-            ...this.plan,
-            instance: this.name,
-            service: this.plan.name,
-            address: this.address,
-            port: ports.endpoint,
-            adminUrl: this.adminUrl,
-            outboundUrl: `http://${this.address}:${ports.outbound}`,
-            runsFile: this.runsFile,
-        };
-        writeFileSync(file, JSON.stringify(config));
-        this.endpoint = this.cluster.spawn(`${this.name}-endpoint`, ["standin/endpoint.js", file]);
-        await waitForLine(this.endpoint, "ready");
-    }
-
-    /** Stops node and endpoint gracefully, one of them first. Returns both exit codes. */
-    async stop(first: "node" | "endpoint"): Promise<(number | null)[]> {
-        const order = first === "node" ? [this.node!, this.endpoint!] : [this.endpoint!, this.node!];
-        const codes: (number | null)[] = [];
-        for (const child of order) {
-            child.kill("SIGTERM");
-            codes.push(await waitForExit(child));
-        }
-        return codes;
-    }
-
-    /** Starts the endpoint again if it has ended. */
-    async restoreEndpoint(): Promise<void> {
-        if (this.endpoint?.exitCode !== null || this.endpoint.signalCode !== null) {
-            await this.startEndpoint();
-        }
-    }
-
-    /** Changes the endpoint's behaviour. */
-    async changeEndpoint(behaviour: Partial<EndpointBehaviour>): Promise<void> {
-        await postJson(`http://${this.address}:${ports.endpoint}/control`, behaviour);
-    }
-
-    /** Reads the node's status page; `undefined` when it does not answer. */
-    async readStatus(): Promise<NodeStatus | undefined> {
-        try {
-            const reply = await request(`${this.adminUrl}/status`, { headersTimeout: 1000, bodyTimeout: 1000 });
-            return await reply.body.json() as NodeStatus;
-        }
-        catch {
-            return undefined;
-        }
-    }
-
-    /** Waits until the node is ready for requests. */
-    async waitUntilReady(): Promise<void> {
-        await waitFor(
-            async () => (await this.readStatus())?.isReady === true,
-            readyTimeoutMs,
-            `${this.name} to be ready`,
-        );
-    }
-
-    private formatSettings(): string {
-        const { log, nodeSettings, seeds, logRetentionMs } = this.cluster;
-        return `service = "${this.plan.name}"
-dataCentre = "${this.dataCentre}"
-address = "${this.address}"
-[listeners]
-caller = ${ports.caller}
-outbound = ${ports.outbound}
-peer = ${ports.peer}
-control = ${ports.control}
-admin = ${ports.admin}
-[endpoint]
-url = "http://${this.address}:${ports.endpoint}"
-[log]
-url = "${log}"
-retentionSeconds = ${Math.round((logRetentionMs ?? 86_400_000) / 1000)}
-[peers]
-seeds = [${seeds.map(seed => `"${seed}"`).join(", ")}]
-${nodeSettings}`;
-    }
-}
-
-/** Parts of the status page that tests look at. */
-export interface NodeStatus {
-    readonly isReady: boolean;
-    readonly isLogUp: boolean;
-    readonly isAnnounced: boolean;
-    readonly cause?: string;
-    readonly versions: Readonly<Record<string, number>>;
-    readonly offsets: Readonly<Record<string, number>>;
-    readonly partitionsOwned: number;
-    readonly claims: number;
-    readonly quarantined: number;
-    readonly admission: {
-        readonly limit: number;
-        readonly running: number;
-        readonly queued: number;
-        readonly threshold: number;
-    };
-    readonly members: readonly {
-        readonly health: string;
-        readonly member: { readonly address: string; readonly service: string; };
-    }[];
-}
-
 /** Log, endpoints and nodes. */
 export class Cluster {
     readonly directory = mkdtempSync(join(tmpdir(), "turmericspoke-"));
@@ -200,6 +52,9 @@
         this.nodeSettings = plan.nodeSettings ?? "";
         this.logRetentionMs = plan.logRetentionMs;
         this.daemonRoot = plan.daemonRoot ?? root;
+        for (const [name, key] of Object.entries(this.keys)) {
+            writeFileSync(this.getKeyFile(name), `${key}\n`);
+        }
         let host = 10;
         for (const service of plan.services) {
             for (const dataCentre of service.dataCentres) {
@@ -210,6 +65,30 @@
         }
     }
 
+    get keys(): Readonly<Partial<Record<KeyName, string>>> {
+        return this.plan.keys ?? {};
+    }
+
+    /** Headers that open the admin pages. */
+    get adminHeaders(): Record<string, string> {
+        return this.keys.admin === undefined ? {} : { authorization: `Bearer ${this.keys.admin}` };
+    }
+
+    /** Environment variables with the keys for the command-line tool. */
+    private get toolEnvironment(): Record<string, string> {
+        const { records, admin } = this.keys;
+        return {
+            ...(records === undefined ? {} : { TURMERICSPOKE_RECORDS_KEY: records }),
+            ...(admin === undefined ? {} : { TURMERICSPOKE_ADMIN_KEY: admin }),
+        };
+    }
+
+    /** Settings of the keys. */
+    get keySettings(): string {
+        const names = Object.keys(this.keys);
+        return names.map(name => `[keys.${name}]\nfile = "${this.getKeyFile(name)}"\n`).join("");
+    }
+
     get log(): string {
         return `http://${this.subnet}.1:${ports.log}`;
     }
@@ -255,9 +134,18 @@
 
     /** Publishes a contract by the real command-line tool. */
     publish(contract: Contract, ...options: string[]): Promise<{ code: number; output: string; }> {
+        return this.publishWith(this.toolEnvironment, contract, ...options);
+    }
+
+    /** Publishes a contract by the command-line tool with these environment variables. */
+    publishWith(
+        environment: Readonly<Record<string, string>>,
+        contract: Contract,
+        ...options: string[]
+    ): Promise<{ code: number; output: string; }> {
         const file = join(this.directory, `${contract.customer}-${Math.random().toString(36).slice(2)}.toml`);
         writeFileSync(file, formatContract(contract));
-        return this.runTool("contract", "publish", file, "--operator", "bench", ...options);
+        return this.runToolWith(environment, "contract", "publish", file, "--operator", "bench", ...options);
     }
 
     /** Appends a record that no fold can read. */
@@ -265,10 +153,19 @@
         await request(`${this.log}/streams/${stream}/records`, { method: "POST", body });
     }
 
-    /** Runs the command-line tool. */
+    /** Runs the command-line tool with the keys of the nodes. */
     runTool(...words: string[]): Promise<{ code: number; output: string; }> {
+        return this.runToolWith(this.toolEnvironment, ...words);
+    }
+
+    /** Runs the command-line tool with further environment variables. */
+    runToolWith(
+        environment: Readonly<Record<string, string>>,
+        ...words: string[]
+    ): Promise<{ code: number; output: string; }> {
         return new Promise(resolve => {
-            const child = spawn(process.execPath, [join(root, "src/cli.js"), ...words, "--log", this.log]);
+            const env = { ...process.env, ...environment };
+            const child = spawn(process.execPath, [join(root, "src/cli.js"), ...words, "--log", this.log], { env });
             let output = "";
             child.stdout.on("data", (chunk: Buffer) => output += chunk.toString());
             child.stderr.on("data", (chunk: Buffer) => output += chunk.toString());
@@ -304,6 +201,10 @@
         return child;
     }
 
+    private getKeyFile(name: string): string {
+        return join(this.directory, `${name}.key`);
+    }
+
     /** Kills what still runs and removes the directory. */
     async stop(): Promise<void> {
         for (const child of this.children) {
@@ -325,61 +226,3 @@
         return [];
     }
 }
-
-/** Formats a contract as TOML. */
-export function formatContract(contract: Contract): string {
-    const classes = Object.entries(contract.classes).map(([name, value]) =>
-        `[classes.${name}]\nworth = ${value.worth}\nidempotent = ${value.idempotent}\ndeadlineMilliseconds = ${value.deadlineMilliseconds}\n`
-    );
-    return `customer = "${contract.customer}"
-[allowance]
-requestsPerSecond = ${contract.allowance.requestsPerSecond}
-burst = ${contract.allowance.burst}
-[retries]
-bound = ${contract.retries.bound}
-resendWindowSeconds = ${contract.retries.resendWindowSeconds}
-${classes.join("")}`;
-}
-
-/** Sends a JSON document and fails unless it is taken. */
-export async function postJson(url: string, body: unknown): Promise<unknown> {
-    const reply = await request(url, { method: "POST", body: JSON.stringify(body) });
-    const text = await reply.body.text();
-    if (reply.statusCode !== 200) {
-        throw new Error(`${url}: status ${reply.statusCode} ${text}`);
-    }
-    return JSON.parse(text) as unknown;
-}
-
-/** Waits until a process ends and returns its exit code. */
-export function waitForExit(child: ChildProcess): Promise<number | null> {
-    return new Promise(resolve => {
-        if (child.exitCode !== null || child.signalCode !== null) {
-            resolve(child.exitCode);
-            return;
-        }
-        child.once("exit", code => resolve(code));
-    });
-}
-
-/** Waits until a condition holds. */
-export async function waitFor(isTrue: () => Promise<boolean>, timeoutMs: number, what: string): Promise<void> {
-    const giveUpAt = performance.now() + timeoutMs;
-    while (!await isTrue()) {
-        if (performance.now() > giveUpAt) {
-            throw new Error(`waited ${timeoutMs} ms in vain for ${what}`);
-        }
-        await new Promise(resolve => setTimeout(resolve, 50));
-    }
-}
-
-function waitForLine(child: ChildProcess, line: string): Promise<void> {
-    return new Promise((resolve, reject) => {
-        child.stdout?.on("data", (chunk: Buffer) => {
-            if (chunk.toString().includes(line)) {
-                resolve();
-            }
-        });
-        child.once("exit", code => reject(new Error(`the process ended with ${code} before it was ready`)));
-    });
-}
--- a/standin/demo.ts
+++ b/standin/demo.ts
@@ -4,9 +4,10 @@
  */
 import process from "node:process";
 import type { Contract } from "../src/version/contract.js";
-import { Cluster, waitForExit } from "./cluster.js";
+import { Cluster } from "./cluster.js";
 import type { ActionResult, Flow } from "./load.js";
 import { computeGoodput, isCompleted, Load } from "./load.js";
+import { waitForExit } from "./processes.js";
 
 /** Length of the time before, in and after the overload, in milliseconds. */
 const phaseMs = { before: 6000, overload: 7000, after: 8000 };
--- a/standin/endpoint.ts
+++ b/standin/endpoint.ts
@@ -45,6 +45,8 @@
     readonly slots: number;
     readonly adminUrl: string;
     readonly outboundUrl: string;
+    /** Headers that open the node's admin pages. */
+    readonly adminHeaders: Readonly<Record<string, string>>;
     /** File to which each run is appended as one JSON line, see {@link RunRecord}. */
     readonly runsFile: string;
 }
@@ -203,6 +205,7 @@
         const reply = await admin.request({
             method: "POST",
             path: "/endpoint",
+            headers: config.adminHeaders,
             body: JSON.stringify({ boot, slots: config.slots, isDraining }),
         });
         return ((await reply.body.json()) as { inProgress: number; }).inProgress;
--- a/standin/faults.ts
+++ b/standin/faults.ts
@@ -1,8 +1,9 @@
 /** Faults that tests and the torture run bring about. Each is applied once and undone by itself. */
 import { sendOnce } from "./caller.js";
-import type { Cluster, Instance } from "./cluster.js";
-import { waitForExit } from "./cluster.js";
+import type { Cluster } from "./cluster.js";
+import type { Instance } from "./instance.js";
 import { createContract } from "./plans.js";
+import { waitForExit } from "./processes.js";
 import type { Random } from "./random.js";
 
 /** One kind of fault. */
--- a/standin/plans.ts
+++ b/standin/plans.ts
@@ -41,3 +41,18 @@
         { name: "katalog", slots, serviceMs, calls: [], dataCentres: ["jepara", "pekalongan"] },
     ];
 }
+
+/** Formats a contract as TOML. */
+export function formatContract(contract: Contract): string {
+    const classes = Object.entries(contract.classes).map(([name, value]) =>
+        `[classes.${name}]\nworth = ${value.worth}\nidempotent = ${value.idempotent}\ndeadlineMilliseconds = ${value.deadlineMilliseconds}\n`
+    );
+    return `customer = "${contract.customer}"
+[allowance]
+requestsPerSecond = ${contract.allowance.requestsPerSecond}
+burst = ${contract.allowance.burst}
+[retries]
+bound = ${contract.retries.bound}
+resendWindowSeconds = ${contract.retries.resendWindowSeconds}
+${classes.join("")}`;
+}
--- a/test/cluster/leaving.test.ts
+++ b/test/cluster/leaving.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import type { Cluster } from "../../standin/cluster.js";
-import { waitForExit } from "../../standin/cluster.js";
 import { Load } from "../../standin/load.js";
+import { waitForExit } from "../../standin/processes.js";
 import { findViolations } from "../../standin/promises.js";
 import { bound, createCluster, createFlows, listFailures, sleep } from "./harness.js";
 
--- a/test/contract.test.ts
+++ b/test/contract.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import type { ContractError } from "../src/version/contract.js";
 import { formatContractError, parseContract } from "../src/version/contract.js";
-import { formatContract } from "../standin/cluster.js";
+import { formatContract } from "../standin/plans.js";
 import { createContract } from "./fakes.js";
 
 const good = formatContract(createContract("weavers"));
