--- a/bench/replay.ts
+++ b/bench/replay.ts
@@ -2,28 +2,26 @@
  * Replays traces against real daemons and reports goodput, recovery and cost, side by side with baselines in one run.
  *
  * Run with `npm run bench -- [--traces a,b] [--variants adaptive,static,off] [--previous FOLDER]`, where FOLDER holds another
- * build of the daemon. Prints a table and writes JSON lines to reports/bench.jsonl.
+ * build of the daemon. Prints a table and writes JSON lines to reports/bench.jsonl and
+ * curves to reports/bench.html.
  */
 import { appendFileSync, mkdirSync, readdirSync } from "node:fs";
 import process from "node:process";
 import { parseArgs } from "node:util";
 import { Cluster } from "../standin/cluster.js";
-import type { ActionResult } from "../standin/load.js";
-import { isCompleted, Load } from "../standin/load.js";
+import { Load } from "../standin/load.js";
 import { createChain, createContract } from "../standin/plans.js";
+import type { Figures } from "./figures.js";
+import { computeFigures } from "./figures.js";
 import { readUsage } from "./processUsage.js";
+import { writeReport } from "./report.js";
+import { AdmissionSampler } from "./samples.js";
 import type { TraceEvent } from "./trace.js";
-import { applyEvent, createTraceFlows, findTime, readTrace } from "./trace.js";
+import { applyEvent, createTraceFlows, readTrace } from "./trace.js";
 
 const customers = ["weavers", "treasurers", "clerks"];
 /** Time that a run of the deep service takes, in milliseconds, and its slots in each of two instances: 200 runs a second. */
 const deep = { serviceMs: 50, slots: 5 };
-/** Time after the start that is not counted, in milliseconds. */
-const warmUpMs = 2000;
-/** Share of the goodput before the cause at which the system has recovered. */
-const recoveredShare = 0.95;
-/** Length of the window and steps of the search for the recovery, in milliseconds. */
-const recovery = { windowMs: 1000, stepMs: 100 };
 const tracesFolder = new URL("../../bench/traces/", import.meta.url).pathname;
 
 const { values } = parseArgs({
@@ -34,57 +32,6 @@
     },
 });
 
-/** Figures of one class in one replay. */
-interface ClassFigures {
-    readonly class: string;
-    readonly before: number;
-    readonly during: number;
-    readonly recoveryMs: number | undefined;
-}
-
-/** Figures of one replay. */
-interface Figures {
-    readonly trace: string;
-    readonly variant: string;
-    readonly classes: readonly ClassFigures[];
-    readonly goodputDuring: number;
-    /** Endpoint runs during the cause that belong to actions that did not complete. */
-    readonly wastedRuns: number;
-    readonly sendsPerAction: number;
-    /** Actions outside the cause that did not complete. */
-    readonly falseRefusals: number;
-    readonly refusalMs: { readonly p50: number; readonly p99: number; };
-    readonly nodeCpuShare: number;
-    readonly nodeResidentMegabytes: number;
-}
-
-function countPerSecond(results: readonly ActionResult[], from: number, to: number): number {
-    return results.filter(result => isCompleted(result) && result.endedAt >= from && result.endedAt < to).length * 1000
-        / (to - from);
-}
-
-/** Time from the end of the cause until goodput stays at its share of what it was before. */
-function findRecovery(
-    results: readonly ActionResult[],
-    before: number,
-    causeEnd: number,
-    end: number,
-): number | undefined {
-    let recovered: number | undefined;
-    for (let from = causeEnd; from + recovery.windowMs <= end; from += recovery.stepMs) {
-        const goodput = countPerSecond(results, from, from + recovery.windowMs);
-        // Arrivals are even, so a window may hold one completion fewer than the rate says.
-        const isBack = goodput >= Math.floor(before * recoveredShare) - 1;
-        recovered = isBack ? recovered ?? from - causeEnd : undefined;
-    }
-    return recovered;
-}
-
-function findQuantile(values: readonly number[], share: number): number {
-    const sorted = [...values].sort((a, b) => a - b);
-    return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
-}
-
 function createCluster(variant: string): Cluster {
     const [mutu, ...chain] = [
         {
@@ -114,6 +61,7 @@
     try {
         await cluster.start();
         const load = new Load(createTraceFlows(cluster, trace));
+        const sampler = new AdmissionSampler(cluster.listService("katalog"), () => load.now());
         const cpuBefore = computeNodeCpu(cluster);
         for (const event of trace) {
             await new Promise(resolve => setTimeout(resolve, Math.max(0, event.at - load.now())));
@@ -121,59 +69,24 @@
         }
         const cpuShare = (computeNodeCpu(cluster) - cpuBefore) / load.now() / cluster.instances.length;
         const resident = Math.max(...cluster.instances.map(instance => readUsage(instance.node?.pid).residentBytes));
+        const samples = sampler.stop();
         const results = await load.stop();
-        const runs = cluster.readRuns();
-        return {
-            ...computeFigures(name, trace, variant, results, runs),
+        return computeFigures({
+            trace: name,
+            variant,
+            events: trace,
+            results,
+            runs: cluster.readRuns(),
+            samples,
             nodeCpuShare: cpuShare,
             nodeResidentMegabytes: resident / 2 ** 20,
-        };
+        });
     }
     finally {
         await cluster.stop();
     }
 }
 
-function computeFigures(
-    trace: string,
-    events: readonly TraceEvent[],
-    variant: string,
-    results: readonly ActionResult[],
-    runs: ReturnType<Cluster["readRuns"]>,
-): Omit<Figures, "nodeCpuShare" | "nodeResidentMegabytes"> {
-    const causeBegin = findTime(events, "causeBegins");
-    const causeEnd = findTime(events, "causeEnds");
-    const end = findTime(events, "end");
-    const classes = [...new Set(results.map(result => result.flow.class))].map(className => {
-        const own = results.filter(result => result.flow.class === className);
-        const before = countPerSecond(own, warmUpMs, causeBegin);
-        return {
-            class: className,
-            before,
-            during: countPerSecond(own, causeBegin + 1000, causeEnd),
-            recoveryMs: findRecovery(own, before, causeEnd, end),
-        };
-    });
-    const completed = new Set(results.filter(isCompleted).map(result => result.key));
-    const refusals = results.flatMap(result => result.history).filter(told =>
-        told.outcome !== "completed" && told.reason === "overloaded"
-    );
-    const outside = results.filter(result => result.endedAt < causeBegin || result.arrivedAt > causeEnd + 5000);
-    return {
-        trace,
-        variant,
-        classes,
-        goodputDuring: countPerSecond(results, causeBegin + 1000, causeEnd),
-        wastedRuns: runs.filter(run => run.event === "start" && !completed.has(run.action)).length,
-        sendsPerAction: results.reduce((sum, result) => sum + result.history.length, 0) / results.length,
-        falseRefusals: outside.filter(result => !isCompleted(result)).length,
-        refusalMs: {
-            p50: findQuantile(refusals.map(told => told.milliseconds), 0.5),
-            p99: findQuantile(refusals.map(told => told.milliseconds), 0.99),
-        },
-    };
-}
-
 function print(figures: Figures): void {
     for (const each of figures.classes) {
         process.stdout.write(
@@ -204,12 +117,15 @@
 const variants = [...values.variants.split(","), ...(values.previous === undefined ? [] : ["previous"])];
 mkdirSync("reports", { recursive: true });
 process.stdout.write("trace          variant   class         before  during  recovery ms\n");
+const all: Figures[] = [];
 for (const name of names) {
     const trace = readTrace(`${tracesFolder}${name}.jsonl`);
     for (const variant of variants) {
         const figures = await playTrace(name, trace, variant);
         print(figures);
+        all.push(figures);
         appendFileSync("reports/bench.jsonl", JSON.stringify(figures) + "\n");
+        writeReport("reports/bench.html", all);
     }
 }
 process.exit(0);
