Judge a trial of the concurrency limit by samples taken before and after it

The trial was judged while the average run time still rose to the level of the old limit, and the usual run time drifted up to the congested one within about 500 runs, after which nothing counted as slow.

Ruled out: a longer trial against its own peak (trialShare 0.5) alone: the drift undoes it. No drift at all: run times that vary without a trend then start trials for ever, since the usual time stays at its lowest value.

Change: the trial passes over the runs in progress and averages at least 32 runs before and as many after the limit is lowered; the lower limit stays if run times fell by more than half as much as the limit did. The usual time does not rise while the limit is lowered.

Before: 'falls when runs get slower with their number' red (20, allowed 1 to 12).

--- a/src/process/concurrencyLimit.ts
+++ b/src/process/concurrencyLimit.ts
@@ -1,9 +1,9 @@
 /**
  * Limit on concurrent runs at one endpoint, from the run times that this node measures.
  *
- * When runs take much longer than usual, the limit is lowered on trial. If the run times fall with it, the endpoint had too
- * much at once and the limit goes on falling. If they don't, the endpoint has become slower by itself: fewer runs at a time
- * would only waste its capacity, so the limit is restored and the new run time counts as usual.
+ * When runs take much longer than usual, the limit is lowered for a trial. If the run times fall with it, the endpoint had too
+ * much at once and the lower limit stays. If they don't, the endpoint has become slower by itself: fewer runs at a time would
+ * only waste its capacity, so the limit is restored and the new run time counts as usual.
  */
 import type { Clock } from "./clock.js";
 
@@ -13,25 +13,48 @@
 const initialLimit = 16;
 /** Weight of a new sample in the recent run time. */
 const recentWeight = 0.05;
-/** Weight of a new sample in the usual run time while runs take longer than usual. */
-const usualWeight = 0.002;
-/** Ratio of recent to usual run time above which the limit is lowered. */
+/** Weight of the recent run time in the usual one while runs are faster than usual. */
+const fallingWeight = 0.02;
+/** Weight of the recent run time in the usual one while runs are slower than usual. */
+const risingWeight = 0.002;
+/** Ratio of recent to usual run time above which a trial starts. */
 const tolerance = 2;
-/** Share of the limit that each run takes away during a trial. */
-const loweringShare = 0.01;
-/** Share of the limit at which a trial is judged. */
+/** Share of the limit that is left during a trial. */
 const trialShare = 0.7;
-/** Share of the run time that has to be left at the end of a trial for it to count as a success. */
-const improvedShare = 0.85;
+/** Fewest runs that are averaged before and after the limit is lowered. */
+const minTrialRuns = 32;
 /** Share of the slots that a cold endpoint may use at first; it doubles every {@link rampStepMs}. */
 const coldShare = 0.25;
 /** Time in which the ramp after a cold start doubles the limit, in milliseconds. */
 const rampStepMs = 500;
 
-/** State at the start of a trial. */
+/** Averages the times of a number of runs, after it has passed over those that began before it. */
+class RunTimeSample {
+    private totalMs = 0;
+    private recorded = 0;
+
+    constructor(private readonly passedOver: number, private readonly wanted: number) {}
+
+    isFull(): boolean {
+        return this.recorded >= this.passedOver + this.wanted;
+    }
+
+    recordRun(milliseconds: number): void {
+        this.recorded += 1;
+        this.totalMs += this.recorded > this.passedOver ? milliseconds : 0;
+    }
+
+    /** Average in milliseconds, once the sample is full. */
+    getAverageMs(): number {
+        return this.totalMs / this.wanted;
+    }
+}
+
+/** Run times at the limit that was in force and, later, at the one lowered for the trial. */
 interface Trial {
     readonly limit: number;
-    readonly recentMs: number;
+    readonly before: RunTimeSample;
+    lowered: { readonly share: number; readonly after: RunTimeSample; } | undefined;
 }
 
 /** Adaptive limit. */
@@ -79,27 +102,73 @@
     /** Takes the time of a run into account, in milliseconds. */
     recordRun(milliseconds: number): void {
         this.recentMs = average(this.recentMs, milliseconds, recentWeight);
-        this.usualMs = average(this.usualMs, milliseconds, milliseconds < this.usualMs ? recentWeight : usualWeight);
         if (!this.isAdaptive) {
             return;
         }
-        if (this.recentMs <= tolerance * this.usualMs) {
-            this.trial = undefined;
+        if (this.trial !== undefined) {
+            this.recordTrialRun(this.trial, milliseconds);
+        }
+        else if (this.recentMs > tolerance * this.usualMs && this.usualMs > 0) {
+            this.trial = { limit: this.limit, before: this.createSample(this.limit), lowered: undefined };
+        }
+        else {
+            this.updateUsual();
             this.limit = Math.min(this.slots, this.limit + 1 / this.limit);
+        }
+    }
+
+    /** Moves the usual run time. It doesn't rise while the limit is lowered: the runs are then slow from their number. */
+    private updateUsual(): void {
+        if (this.recentMs < this.usualMs) {
+            this.usualMs = average(this.usualMs, this.recentMs, fallingWeight);
+        }
+        else if (this.limit === this.slots) {
+            this.usualMs = average(this.usualMs, this.recentMs, risingWeight);
+        }
+    }
+
+    private recordTrialRun(trial: Trial, milliseconds: number): void {
+        if (trial.lowered === undefined) {
+            trial.before.recordRun(milliseconds);
+            if (trial.before.isFull()) {
+                this.lowerForTrial(trial);
+            }
             return;
         }
-        this.trial ??= { limit: this.limit, recentMs: this.recentMs };
-        this.limit = Math.max(minLimit, this.limit * (1 - loweringShare));
-        if (this.limit <= Math.max(minLimit, this.trial.limit * trialShare)) {
-            this.judgeTrial(this.trial);
+        trial.lowered.after.recordRun(milliseconds);
+        if (trial.lowered.after.isFull()) {
+            this.judgeTrial(trial, trial.lowered.share, trial.lowered.after.getAverageMs());
         }
     }
 
-    private judgeTrial(trial: Trial): void {
+    private lowerForTrial(trial: Trial): void {
+        const beforeMs = trial.before.getAverageMs();
+        if (beforeMs <= tolerance * this.usualMs) {
+            this.trial = undefined;
+            return;
+        }
+        if (trial.limit <= minLimit) {
+            this.trial = undefined;
+            this.usualMs = beforeMs;
+            return;
+        }
+        const places = Math.ceil(trial.limit);
+        this.limit = Math.max(minLimit, Math.min(places - 1, Math.floor(places * trialShare)));
+        trial.lowered = { share: this.limit / places, after: this.createSample(places) };
+    }
+
+    /** A sample that begins once the runs in progress are over. */
+    private createSample(inProgress: number): RunTimeSample {
+        const runs = Math.ceil(inProgress);
+        return new RunTimeSample(runs, Math.max(minTrialRuns, runs));
+    }
+
+    /** Keeps the lowered limit if the run times fell by more than half as much as it did. */
+    private judgeTrial(trial: Trial, loweredShare: number, loweredMs: number): void {
         this.trial = undefined;
-        if (this.recentMs > trial.recentMs * improvedShare) {
+        if (loweredMs >= trial.before.getAverageMs() * (1 + loweredShare) / 2) {
             this.limit = trial.limit;
-            this.usualMs = this.recentMs;
+            this.usualMs = loweredMs;
         }
     }
 }
--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -3,6 +3,7 @@
 import { Admission } from "../src/process/admission.js";
 import { ConcurrencyLimit } from "../src/process/concurrencyLimit.js";
 import { PriorityThreshold } from "../src/process/threshold.js";
+import { createRandom } from "../standin/random.js";
 import { FakeClock } from "./fakes.js";
 
 const low = 20 * 128;
@@ -78,6 +79,29 @@
         });
     }
 
+    it("stays low while the congestion lasts", () => {
+        const limit = new ConcurrencyLimit(new FakeClock(), true);
+        limit.setSlots(20, false);
+        for (let run = 0; run < 200; run += 1) {
+            limit.recordRun(10);
+        }
+        for (let run = 0; run < 20_000; run += 1) {
+            limit.recordRun(6 * limit.get());
+            expect(run < 1000 || limit.get() <= 12, `limit ${limit.get()} after ${run} runs`).to.equal(true);
+        }
+    });
+
+    it("stays at the slots while run times vary without any trend", () => {
+        const random = createRandom(20261203);
+        const limit = new ConcurrencyLimit(new FakeClock(), true);
+        limit.setSlots(20, false);
+        for (let run = 0; run < 20_000; run += 1) {
+            limit.recordRun(-10 * Math.log(1 - random()));
+            expect(limit.get()).to.be.within(14, 20);
+        }
+        expect(limit.get()).to.be.within(18, 20);
+    });
+
     it("starts low for a cold endpoint and is whole after a second", () => {
         const clock = new FakeClock();
         const limit = new ConcurrencyLimit(clock, true);
