Control the priority threshold by the surplus of arrivals over capacity

Three parts of the loop made it swing: the threshold rose until the queue was empty, although what waited would have been served; entries kept the highest threshold of the last 250 ms of any instance; and an entry without news for 500 ms let everything in at once.

Change: each window the threshold sheds half of the surplus of arrivals over capacity (limit x window / time that a run holds its place) and 0.15 of the surplus of the queue over half the limit; negative surplus lowers it. Entries take the threshold of the last answer, so instances have their share, and without news let a growing share through. Queue places are three for each run.

--- a/src/process/admission.ts
+++ b/src/process/admission.ts
@@ -7,7 +7,17 @@
 import { PriorityThreshold, windowMs } from "./threshold.js";
 
 /** Queue places for each run that may be in progress. */
-const queueShare = 1;
+const queueShare = 3;
+/** Average queue of a window, for each run that may be in progress, that the threshold aims at while it is raised. */
+const wantedQueueShare = 0.5;
+/** Average queue of a window, for each run that may be in progress, above which the threshold is raised from 0. */
+const longQueueShare = 1;
+/** Part of the surplus of arrivals over the capacity that is corrected in one window. */
+const arrivalGain = 0.5;
+/** Part of the surplus of the queue that is corrected in one window. */
+const queueGain = 0.15;
+/** Weight of a new sample in the average time for which a run holds its place. */
+const placeWeight = 0.05;
 /** Fewest queue places. */
 const minQueue = 4;
 /** Shortest time that a refused caller is told to wait, in milliseconds. */
@@ -57,11 +67,19 @@
     private readonly queue: Waiter[] = [];
     private readonly limit: ConcurrencyLimit;
     private running = 0;
-    /** Shortest queue in this window. */
-    private shortestQueue = 0;
+    /** Average time for which a run holds its place, in milliseconds; with its calls to other services. */
+    private placeMs = 0;
+    /** Requests that had entered and were refused in the end, in this window. */
+    private refused = 0;
+    /** Sum of the waiting requests over this window, in requests times milliseconds. */
+    private queueArea = 0;
+    private queueChangedAt: number;
+    private windowStart: number;
 
     constructor(private readonly clock: Clock, private readonly mode: AdmissionMode) {
         this.limit = new ConcurrencyLimit(clock, mode === "adaptive");
+        this.queueChangedAt = clock.readMonotonic();
+        this.windowStart = this.queueChangedAt;
     }
 
     getState(): AdmissionState {
@@ -99,8 +117,10 @@
             this.running += 1;
             return Promise.resolve(this.createAdmitted());
         }
-        if (this.estimateWaitMs() + this.limit.getRecentMs() > timeLeftMs) {
-            this.threshold.recordRefused();
+        const runMs = this.limit.getRecentMs();
+        if (this.estimateWaitMs() + runMs > timeLeftMs) {
+            // A request that had no time for its run even without a queue says nothing about the load.
+            this.refused += runMs > timeLeftMs ? 0 : 1;
             return Promise.resolve(this.createRefusal("deadline"));
         }
         return this.enqueue(priority, timeLeftMs, signal);
@@ -108,11 +128,35 @@
 
     /** Ends a window of the threshold; called every {@link windowMs}. */
     closeWindow(): void {
-        this.threshold.closeWindow(this.shortestQueue > 0);
-        this.shortestQueue = this.queue.length;
+        this.noteQueue();
+        const now = this.clock.readMonotonic();
+        const lengthMs = Math.max(1, now - this.windowStart);
+        this.threshold.closeWindow(this.computeExcess(this.queueArea / lengthMs, lengthMs));
+        this.windowStart = now;
+        this.queueArea = 0;
+        this.refused = 0;
         this.admitWaiting();
     }
 
+    /** Computes by how many requests a window was too full. */
+    private computeExcess(averageQueue: number, windowLengthMs: number): number {
+        const limit = Math.max(1, this.limit.get());
+        const isOverloaded = this.refused > 0 || averageQueue > limit * longQueueShare;
+        if (!isOverloaded && this.threshold.getLevel() === 0) {
+            return 0;
+        }
+        const capacity = limit * windowLengthMs / Math.max(1, this.placeMs);
+        const surplus = this.threshold.getPassed() - capacity;
+        return surplus * arrivalGain + (averageQueue - limit * wantedQueueShare) * queueGain;
+    }
+
+    /** Brings the sum of the waiting requests up to date; called before each change of the queue. */
+    private noteQueue(): void {
+        const now = this.clock.readMonotonic();
+        this.queueArea += this.queue.length * (now - this.queueChangedAt);
+        this.queueChangedAt = now;
+    }
+
     /** Runs the windows until the signal aborts. */
     async runWindows(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
@@ -123,7 +167,7 @@
 
     private enqueue(priority: number, timeLeftMs: number, signal: AbortSignal | undefined): Promise<AdmissionResult> {
         if (this.queue.length >= Math.max(minQueue, this.limit.get() * queueShare)) {
-            this.threshold.recordRefused();
+            this.refused += 1;
             const last = this.queue[this.queue.length - 1];
             if (last === undefined || last.priority >= priority) {
                 return Promise.resolve(this.createRefusal("overloaded"));
@@ -136,7 +180,7 @@
                 priority,
                 settle: resolve,
                 timer: setTimeout(() => {
-                    this.threshold.recordRefused();
+                    this.refused += 1;
                     this.removeWaiter(waiter, this.createRefusal("deadline"));
                 }, waitMs),
             };
@@ -144,6 +188,7 @@
                 once: true,
             });
             const index = this.queue.findIndex(other => other.priority < priority);
+            this.noteQueue();
             this.queue.splice(index === -1 ? this.queue.length : index, 0, waiter);
         });
     }
@@ -151,8 +196,8 @@
     private removeWaiter(waiter: Waiter, result: AdmissionResult): void {
         const index = this.queue.indexOf(waiter);
         if (index !== -1) {
+            this.noteQueue();
             this.queue.splice(index, 1);
-            this.shortestQueue = Math.min(this.shortestQueue, this.queue.length);
             clearTimeout(waiter.timer);
             waiter.settle(result);
         }
@@ -160,8 +205,8 @@
 
     private admitWaiting(): void {
         while (this.running < this.limit.get()) {
+            this.noteQueue();
             const waiter = this.queue.shift();
-            this.shortestQueue = Math.min(this.shortestQueue, this.queue.length);
             if (waiter === undefined) {
                 return;
             }
@@ -172,6 +217,7 @@
     }
 
     private createAdmitted(): AdmissionResult {
+        const admittedAt = this.clock.readMonotonic();
         let isReleased = false;
         const release = (ownMs: number | undefined): void => {
             if (isReleased) {
@@ -180,6 +226,8 @@
             isReleased = true;
             this.running -= 1;
             if (ownMs !== undefined) {
+                const heldMs = this.clock.readMonotonic() - admittedAt;
+                this.placeMs += (heldMs - this.placeMs) * (this.placeMs === 0 ? 1 : placeWeight);
                 this.limit.recordRun(ownMs);
             }
             this.admitWaiting();
--- a/src/process/balancer.ts
+++ b/src/process/balancer.ts
@@ -1,6 +1,6 @@
 /**
  * Choice of an instance for a call: two are drawn at random, and the one with less of this node's own work and shorter recent
- * answers gets the call. Instances in the own data centre are preferred until they refuse.
+ * answers gets the call. Instances in the own data centre are preferred while they work.
  */
 import type { Member, SlotName } from "../version/member.js";
 import { formatSlot } from "../version/member.js";
@@ -8,7 +8,7 @@
 
 /** Weight of a new sample in the average answer time. */
 const sampleWeight = 0.2;
-/** Time for which an instance that refused or failed is avoided, in milliseconds. */
+/** Time for which an instance that failed is avoided, in milliseconds. */
 const avoidanceMs = 250;
 /** Time in which the memory of a slow instance halves, so that it is tried again, in milliseconds. */
 const forgettingMs = 5000;
@@ -21,6 +21,12 @@
     avoidUntil: number;
 }
 
+/**
+ * How a call ended for its instance. A `failed` one is avoided for a while. An overloaded one that `refused` is not: its
+ * threshold keeps work away in the right amount, and avoiding it would send all of its load to the others.
+ */
+export type CallEnding = "completed" | "refused" | "failed";
+
 /** Source of random numbers in [0, 1). */
 export type Random = () => number;
 
@@ -55,12 +61,14 @@
     }
 
     /** Notes the end of a call. */
-    endCall(slot: SlotName, milliseconds: number, isWelcome: boolean): void {
+    endCall(slot: SlotName, milliseconds: number, ending: CallEnding): void {
         const experience = this.getExperience(slot);
         const now = this.clock.readMonotonic();
         experience.inFlight -= 1;
-        if (!isWelcome) {
+        if (ending === "failed") {
             experience.avoidUntil = now + avoidanceMs;
+        }
+        if (ending !== "completed") {
             return;
         }
         const before = this.computeAverage(experience, now);
--- a/src/process/downstream.ts
+++ b/src/process/downstream.ts
@@ -5,32 +5,32 @@
  */
 import type { Clock } from "./clock.js";
 
-/** Time for which a threshold counts after the last answer that carried it, in milliseconds. */
+/** Time for which a threshold counts in full after the last answer that carried it, in milliseconds. */
 const memoryMs = 500;
+/** Time in which a threshold without news lets more and more through, up to everything, in milliseconds. */
+const fadingMs = 2000;
 /** Most classes that are remembered. */
 const maxClasses = 4096;
-/** One in this many actions below the threshold is let through, to notice that an overload is over. */
-const probeInterval = 100;
+/** Share of the actions below the threshold that is let through, to notice that an overload is over. */
+const probeShare = 0.01;
 
-/** Highest threshold that the calls of each class of action met lately. */
+/** Threshold that the calls of each class of action met last. */
 export class DownstreamThresholds {
-    private readonly levels = new Map<string, { level: number; at: number; }>();
-    private refusals = 0;
+    private readonly levels = new Map<string, { readonly level: number; readonly at: number; }>();
+    /** Whole actions of those below the threshold that may still pass. */
+    private passes = 0;
 
     constructor(private readonly clock: Clock) {}
 
-    /** Notes the threshold that an answer carried for a class of action. */
+    /**
+     * Notes the threshold that an answer carried for a class of action. The last one counts: answers of instances with
+     * different thresholds take turns, so each has its share.
+     */
     record(customer: string, actionClass: string, threshold: number): void {
         const key = `${customer}/${actionClass}`;
-        const now = this.clock.readMonotonic();
-        const known = this.levels.get(key);
-        if (known !== undefined && known.level > threshold && now - known.at < memoryMs / 2) {
-            return;
+        if (this.levels.has(key) || this.levels.size < maxClasses) {
+            this.levels.set(key, { level: threshold, at: this.clock.readMonotonic() });
         }
-        if (known === undefined && this.levels.size >= maxClasses) {
-            return;
-        }
-        this.levels.set(key, { level: threshold, at: now });
     }
 
     /** Threshold in force for a class of action; 0 when none is known. */
@@ -41,10 +41,16 @@
 
     /** Whether an action may go on at its entry. */
     isAdmitted(customer: string, actionClass: string, priority: number): boolean {
-        if (priority >= this.find(customer, actionClass)) {
+        const known = this.levels.get(`${customer}/${actionClass}`);
+        if (known === undefined || priority >= known.level) {
             return true;
         }
-        this.refusals += 1;
-        return this.refusals % probeInterval === 0;
+        const fadedMs = this.clock.readMonotonic() - known.at - memoryMs;
+        this.passes += Math.max(probeShare, fadedMs / fadingMs);
+        if (this.passes < 1) {
+            return false;
+        }
+        this.passes = Math.min(1, this.passes - 1);
+        return true;
     }
 }
--- a/src/request/dispatcher.ts
+++ b/src/request/dispatcher.ts
@@ -1,6 +1,6 @@
 /** Routes a call to an instance of its service, repeats it where that is safe, and settles what the caller is told. */
 import type { PeerAnswer, PeerCaller } from "../connection/peers.js";
-import type { Balancer } from "../process/balancer.js";
+import type { Balancer, CallEnding } from "../process/balancer.js";
 import { canRunWithoutOwner, isCountedResend } from "../process/claim.js";
 import type { Claims } from "../process/claims.js";
 import type { Clock } from "../process/clock.js";
@@ -32,6 +32,8 @@
 const overloadedRetryMs = 500;
 /** Refusals after which another instance may be asked at once. */
 const offerReasons: ReadonlySet<Reason> = new Set(["leaving", "notReady", "overloaded"]);
+/** Refusals that tell of trouble at the instance, not of its load or of the call. */
+const unreadyReasons: ReadonlySet<Reason> = new Set(["leaving", "notReady"]);
 /** Unknown outcomes after which an idempotent call may be repeated at once. */
 const repeatReasons: ReadonlySet<Reason> = new Set(["connectionLost", "endpointFailed"]);
 
@@ -217,11 +219,7 @@
         balancer.startCall(slot);
         const result = await peers.send(member, call, mode, lent);
         const { answer } = result;
-        balancer.endCall(
-            slot,
-            clock.readMonotonic() - startedAt,
-            answer.outcome === "completed" || answer.reason === "cancelled",
-        );
+        balancer.endCall(slot, clock.readMonotonic() - startedAt, describeEnding(answer));
         if (answer.outcome === "notRun" && answer.reason === "leaving") {
             directory.recordLeaving(slot);
         }
@@ -229,6 +227,14 @@
     }
 }
 
+function describeEnding(answer: Answer): CallEnding {
+    if (answer.outcome === "completed") {
+        return "completed";
+    }
+    const hasFailed = answer.outcome === "unknown" ? answer.reason !== "cancelled" : unreadyReasons.has(answer.reason);
+    return hasFailed ? "failed" : "refused";
+}
+
 /** Actions that must not run twice, and repeated sends of any action, are decided by the owner of the key. */
 export function isOwnersDecision(call: Pick<Call, "isIdempotent" | "isRoot" | "context">): boolean {
     return !call.isIdempotent || isCountedResend(call);
--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -16,10 +16,7 @@
             threshold.isAdmitted(low + index);
             threshold.isAdmitted(high + index);
         }
-        for (let index = 0; index < refused; index += 1) {
-            threshold.recordRefused();
-        }
-        threshold.closeWindow(refused > 0);
+        threshold.closeWindow(refused);
     }
 }
 
