--- a/bench/figures.ts
+++ b/bench/figures.ts
@@ -33,6 +33,8 @@
     readonly goodputDuring: number;
     /** Endpoint runs during the cause that belong to actions that did not complete. */
     readonly wastedRuns: number;
+    /** The same by service. */
+    readonly wastedByService: Readonly<Record<string, number>>;
     readonly sendsPerAction: number;
     /** Actions outside the cause that did not complete. */
     readonly falseRefusals: number;
@@ -40,6 +42,8 @@
     readonly refusalMs: { readonly p50: number; readonly p99: number; };
     readonly nodeCpuShare: number;
     readonly nodeResidentMegabytes: number;
+    /** Share of the machine's processor time that other machines of its host took; above 0.02 the figures are disturbed. */
+    readonly stolenShare: number;
     readonly causeBeginMs: number;
     readonly causeEndMs: number;
     readonly endMs: number;
@@ -94,6 +98,7 @@
     readonly samples: readonly AdmissionSample[];
     readonly nodeCpuShare: number;
     readonly nodeResidentMegabytes: number;
+    readonly stolenShare: number;
 }
 
 /** Works the figures out. */
@@ -103,6 +108,7 @@
     const causeEndMs = findTime(events, "causeEnds");
     const endMs = findTime(events, "end");
     const completed = new Set(results.filter(isCompleted).map(result => result.key));
+    const wasted = runs.filter(run => run.event === "start" && !completed.has(run.action));
     const refusals = results.flatMap(result => result.history).filter(told =>
         told.outcome !== "completed" && told.reason === "overloaded"
     );
@@ -112,12 +118,14 @@
         variant: replay.variant,
         classes: computeClasses(results, causeBeginMs, causeEndMs, endMs),
         goodputDuring: countPerSecond(results, causeBeginMs + 1000, causeEndMs),
-        wastedRuns: runs.filter(run => run.event === "start" && !completed.has(run.action)).length,
+        wastedRuns: wasted.length,
+        wastedByService: countByService(wasted),
         sendsPerAction: results.reduce((sum, result) => sum + result.history.length, 0) / results.length,
         falseRefusals: outside.filter(result => !isCompleted(result)).length,
         refusalMs: computeQuantiles(refusals.map(told => told.milliseconds)),
         nodeCpuShare: replay.nodeCpuShare,
         nodeResidentMegabytes: replay.nodeResidentMegabytes,
+        stolenShare: replay.stolenShare,
         causeBeginMs,
         causeEndMs,
         endMs,
@@ -126,6 +134,14 @@
     };
 }
 
+function countByService(runs: readonly RunRecord[]): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const { service } of runs) {
+        counts[service] = (counts[service] ?? 0) + 1;
+    }
+    return counts;
+}
+
 function computeClasses(
     results: readonly ActionResult[],
     causeBeginMs: number,
--- a/bench/processUsage.ts
+++ b/bench/processUsage.ts
@@ -12,6 +12,19 @@
     readonly residentBytes: number;
 }
 
+/** Processor time of the machine since its start, in clock ticks. */
+export interface MachineTime {
+    readonly total: number;
+    /** Taken by other machines of the same host. */
+    readonly stolen: number;
+}
+
+/** Reads the processor time of the machine. */
+export function readMachineTime(): MachineTime {
+    const ticks = readFileSync("/proc/stat", "utf8").split("\n")[0]!.trim().split(/\s+/).slice(1, 9).map(Number);
+    return { total: ticks.reduce((sum, each) => sum + each, 0), stolen: ticks[7]! };
+}
+
 /** Reads the usage of a process; zeros when it is gone. */
 export function readUsage(pid: number | undefined): ProcessUsage {
     try {
--- a/bench/replay.ts
+++ b/bench/replay.ts
@@ -13,7 +13,7 @@
 import { createChain, createContract } from "../standin/plans.js";
 import type { Figures } from "./figures.js";
 import { computeFigures } from "./figures.js";
-import { readUsage } from "./processUsage.js";
+import { readMachineTime, readUsage } from "./processUsage.js";
 import { writeReport } from "./report.js";
 import { AdmissionSampler } from "./samples.js";
 import type { TraceEvent } from "./trace.js";
@@ -62,6 +62,7 @@
         await cluster.start();
         const load = new Load(createTraceFlows(cluster, trace));
         const sampler = new AdmissionSampler(cluster.listService("katalog"), () => load.now());
+        const machineBefore = readMachineTime();
         const cpuBefore = computeNodeCpu(cluster);
         for (const event of trace) {
             await new Promise(resolve => setTimeout(resolve, Math.max(0, event.at - load.now())));
@@ -69,6 +70,7 @@
         }
         const cpuShare = (computeNodeCpu(cluster) - cpuBefore) / load.now() / cluster.instances.length;
         const resident = Math.max(...cluster.instances.map(instance => readUsage(instance.node?.pid).residentBytes));
+        const machine = readMachineTime();
         const samples = sampler.stop();
         const results = await load.stop();
         return computeFigures({
@@ -80,6 +82,7 @@
             samples,
             nodeCpuShare: cpuShare,
             nodeResidentMegabytes: resident / 2 ** 20,
+            stolenShare: (machine.stolen - machineBefore.stolen) / (machine.total - machineBefore.total),
         });
     }
     finally {
@@ -100,17 +103,18 @@
             ].join(" ") + "\n",
         );
     }
-    process.stdout.write(
-        `  all during ${figures.goodputDuring.toFixed(1)}/s, wasted runs ${figures.wastedRuns}, sends per action ${
-            figures.sendsPerAction.toFixed(2)
-        }, `
-            + `false refusals ${figures.falseRefusals}, refusal p50 ${figures.refusalMs.p50.toFixed(1)} ms p99 ${
-                figures.refusalMs.p99.toFixed(1)
-            } ms, `
-            + `node cpu ${(figures.nodeCpuShare * 100).toFixed(1)}% resident ${
-                figures.nodeResidentMegabytes.toFixed(0)
-            } MB\n`,
-    );
+    const { refusalMs, stolenShare } = figures;
+    const parts = [
+        `all during ${figures.goodputDuring.toFixed(1)}/s`,
+        `wasted runs ${figures.wastedRuns}`,
+        `sends per action ${figures.sendsPerAction.toFixed(2)}`,
+        `false refusals ${figures.falseRefusals}`,
+        `refusal p50 ${refusalMs.p50.toFixed(1)} ms p99 ${refusalMs.p99.toFixed(1)} ms`,
+        `node cpu ${(figures.nodeCpuShare * 100).toFixed(1)}%`,
+        `resident ${figures.nodeResidentMegabytes.toFixed(0)} MB`,
+        `stolen ${(stolenShare * 100).toFixed(1)}%`,
+    ];
+    process.stdout.write(`  ${parts.join(", ")}\n`);
 }
 
 const names = values.traces?.split(",") ?? readdirSync(tracesFolder).map(file => file.replace(".jsonl", ""));
