--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -19,6 +19,9 @@
 /** Time for all nodes to know each other, in milliseconds. */
 const settleTimeoutMs = 180_000;
 
+/** Time without an append after which the nodes count as at rest, in milliseconds. */
+const restMs = 10_000;
+
 const { values } = parseArgs({
     options: { sizes: { type: "string", default: "10,30,60,120" }, seconds: { type: "string", default: "20" } },
 });
@@ -66,6 +69,18 @@
     }
 }
 
+/** Waits until nothing has been appended to the log for a while: partitions have found their owners. */
+async function waitUntilAtRest(cluster: Cluster): Promise<void> {
+    for (let appends = -1;;) {
+        await sleep(restMs);
+        const counts = await readLogCounts(cluster);
+        if (counts.appends === appends) {
+            return;
+        }
+        appends = counts.appends;
+    }
+}
+
 /** Time from the tool's word until all nodes show the version, in milliseconds. */
 async function measureSpread(cluster: Cluster, version: number): Promise<number> {
     const result = await cluster.publish(createContract("weavers", { requestsPerSecond: 100, burst: version }));
@@ -89,7 +104,7 @@
     const cluster = createCluster(size);
     try {
         await startNodes(cluster);
-        await sleep(8000);
+        await waitUntilAtRest(cluster);
         const { instances } = cluster;
         const [subject] = instances;
         const readCpu = (): number => instances.reduce((sum, instance) => sum + readUsage(instance.node?.pid).cpuMs, 0);
--- a/src/process/admission.ts
+++ b/src/process/admission.ts
@@ -11,7 +11,7 @@
 /** Average queue of a window, for each run that may be in progress, that the threshold aims at while it is raised. */
 const wantedQueueShare = 0.5;
 /** Average queue of a window, for each run that may be in progress, above which the threshold is raised from 0. */
-const longQueueShare = 1;
+const longQueueShare = 2;
 /** Part of the surplus of arrivals over the capacity that is corrected in one window. */
 const arrivalGain = 0.5;
 /** Part of the surplus of the queue that is corrected in one window. */
--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -124,3 +124,90 @@
         expect((await results[3]![1]).kind).to.equal("refused");
     });
 });
+
+/** An endpoint of 5 slots and 50 ms in virtual time, with entries that learn of the threshold a while later. */
+class EndpointModel {
+    readonly clock = new FakeClock();
+    readonly admission = new Admission(this.clock, "adaptive");
+    readonly completed = { low: 0, high: 0 };
+    refused = 0;
+    private readonly random = createRandom(20261203);
+    /** Thresholds as the entries learn of them, one for each millisecond. */
+    private readonly news: number[] = [];
+    private readonly running: { readonly endsAt: number; readonly end: () => void; }[] = [];
+
+    constructor() {
+        this.admission.setSlots(5, false);
+    }
+
+    /** Plays a time with Poisson arrivals of each class. */
+    async play(milliseconds: number, lowPerSecond: number, highPerSecond: number): Promise<void> {
+        for (let tick = 0; tick < milliseconds; tick += 1) {
+            this.clock.addTime(1);
+            this.endRuns();
+            this.addArrival("low", lowPerSecond);
+            this.addArrival("high", highPerSecond);
+            this.news.push(this.admission.getThreshold());
+            if (this.clock.readMonotonic() % 200 === 0) {
+                this.admission.closeWindow();
+            }
+            // Lets what was admitted in this millisecond start.
+            await new Promise(resolve => setImmediate(resolve));
+        }
+    }
+
+    private endRuns(): void {
+        while (this.running.length > 0 && this.running[0]!.endsAt <= this.clock.readMonotonic()) {
+            this.running.shift()!.end();
+        }
+    }
+
+    private addArrival(name: "low" | "high", perSecond: number): void {
+        const priority = (name === "low" ? low : high) + Math.floor(this.random() * 128);
+        if (this.random() >= perSecond / 1000) {
+            return;
+        }
+        if (priority < (this.news.at(-100) ?? 0)) {
+            this.refused += 1;
+            return;
+        }
+        void this.run(name, priority);
+    }
+
+    private async run(name: "low" | "high", priority: number): Promise<void> {
+        const result = await this.admission.request(priority, 1000);
+        if (result.kind === "refused") {
+            this.refused += 1;
+            return;
+        }
+        const end = (): void => {
+            result.release(50);
+            this.completed[name] += 1;
+        };
+        this.running.push({ endsAt: this.clock.readMonotonic() + 50, end });
+    }
+}
+
+describe("admission over time", () => {
+    const seconds = 20;
+
+    it("keeps an endpoint busy and serves the most valuable while three times its capacity arrives", async () => {
+        const endpoint = new EndpointModel();
+        await endpoint.play(seconds * 1000, 250, 50);
+        expect(endpoint.completed.high).to.be.greaterThan(50 * seconds * 0.95);
+        expect(endpoint.completed.high + endpoint.completed.low).to.be.greaterThan(100 * seconds * 0.9);
+    });
+
+    it("refuses nothing at four fifths of the capacity", async () => {
+        const endpoint = new EndpointModel();
+        await endpoint.play(seconds * 1000, 40, 40);
+        expect(endpoint.refused).to.equal(0);
+    });
+
+    it("lets everything in again within two seconds after a surge", async () => {
+        const endpoint = new EndpointModel();
+        await endpoint.play(seconds * 1000, 250, 50);
+        await endpoint.play(2000, 30, 30);
+        expect(endpoint.admission.getThreshold()).to.equal(0);
+    });
+});
--- a/test/cluster/keys.test.ts
+++ b/test/cluster/keys.test.ts
@@ -6,6 +6,7 @@
 import { SecretKey } from "../../src/process/keys.js";
 import { sendOnce } from "../../standin/caller.js";
 import { Cluster } from "../../standin/cluster.js";
+import { waitFor } from "../../standin/processes.js";
 import { createContract } from "../fakes.js";
 
 const keys = { admin: "admin-key-of-the-test", peers: "peers-key-of-the-test", records: "records-key-of-the-test" };
@@ -71,6 +72,7 @@
             expect(code).not.to.equal(0);
         }
         expect((await cluster.publish(contract)).code).to.equal(0);
+        await waitFor(async () => await findVersionInForce() > before, 4000, "the contract to be in force");
         expect(await findVersionInForce()).to.equal(before + 1);
     });
 
