Choose the coordinators of an allowance only when the members change

Cause, found by reading: every 0.5 s each customer's account hashed all announced members to choose its coordinators, and each look built the list of members anew. At 920 members and 20 customers that is about 37,000 hashes a second on every node. Now the node keeps the list until the members change, and an account its choice with it. Behaviour is the same; the saving has not been measured.

--- a/src/process/allowances.ts
+++ b/src/process/allowances.ts
@@ -42,6 +42,8 @@
     /** Leases by rank of their pool. */
     readonly leases: (Lease | undefined)[];
     readonly pending: Set<number>;
+    /** Coordinators of the pools, and the members that they were chosen from. */
+    choice: { readonly members: readonly Member[]; readonly coordinators: readonly Member[]; } | undefined;
     arrivals: number;
     demand: number;
     usedAt: number;
@@ -52,7 +54,7 @@
     readonly clock: Clock;
     readonly self: Member;
     readonly control: ControlCaller;
-    /** Members announced on the log; all nodes choose the same coordinators from them. */
+    /** Members announced on the log; all nodes choose the same coordinators from them. The same array until they change. */
     readonly listAnnounced: () => readonly Member[];
 }
 
@@ -117,6 +119,7 @@
             bucket: new TokenBucket(this.parts.clock, 0, 0),
             leases: Array.from({ length: poolCount }, () => undefined),
             pending: new Set(),
+            choice: undefined,
             arrivals: 0,
             demand: 0,
             usedAt: this.parts.clock.readMonotonic(),
@@ -136,7 +139,7 @@
         if (wanted <= this.computeFloor(account)) {
             return;
         }
-        const coordinators = chooseCoordinators(this.parts.listAnnounced(), account.contract.customer);
+        const coordinators = this.findCoordinators(account);
         const perPool = wanted / Math.max(1, coordinators.length);
         for (const [rank, coordinator] of coordinators.entries()) {
             const lease = account.leases[rank];
@@ -164,6 +167,15 @@
         }
     }
 
+    /** Chooses anew only when the members have changed: the choice hashes every one of them. */
+    private findCoordinators(account: Account): readonly Member[] {
+        const members = this.parts.listAnnounced();
+        if (account.choice?.members !== members) {
+            account.choice = { members, coordinators: chooseCoordinators(members, account.contract.customer) };
+        }
+        return account.choice.coordinators;
+    }
+
     private findLease(account: Account, rank: number): Lease | undefined {
         const lease = account.leases[rank];
         return lease !== undefined && lease.expiresAt > this.parts.clock.readMonotonic() ? lease : undefined;
--- a/src/process/node.ts
+++ b/src/process/node.ts
@@ -85,6 +85,8 @@
     private readonly work: WorkInProgress;
     private readonly crashes: CrashReporter;
     private isLeaving = false;
+    /** Members announced on the log. */
+    private announced: readonly Member[] = [];
 
     constructor(
         readonly settings: Settings,
@@ -190,7 +192,7 @@
             clock,
             self: this.self,
             control: this.control,
-            listAnnounced: () => Object.values(this.streams.members.get()?.state.members ?? {}),
+            listAnnounced: () => this.announced,
         });
         this.shares = new ShareCoordinator(clock);
         const shared = {
@@ -377,10 +379,10 @@
 
     private connectStreams(): void {
         this.streams.members.addListener(current => {
-            const announced = Object.values(current.state.members);
+            this.announced = Object.values(current.state.members);
             this.directory.mergeAnnounced(current.state);
-            this.shares.noteMembers(announced, this.self);
-            this.peers.retain(announced);
+            this.shares.noteMembers(this.announced, this.self);
+            this.peers.retain(this.announced);
         });
         this.streams.contracts.addListener(current => {
             this.logger.info("contractsInForce", { through: current.through });
