--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -11,7 +11,7 @@
 import { parseArgs } from "node:util";
 import { Cluster } from "../standin/cluster.js";
 import { createContract } from "../standin/plans.js";
-import { postJson, waitFor } from "../standin/processes.js";
+import { postJson, sleep, waitFor } from "../standin/processes.js";
 import { readUsage } from "./processUsage.js";
 
 const services = 6;
@@ -26,10 +26,6 @@
     options: { sizes: { type: "string", default: "10,30,60,120" }, seconds: { type: "string", default: "20" } },
 });
 
-function sleep(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
-
 /** Bytes sent and received so far on the open TCP connections of an address. */
 function readBytes(address: string): number {
     const listing = spawnSync("ss", ["-tinH", "src", address]).stdout.toString();
--- a/bench/torture.ts
+++ b/bench/torture.ts
@@ -11,6 +11,7 @@
 import { faults } from "../standin/faults.js";
 import { Load } from "../standin/load.js";
 import { createChain, createContract } from "../standin/plans.js";
+import { sleep } from "../standin/processes.js";
 import { findViolations } from "../standin/promises.js";
 import type { Random } from "../standin/random.js";
 import { createRandom } from "../standin/random.js";
@@ -36,10 +37,6 @@
     process.stdout.write(`${JSON.stringify(fields)}\n`);
 }
 
-function sleep(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
-
 function createLoad(cluster: Cluster): Load {
     const flows = [["weavers", "browse", "katalog"], ["treasurers", "advance", "kas-benang"], [
         "clerks",
--- a/src/process/admission.ts
+++ b/src/process/admission.ts
@@ -2,6 +2,7 @@
  * Admission to the local endpoint: an adaptive limit on concurrent runs, a short queue in order of priority, and a priority
  * threshold. A request that can't finish in time is refused at once with the time after which a re-send makes sense.
  */
+import { updateAverage } from "./average.js";
 import type { Clock } from "./clock.js";
 import { ConcurrencyLimit } from "./concurrencyLimit.js";
 import { PriorityThreshold, windowMs } from "./threshold.js";
@@ -187,9 +188,8 @@
             signal?.addEventListener("abort", () => this.removeWaiter(waiter, this.createRefusal("cancelled")), {
                 once: true,
             });
-            const index = this.queue.findIndex(other => other.priority < priority);
             this.noteQueue();
-            this.queue.splice(index === -1 ? this.queue.length : index, 0, waiter);
+            this.queue.splice(this.countAhead(priority), 0, waiter);
         });
     }
 
@@ -227,7 +227,7 @@
             this.running -= 1;
             if (ownMs !== undefined) {
                 const heldMs = this.clock.readMonotonic() - admittedAt;
-                this.placeMs += (heldMs - this.placeMs) * (this.placeMs === 0 ? 1 : placeWeight);
+                this.placeMs = updateAverage(this.placeMs, heldMs, placeWeight);
                 this.limit.recordRun(ownMs);
             }
             this.admitWaiting();
--- a/src/process/balancer.ts
+++ b/src/process/balancer.ts
@@ -4,6 +4,7 @@
  */
 import type { Member, SlotName } from "../version/member.js";
 import { formatSlot } from "../version/member.js";
+import { updateAverage } from "./average.js";
 import type { Clock } from "./clock.js";
 
 /** Weight of a new sample in the average answer time. */
@@ -71,8 +72,7 @@
         if (ending !== "completed") {
             return;
         }
-        const before = this.computeAverage(experience, now);
-        experience.averageMs = before === 0 ? milliseconds : before + (milliseconds - before) * sampleWeight;
+        experience.averageMs = updateAverage(this.computeAverage(experience, now), milliseconds, sampleWeight);
         experience.sampledAt = now;
     }
 
--- a/src/process/concurrencyLimit.ts
+++ b/src/process/concurrencyLimit.ts
@@ -5,6 +5,7 @@
  * much at once and the lower limit stays. If they don't, the endpoint has become slower by itself: fewer runs at a time would
  * only waste its capacity, so the limit is restored and the new run time counts as usual.
  */
+import { updateAverage } from "./average.js";
 import type { Clock } from "./clock.js";
 
 /** Lowest limit. */
@@ -101,7 +102,7 @@
 
     /** Takes the time of a run into account, in milliseconds. */
     recordRun(milliseconds: number): void {
-        this.recentMs = average(this.recentMs, milliseconds, recentWeight);
+        this.recentMs = updateAverage(this.recentMs, milliseconds, recentWeight);
         if (!this.isAdaptive) {
             return;
         }
@@ -120,10 +121,10 @@
     /** Moves the usual run time. It doesn't rise while the limit is lowered: the runs are then slow from their number. */
     private updateUsual(): void {
         if (this.recentMs < this.usualMs) {
-            this.usualMs = average(this.usualMs, this.recentMs, fallingWeight);
+            this.usualMs = updateAverage(this.usualMs, this.recentMs, fallingWeight);
         }
         else if (this.limit === this.slots) {
-            this.usualMs = average(this.usualMs, this.recentMs, risingWeight);
+            this.usualMs = updateAverage(this.usualMs, this.recentMs, risingWeight);
         }
     }
 
@@ -172,8 +173,3 @@
         }
     }
 }
-
-/** Moves an average towards a sample; the first sample is the average. */
-function average(before: number, sample: number, weight: number): number {
-    return before === 0 ? sample : before + (sample - before) * weight;
-}
--- a/src/process/contractCommands.ts
+++ b/src/process/contractCommands.ts
@@ -59,12 +59,12 @@
     if (contract === undefined) {
         return exitCodes.usage;
     }
-    const opened = await createCheckedLog(options);
-    if ("code" in opened) {
-        return opened.code;
+    const log = await createCheckedLog(options);
+    if (!log.ok) {
+        return log.error;
     }
     const result = await publishContract(
-        opened.log,
+        log.value,
         new SystemClock(),
         contract,
         options.operator,
--- a/src/process/operatorCommands.ts
+++ b/src/process/operatorCommands.ts
@@ -115,11 +115,11 @@
 
 /** Appends a record that may safely stand on the log twice. */
 async function appendRecord(options: ToolOptions, stream: string, record: string, done: string): Promise<number> {
-    const opened = await createCheckedLog(options);
-    if ("code" in opened) {
-        return opened.code;
+    const log = await createCheckedLog(options);
+    if (!log.ok) {
+        return log.error;
     }
-    const appended = await opened.log.append(stream, record);
+    const appended = await log.value.append(stream, record);
     if (appended.ok) {
         print(options, { offset: appended.value }, [`${done}, offset ${appended.value}`]);
         return exitCodes.done;
--- a/src/process/tool.ts
+++ b/src/process/tool.ts
@@ -5,6 +5,8 @@
 import { parseJson } from "../version/schema.js";
 import { isSnapshot } from "../version/streamFold.js";
 import type { Keys } from "./keys.js";
+import type { Result } from "./result.js";
+import { createFailure, createSuccess } from "./result.js";
 
 /** Exit codes of the tool. */
 export const exitCodes = {
@@ -47,19 +49,19 @@
 
 /**
  * Opens the log for an append, once it is sure that the nodes will take the record: the tool's key has to fit some record of
- * the nodes themselves. Prints why it can't.
+ * the nodes themselves. Prints why it can't, and fails with the exit code.
  */
-export async function createCheckedLog(options: ToolOptions): Promise<{ log: LogService; } | { code: number; }> {
+export async function createCheckedLog(options: ToolOptions): Promise<Result<LogService, number>> {
     const log = createLog(options);
     const page = await log.read(memberStreamName, 0);
     if (!page.ok) {
-        return { code: printError(exitCodes.unavailable, `${page.error.kind}: ${page.error.message}`) };
+        return createFailure(printError(exitCodes.unavailable, `${page.error.kind}: ${page.error.message}`));
     }
     const { records } = page.value;
     if (records.length > 0 && !records.some(isReadable)) {
-        return { code: printError(exitCodes.wrongKey, "the key of the records does not fit those on the log") };
+        return createFailure(printError(exitCodes.wrongKey, "the key of the records does not fit those on the log"));
     }
-    return { log };
+    return createSuccess(log);
 }
 
 /** Whether a record of the `members` stream can be read with the key at hand. */
--- a/standin/demo.ts
+++ b/standin/demo.ts
@@ -7,7 +7,7 @@
 import { Cluster } from "./cluster.js";
 import type { ActionResult, Flow } from "./load.js";
 import { computeGoodput, isCompleted, Load } from "./load.js";
-import { waitForExit } from "./processes.js";
+import { sleep, waitForExit } from "./processes.js";
 
 /** Length of the time before, in and after the overload, in milliseconds. */
 const phaseMs = { before: 6000, overload: 7000, after: 8000 };
@@ -67,10 +67,6 @@
     process.stdout.write(`${line}\n`);
 }
 
-async function sleep(milliseconds: number): Promise<void> {
-    await new Promise(resolve => setTimeout(resolve, milliseconds));
-}
-
 async function runLoad(): Promise<{ results: ActionResult[]; overloadAt: number; endAt: number; }> {
     const load = new Load([
         createFlow("weavers", "browse", "katalog", browsesPerSecond),
--- a/standin/faults.ts
+++ b/standin/faults.ts
@@ -3,7 +3,7 @@
 import type { Cluster } from "./cluster.js";
 import type { Instance } from "./instance.js";
 import { createContract } from "./plans.js";
-import { waitForExit } from "./processes.js";
+import { sleep, waitForExit } from "./processes.js";
 import type { Random } from "./random.js";
 
 /** One kind of fault. */
@@ -16,10 +16,6 @@
 /** Length of faults that last, in milliseconds. */
 const faultMs = 3000;
 
-function sleep(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
-
 function pickInstance(cluster: Cluster, random: Random): Instance {
     return cluster.instances[Math.floor(random() * cluster.instances.length)]!;
 }
--- a/standin/processes.ts
+++ b/standin/processes.ts
@@ -2,6 +2,11 @@
 import type { ChildProcess } from "node:child_process";
 import { request } from "undici";
 
+/** Waits. */
+export function sleep(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
+
 /** Sends a JSON document and fails unless it is taken. */
 export async function postJson(url: string, body: unknown): Promise<unknown> {
     const reply = await request(url, { method: "POST", body: JSON.stringify(body) });
@@ -30,7 +35,7 @@
         if (performance.now() > giveUpAt) {
             throw new Error(`waited ${timeoutMs} ms in vain for ${what}`);
         }
-        await new Promise(resolve => setTimeout(resolve, 50));
+        await sleep(50);
     }
 }
 
--- a/test/atMostOnce.test.ts
+++ b/test/atMostOnce.test.ts
@@ -1,14 +1,13 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import type { AppendFault } from "./fakes.js";
+import { readPropertyOptions } from "./fakes.js";
 import type { MessageFate, RunFate } from "./ownershipModel.js";
 import { Model } from "./ownershipModel.js";
 
 const nodeCount = 3;
 const keys = ["a", "b", "c", "d"];
-/** Fixed, so that each run of the tests has the same verdict; SEED and RUNS draw others. */
-const seed = Number(process.env["SEED"] ?? 20261203);
-const numRuns = Number(process.env["RUNS"] ?? 1500);
+const options = readPropertyOptions(1500);
 
 /** One send of an action, and how its message and its run fare. */
 interface Send {
@@ -182,7 +181,7 @@
             fc.asyncProperty(fc.array(step, { minLength: 5, maxLength: 40 }), async steps => {
                 expect(await playSteps(steps)).to.equal("");
             }),
-            { seed, numRuns },
+            options,
         );
     });
 
--- a/test/cluster/allowance.test.ts
+++ b/test/cluster/allowance.test.ts
@@ -2,8 +2,8 @@
 import type { Cluster } from "../../standin/cluster.js";
 import { isCompleted, Load } from "../../standin/load.js";
 import { createContract } from "../../standin/plans.js";
-import { waitForExit } from "../../standin/processes.js";
-import { createCluster, createFlow, sleep } from "./harness.js";
+import { sleep, waitForExit } from "../../standin/processes.js";
+import { createCluster, createFlow } from "./harness.js";
 
 const allowance = { requestsPerSecond: 100, burst: 40 };
 
--- a/test/cluster/answers.test.ts
+++ b/test/cluster/answers.test.ts
@@ -2,7 +2,8 @@
 import { connect } from "node:net";
 import { hashBody, sendOnce } from "../../standin/caller.js";
 import type { Cluster } from "../../standin/cluster.js";
-import { createCluster, sleep } from "./harness.js";
+import { sleep } from "../../standin/processes.js";
+import { createCluster } from "./harness.js";
 
 const bodySizes = [0, 1, 200, 70_000, 1_500_000];
 
--- a/test/cluster/contracts.test.ts
+++ b/test/cluster/contracts.test.ts
@@ -3,8 +3,8 @@
 import type { Cluster } from "../../standin/cluster.js";
 import type { Instance } from "../../standin/instance.js";
 import { createContract } from "../../standin/plans.js";
-import { waitFor, waitForExit } from "../../standin/processes.js";
-import { createCluster, sleep } from "./harness.js";
+import { sleep, waitFor, waitForExit } from "../../standin/processes.js";
+import { createCluster } from "./harness.js";
 
 /** Time within which an accepted contract is in force in every place, in milliseconds. */
 const inForceMs = 4000;
--- a/test/cluster/faults.test.ts
+++ b/test/cluster/faults.test.ts
@@ -2,9 +2,10 @@
 import type { Cluster } from "../../standin/cluster.js";
 import { faults } from "../../standin/faults.js";
 import { Load } from "../../standin/load.js";
+import { sleep } from "../../standin/processes.js";
 import { findViolations } from "../../standin/promises.js";
 import { createRandom } from "../../standin/random.js";
-import { bound, createCluster, createFlows, listFailures, sleep } from "./harness.js";
+import { bound, createCluster, createFlows, listFailures } from "./harness.js";
 
 /** Time before and after the fault, in milliseconds. */
 const marginMs = 1000;
--- a/test/cluster/harness.ts
+++ b/test/cluster/harness.ts
@@ -52,8 +52,3 @@
     return results.filter(result => !isCompleted(result))
         .map(result => `${result.flow.class} ${result.told.outcome} ${result.told.status} ${result.told.reason}`);
 }
-
-/** Waits. */
-export function sleep(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
--- a/test/cluster/leaving.test.ts
+++ b/test/cluster/leaving.test.ts
@@ -1,9 +1,9 @@
 import { expect } from "chai";
 import type { Cluster } from "../../standin/cluster.js";
 import { Load } from "../../standin/load.js";
-import { waitForExit } from "../../standin/processes.js";
+import { sleep, waitForExit } from "../../standin/processes.js";
 import { findViolations } from "../../standin/promises.js";
-import { bound, createCluster, createFlows, listFailures, sleep } from "./harness.js";
+import { bound, createCluster, createFlows, listFailures } from "./harness.js";
 
 /** Time after which a leaving endpoint must not get new work, in milliseconds. */
 const newWorkMs = 3000;
--- a/test/cluster/overload.test.ts
+++ b/test/cluster/overload.test.ts
@@ -2,7 +2,8 @@
 import type { Cluster } from "../../standin/cluster.js";
 import type { ActionResult } from "../../standin/load.js";
 import { isCompleted, Load } from "../../standin/load.js";
-import { createCluster, createFlow, sleep } from "./harness.js";
+import { sleep } from "../../standin/processes.js";
+import { createCluster, createFlow } from "./harness.js";
 
 /** Share of the most valuable actions that completes while the deep service is overloaded. */
 const valuableShare = 0.95;
--- a/test/cluster/retries.test.ts
+++ b/test/cluster/retries.test.ts
@@ -3,8 +3,9 @@
 import { sendOnce } from "../../standin/caller.js";
 import type { Cluster } from "../../standin/cluster.js";
 import { Load } from "../../standin/load.js";
+import { sleep } from "../../standin/processes.js";
 import { findViolations } from "../../standin/promises.js";
-import { bound, createCluster, createFlows, sleep } from "./harness.js";
+import { bound, createCluster, createFlows } from "./harness.js";
 
 describe("bound of repeated runs behind one action", () => {
     let cluster: Cluster;
--- a/test/fakes.ts
+++ b/test/fakes.ts
@@ -89,6 +89,11 @@
     error: () => undefined,
 };
 
+/** Options of drawn tests: fixed, so that each run has the same verdict; SEED and RUNS draw others. */
+export function readPropertyOptions(numRuns: number): { readonly seed: number; readonly numRuns: number; } {
+    return { seed: Number(process.env["SEED"] ?? 20261203), numRuns: Number(process.env["RUNS"] ?? numRuns) };
+}
+
 /** Contract for tests; `change` replaces whole sections. */
 export function createContract(customer: string, change: Partial<Contract> = {}): Contract {
     return {
--- a/test/parsers.test.ts
+++ b/test/parsers.test.ts
@@ -14,10 +14,9 @@
 import type { StreamRules, StreamState } from "../src/version/streamFold.js";
 import { applyPage, formatSnapshot } from "../src/version/streamFold.js";
 import { formatContract } from "../standin/plans.js";
-import { createContract } from "./fakes.js";
+import { createContract, readPropertyOptions } from "./fakes.js";
 
-/** Fixed, so that each run of the tests has the same verdict; SEED and RUNS draw others. */
-const options = { seed: Number(process.env["SEED"] ?? 20261203), numRuns: Number(process.env["RUNS"] ?? 500) };
+const options = readPropertyOptions(500);
 const codec = new Packr({ useRecords: false });
 
 const contractText = formatContract(createContract("weavers"));
--- a/test/streamFold.test.ts
+++ b/test/streamFold.test.ts
@@ -23,6 +23,17 @@
     return result.ok ? findVersion(replica.get()!.state, "weavers") : result.error.kind;
 }
 
+/** A log of two publications, and the snapshot of a writer that was paused after the first one. */
+async function createPausedWriter() {
+    const log = new FakeLog();
+    writePublication(log, "a", 0);
+    const replica = createReplica();
+    await replica.catchUp(log);
+    const paused = formatSnapshot(replica.get()!);
+    writePublication(log, "b", 1);
+    return { log, replica, paused };
+}
+
 describe("fold of a stream", () => {
     const hostile: readonly { readonly name: string; readonly body: string; }[] = [
         { name: "a torn record", body: "{\"kind\":\"publish\",\"id\":\"x\"" },
@@ -70,24 +81,14 @@
     });
 
     it("does not start when a record after the snapshot has expired", async () => {
-        const log = new FakeLog();
-        writePublication(log, "a", 0);
-        const replica = createReplica();
-        await replica.catchUp(log);
-        const paused = formatSnapshot(replica.get()!);
-        writePublication(log, "b", 1);
+        const { log, paused } = await createPausedWriter();
         log.write(stream, paused);
         log.first = 2;
         expect(await readVersion(log)).to.equal("gap");
     });
 
     it("lets no snapshot of a paused writer win over a newer one", async () => {
-        const log = new FakeLog();
-        writePublication(log, "a", 0);
-        const replica = createReplica();
-        await replica.catchUp(log);
-        const paused = formatSnapshot(replica.get()!);
-        writePublication(log, "b", 1);
+        const { log, replica, paused } = await createPausedWriter();
         await replica.catchUp(log);
         log.write(stream, formatSnapshot(replica.get()!));
         log.write(stream, paused);
