Tell a dying endpoint from a living one, and answer after the word of a crash has spread

Each failure that was traced shows one node whose endpoint crashed and which reported nothing: its check connected to the endpoint's listening socket, which a process that ends closes after its connections. So that crash counted for nothing.

Change: the endpoint counts as running only when a new connection stays open for 250 ms. Besides, the answer of a crashed run waits until the other instances of the service have noted the crash (at most 500 ms, faulty ones are not waited for), because the next send may reach one of them sooner than the report.

--- a/src/process/crashReporter.ts
+++ b/src/process/crashReporter.ts
@@ -12,7 +12,7 @@
 import { quarantineMs } from "./quarantine.js";
 
 /** Time for a report to a peer, in milliseconds. */
-const reportTimeoutMs = 1000;
+const reportTimeoutMs = 500;
 
 /** What the reporter needs from the rest of the node. */
 export interface CrashReporterParts {
@@ -31,22 +31,27 @@
 
     constructor(private readonly parts: CrashReporterParts) {}
 
-    /** Tells the other instances of the service at once, and the log when the request is refused from now on. */
-    report(fingerprint: string, incident: string): void {
+    /**
+     * Tells the other instances of the service at once, and the log when the request is refused from now on. Settles when
+     * the instances that answer have noted it, so that a later send of the request finds it noted.
+     */
+    async report(fingerprint: string, incident: string): Promise<void> {
         const { clock, logger, self, log, control, directory, quarantine } = this.parts;
         const isNowRefused = quarantine.recordCrash(fingerprint, incident);
         const request = { from: self, fingerprint, incident };
-        for (const update of directory.listPeers()) {
-            if (update.member.service === self.service) {
-                void control.call(formatSlot(update.member), "reportCrash", request, reportTimeoutMs);
-            }
-        }
+        const instances = directory.listPeers().filter(update => update.member.service === self.service);
+        const reports = instances.map(async ({ member, health }) => {
+            const told = control.call(formatSlot(member), "reportCrash", request, reportTimeoutMs);
+            // An instance that is down gets the report when it can, but nobody waits for it.
+            return health === "faulty" ? undefined : told;
+        });
         if (isNowRefused) {
             logger.warn("quarantined", { fingerprint });
             const until = clock.readDate().getTime() + quarantineMs;
             const record = formatQuarantineRecord({ kind: "quarantine", fingerprint, service: self.service, until });
             void log.append(quarantineStreamName, record);
         }
+        await Promise.all(reports);
     }
 
     /** Refuses what the log lists, and lets go what it no longer lists. */
--- a/src/process/localEndpoint.ts
+++ b/src/process/localEndpoint.ts
@@ -21,8 +21,10 @@
 const notReadyRetryMs = 500;
 /** Time after which a send of a suspect that has to wait for another one may be tried again, in milliseconds. */
 const suspectRetryMs = 1000;
-/** Time for the check whether an endpoint still listens, in milliseconds. */
-const listenCheckMs = 500;
+/** Time for a connection to an endpoint that is to show whether it still runs, in milliseconds. */
+const connectTimeoutMs = 500;
+/** Time for which an endpoint that runs keeps a new connection open, in milliseconds. */
+const holdOpenMs = 250;
 
 /** What an endpoint says of itself. */
 export interface Announcement {
@@ -41,8 +43,8 @@
     readonly runs: RunTable;
     readonly quarantine: Quarantine;
     readonly downstream: DownstreamThresholds;
-    /** Told the fingerprint of each request that was in progress at a crash. */
-    readonly reportCrash: (fingerprint: string, incident: string) => void;
+    /** Told the fingerprint of each request that was in progress at a crash. Settles once the other instances know. */
+    readonly reportCrash: (fingerprint: string, incident: string) => Promise<void>;
 }
 
 /** The endpoint beside this node. */
@@ -192,10 +194,11 @@
             return createUnknown(failure.isTimeout ? "deadline" : "cancelled", undefined, this.findThreshold(call));
         }
         const boot = this.announcement?.boot ?? "";
-        if (!await isListening(this.url, listenCheckMs) || this.announcement?.boot !== boot) {
+        if (!await isRunning(this.url) || this.announcement?.boot !== boot) {
             this.isGone = true;
             this.parts.logger.warn("endpointCrashed", { boot, fingerprint: call.fingerprint });
-            this.parts.reportCrash(call.fingerprint, boot);
+            // The caller may send again as soon as it has the answer, so the other instances are told first.
+            await this.parts.reportCrash(call.fingerprint, boot);
         }
         return createUnknown("endpointFailed", notReadyRetryMs, this.findThreshold(call));
     }
@@ -235,17 +238,26 @@
     ];
 }
 
-/** Whether anything accepts connections at a URL. */
-function isListening(url: string, timeoutMs: number): Promise<boolean> {
+/**
+ * Whether an endpoint still runs. A process that is just ending closes its connections before its listening socket, so that it
+ * may still accept a connection; only one that stays open shows that the endpoint runs.
+ */
+function isRunning(url: string): Promise<boolean> {
     const { hostname, port } = new URL(url);
     return new Promise(resolve => {
-        const socket = connect({ host: hostname, port: Number(port), timeout: timeoutMs });
-        const finish = (isOpen: boolean) => (): void => {
+        const socket = connect({ host: hostname, port: Number(port), timeout: connectTimeoutMs });
+        const finish = (isOpen: boolean): void => {
             socket.destroy();
             resolve(isOpen);
         };
-        socket.once("connect", finish(true));
-        socket.once("error", finish(false));
-        socket.once("timeout", finish(false));
+        let isConnected = false;
+        socket.once("connect", () => {
+            isConnected = true;
+            socket.setTimeout(holdOpenMs);
+        });
+        socket.once("timeout", () => finish(isConnected));
+        socket.once("error", () => finish(false));
+        socket.once("close", () => finish(false));
+        socket.resume();
     });
 }
--- a/test/dispatcher.test.ts
+++ b/test/dispatcher.test.ts
@@ -7,23 +7,8 @@
 import { RetryRatio } from "../src/process/rateLimit.js";
 import type { Answer, Reason } from "../src/request/answer.js";
 import { createNotRun } from "../src/request/answer.js";
-import { RetryBudget } from "../src/request/budget.js";
-import type { Call } from "../src/request/call.js";
 import { Dispatcher } from "../src/request/dispatcher.js";
-import type { Member } from "../src/version/member.js";
-import { FakeClock } from "./fakes.js";
-
-function createMember(service: string, host: number): Member {
-    return {
-        address: `127.0.0.${host}`,
-        peerPort: 7003,
-        controlPort: 7004,
-        adminPort: 7005,
-        service,
-        dataCentre: "klaten",
-        incarnation: 1,
-    };
-}
+import { createCall, createMember, FakeClock } from "./fakes.js";
 
 /** Dispatches an idempotent call; the first instance that is asked refuses it, the next one completes it. */
 async function dispatchRefused(reason: Reason): Promise<{ readonly answer: Answer; readonly asked: number; }> {
@@ -66,32 +51,6 @@
     return { answer, asked };
 }
 
-function createCall(deadline: number): Call {
-    return {
-        context: {
-            key: "clerks/a",
-            attempt: 1,
-            customer: "clerks",
-            actionClass: "certificate",
-            priority: 90 * 128,
-            resendWindowMs: 60_000,
-            issuedAt: 0,
-        },
-        service: "katalog",
-        callClass: "lookup",
-        isIdempotent: true,
-        isRoot: false,
-        fingerprint: "f",
-        method: "POST",
-        path: "/lookup",
-        headers: [],
-        body: Buffer.alloc(0),
-        deadline,
-        budget: new RetryBudget(4),
-        signal: new AbortController().signal,
-    };
-}
-
 describe("a call that one instance refuses", () => {
     const cases: readonly { readonly reason: Reason; readonly asked: number; }[] = [
         { reason: "overloaded", asked: 2 },
--- a/test/fakes.ts
+++ b/test/fakes.ts
@@ -4,7 +4,10 @@
 import type { Logger } from "../src/process/logger.js";
 import type { Result } from "../src/process/result.js";
 import { createFailure, createSuccess } from "../src/process/result.js";
+import { RetryBudget } from "../src/request/budget.js";
+import type { Call } from "../src/request/call.js";
 import type { Contract } from "../src/version/contract.js";
+import type { Member } from "../src/version/member.js";
 
 /** Clock that stands still until a test moves it. */
 export class FakeClock implements Clock {
@@ -108,3 +111,43 @@
         ...change,
     };
 }
+
+/** Member at 127.0.0.`host`. */
+export function createMember(service: string, host: number): Member {
+    return {
+        address: `127.0.0.${host}`,
+        peerPort: 7003,
+        controlPort: 7004,
+        adminPort: 7005,
+        service,
+        dataCentre: "klaten",
+        incarnation: 1,
+    };
+}
+
+/** Idempotent call inside a chain. `deadline` is monotonic, in milliseconds. */
+export function createCall(deadline: number): Call {
+    return {
+        context: {
+            key: "clerks/a",
+            attempt: 1,
+            customer: "clerks",
+            actionClass: "certificate",
+            priority: 90 * 128,
+            resendWindowMs: 60_000,
+            issuedAt: 0,
+        },
+        service: "katalog",
+        callClass: "lookup",
+        isIdempotent: true,
+        isRoot: false,
+        fingerprint: "f",
+        method: "POST",
+        path: "/lookup",
+        headers: [],
+        body: Buffer.alloc(0),
+        deadline,
+        budget: new RetryBudget(4),
+        signal: new AbortController().signal,
+    };
+}
