Refuse at the entry what the entry's own service refuses

Most of that work was for sends that were refused in the end: a later send went to the owner of its key at another node, and a first one to the queue here and then to another instance.

Ruled out: a threshold above the advances (traced: none while the machine is free), hashing (2 us a digest).

Change: the entry remembers the threshold that the last requests of a class met at its own service, as it does for the services behind, and refuses below it before it creates the call.

--- a/src/process/downstream.ts
+++ b/src/process/learnedThresholds.ts
@@ -1,8 +1,11 @@
 /**
- * Thresholds of the services behind this one, learned from the answers to this endpoint's calls.
+ * Priority thresholds that the calls of each class of action met, learned from their answers.
  *
- * An entry that knows them refuses an action that a service further down would refuse, before any work is spent on it.
+ * A node keeps them for the calls of its endpoint to services behind it, and for the requests that enter here. An entry that
+ * knows them refuses at once what the service would refuse in the end, before any work is spent on it.
  */
+import type { ActionContext } from "../request/action.js";
+import type { Answer, Reason } from "../request/answer.js";
 import type { Clock } from "./clock.js";
 
 /** Time for which a threshold counts in full after the last answer that carried it, in milliseconds. */
@@ -14,8 +17,11 @@
 /** Share of the actions below the threshold that is let through, to notice that an overload is over. */
 const probeShare = 0.01;
 
+/** Refusals that an instance gives for its load, and that carry its threshold. */
+const loadReasons: ReadonlySet<Reason> = new Set(["overloaded", "deadline"]);
+
 /** Threshold that the calls of each class of action met last. */
-export class DownstreamThresholds {
+export class LearnedThresholds {
     private readonly levels = new Map<string, { readonly level: number; readonly at: number; }>();
     /** Whole actions of those below the threshold that may still pass. */
     private passes = 0;
@@ -26,10 +32,10 @@
      * Notes the threshold that an answer carried for a class of action. The last one counts: answers of instances with
      * different thresholds take turns, so each has its share.
      */
-    record(customer: string, actionClass: string, threshold: number): void {
+    record({ customer, actionClass }: ActionContext, answer: Answer): void {
         const key = `${customer}/${actionClass}`;
-        if (this.levels.has(key) || this.levels.size < maxClasses) {
-            this.levels.set(key, { level: threshold, at: this.clock.readMonotonic() });
+        if (isFromInstance(answer) && (this.levels.has(key) || this.levels.size < maxClasses)) {
+            this.levels.set(key, { level: answer.threshold, at: this.clock.readMonotonic() });
         }
     }
 
@@ -40,7 +46,7 @@
     }
 
     /** Whether an action may go on at its entry. */
-    isAdmitted(customer: string, actionClass: string, priority: number): boolean {
+    isAdmitted({ customer, actionClass, priority }: ActionContext): boolean {
         const known = this.levels.get(`${customer}/${actionClass}`);
         if (known === undefined || priority >= known.level) {
             return true;
@@ -54,3 +60,8 @@
         return true;
     }
 }
+
+/** Whether an instance has just given the answer by its load. A remembered answer or a lost one says nothing. */
+function isFromInstance(answer: Answer): boolean {
+    return answer.outcome === "completed" ? !answer.isReplayed : loadReasons.has(answer.reason);
+}
--- a/src/process/localEndpoint.ts
+++ b/src/process/localEndpoint.ts
@@ -9,7 +9,7 @@
 import { copyPassingHeaders, headerNames } from "../request/headers.js";
 import type { Admission, Release } from "./admission.js";
 import type { Clock } from "./clock.js";
-import type { DownstreamThresholds } from "./downstream.js";
+import type { LearnedThresholds } from "./learnedThresholds.js";
 import type { Logger } from "./logger.js";
 import type { Quarantine } from "./quarantine.js";
 import type { RunTable } from "./runTable.js";
@@ -42,7 +42,7 @@
     readonly admission: Admission;
     readonly runs: RunTable;
     readonly quarantine: Quarantine;
-    readonly downstream: DownstreamThresholds;
+    readonly downstream: LearnedThresholds;
     /** Told the fingerprint of each request that was in progress at a crash. Settles once the other instances know. */
     readonly reportCrash: (fingerprint: string, incident: string) => Promise<void>;
 }
--- a/src/process/node.ts
+++ b/src/process/node.ts
@@ -26,10 +26,10 @@
 import { createControlHandlers } from "./controlHandlers.js";
 import { CrashReporter } from "./crashReporter.js";
 import { Directory, unknownOffsets } from "./directory.js";
-import { DownstreamThresholds } from "./downstream.js";
 import { Freshness } from "./freshness.js";
 import { addGauges } from "./gauges.js";
 import type { Keys } from "./keys.js";
+import { LearnedThresholds } from "./learnedThresholds.js";
 import { LocalEndpoint } from "./localEndpoint.js";
 import type { Logger } from "./logger.js";
 import { Metrics } from "./metrics.js";
@@ -146,7 +146,7 @@
             noticeOffsets,
         });
         this.freshness = new Freshness(clock, logger, () => this.follower.refresh());
-        const downstream = new DownstreamThresholds(clock);
+        const downstream = new LearnedThresholds(clock);
         this.localEndpoint = new LocalEndpoint(settings.endpoint.url, limits.maxBodyBytes, {
             clock,
             logger,
@@ -207,6 +207,7 @@
             ...shared,
             quarantine: this.quarantine,
             allowances: this.allowances,
+            ownService: new LearnedThresholds(clock),
             getContracts: () => this.getFreshContracts(),
         };
         const outbound = {
--- a/src/request/dispatcher.ts
+++ b/src/request/dispatcher.ts
@@ -5,7 +5,7 @@
 import type { Claims } from "../process/claims.js";
 import type { Clock } from "../process/clock.js";
 import type { Directory } from "../process/directory.js";
-import type { DownstreamThresholds } from "../process/downstream.js";
+import type { LearnedThresholds } from "../process/learnedThresholds.js";
 import type { RetryRatio } from "../process/rateLimit.js";
 import type { Member } from "../version/member.js";
 import { formatSlot, isSameMember } from "../version/member.js";
@@ -57,7 +57,7 @@
     readonly peers: PeerCaller;
     readonly localEndpoint: Runner;
     readonly claims: Claims;
-    readonly downstream: DownstreamThresholds;
+    readonly downstream: LearnedThresholds;
     /** Members as folded from the log; `undefined` while not known. */
     readonly getMembers: () => MemberState | undefined;
 }
@@ -74,9 +74,8 @@
     /** Runs a claimed call once: here if the local endpoint can, else at another instance of the service. */
     async runClaimed(call: Call): Promise<Answer> {
         const { localEndpoint, self, downstream } = this.parts;
-        const { customer, actionClass, priority, attempt } = call.context;
         // The entry lets later sends pass to the owner, who refuses them here if a service behind would.
-        if (call.isRoot && attempt !== 1 && !downstream.isAdmitted(customer, actionClass, priority)) {
+        if (call.isRoot && call.context.attempt !== 1 && !downstream.isAdmitted(call.context)) {
             return createNotRun("overloaded", overloadedRetryMs, call.budget.getRemaining());
         }
         if (localEndpoint.isReady()) {
--- a/src/request/entry.ts
+++ b/src/request/entry.ts
@@ -4,7 +4,7 @@
 import type { Allowances } from "../process/allowances.js";
 import { computeFirstShare } from "../process/claim.js";
 import type { Clock } from "../process/clock.js";
-import type { DownstreamThresholds } from "../process/downstream.js";
+import type { LearnedThresholds } from "../process/learnedThresholds.js";
 import type { Metrics } from "../process/metrics.js";
 import type { Quarantine } from "../process/quarantine.js";
 import type { ContractState } from "../version/contractStream.js";
@@ -29,7 +29,10 @@
     readonly metrics: Metrics;
     readonly quarantine: Quarantine;
     readonly allowances: Allowances;
-    readonly downstream: DownstreamThresholds;
+    /** Thresholds of the services behind this one. */
+    readonly downstream: LearnedThresholds;
+    /** Thresholds of this service, as the requests that entered here met them. */
+    readonly ownService: LearnedThresholds;
     readonly dispatcher: Dispatcher;
     /** Contracts in force; `undefined` while they are not known or may be out of date. */
     readonly getContracts: () => Promise<ContractState | undefined>;
@@ -43,7 +46,6 @@
 ): Promise<void> {
     const startedAt = parts.clock.readMonotonic();
     const now = parts.clock.readDate();
-    const signal = createCloseSignal(response);
     const body = await readBody(request, parts.maxBodyBytes);
     if (body === "cut") {
         return;
@@ -71,12 +73,26 @@
         sendRefusal(response, reasonStatus[reason], "not-run", reason, undefined, message);
         return;
     }
-    const call = createRootCall(parts, parsed.value, request, body, startedAt, signal);
-    const answer = findEarlyRefusal(parts, parsed.value, call) ?? await parts.dispatcher.dispatch(call);
-    parts.metrics.recordEntry(parsed.value, answer, parts.clock.readMonotonic() - startedAt);
+    const action = parsed.value;
+    const answer = findLoadRefusal(parts, action)
+        ?? await dispatchRoot(
+            parts,
+            createRootCall(parts, action, request, body, startedAt, createCloseSignal(response)),
+        );
+    parts.metrics.recordEntry(action, answer, parts.clock.readMonotonic() - startedAt);
     sendAnswer(response, answer);
 }
 
+/** Dispatches a call unless it is under quarantine, and notes the threshold that it met. */
+async function dispatchRoot(parts: EntryParts, call: Call): Promise<Answer> {
+    if (parts.quarantine.isRefused(call.fingerprint)) {
+        return createRefusal(call.context.attempt === 1, "quarantined", undefined);
+    }
+    const answer = await parts.dispatcher.dispatch(call);
+    parts.ownService.record(call.context, answer);
+    return answer;
+}
+
 function createRootCall(
     parts: EntryParts,
     action: Action,
@@ -107,11 +123,11 @@
     };
 }
 
-/** Refuses before anything is sent on. A later send of an action that must not run twice is left to the owner of its key. */
-function findEarlyRefusal(parts: EntryParts, action: Action, call: Call): Answer | undefined {
-    if (parts.quarantine.isRefused(call.fingerprint)) {
-        return createRefusal(action.attempt === 1, "quarantined", undefined);
-    }
+/**
+ * Refuses for the load before any work is spent on the request: most of those that enter an overloaded service end here. A
+ * later send of an action that must not run twice is left to the owner of its key.
+ */
+function findLoadRefusal(parts: EntryParts, action: Action): Answer | undefined {
     if (!action.isIdempotent && action.attempt !== 1) {
         return undefined;
     }
@@ -119,7 +135,7 @@
     if (waitMs > 0) {
         return createRefusal(action.attempt === 1, "allowance", waitMs);
     }
-    if (!parts.downstream.isAdmitted(action.customer, action.actionClass, action.priority)) {
+    if (!parts.downstream.isAdmitted(action) || !parts.ownService.isAdmitted(action)) {
         return createRefusal(action.attempt === 1, "overloaded", retryAfterMs);
     }
     return undefined;
--- a/src/request/outbound.ts
+++ b/src/request/outbound.ts
@@ -3,7 +3,7 @@
 import { createCloseSignal, sendAnswer, sendRefusal } from "../connection/httpServer.js";
 import type { Clock } from "../process/clock.js";
 import type { Directory } from "../process/directory.js";
-import type { DownstreamThresholds } from "../process/downstream.js";
+import type { LearnedThresholds } from "../process/learnedThresholds.js";
 import type { Metrics } from "../process/metrics.js";
 import type { Run, RunTable } from "../process/runTable.js";
 import type { ContractState } from "../version/contractStream.js";
@@ -22,7 +22,7 @@
     readonly maxBodyBytes: number;
     readonly runs: RunTable;
     readonly directory: Directory;
-    readonly downstream: DownstreamThresholds;
+    readonly downstream: LearnedThresholds;
     readonly metrics: Metrics;
     readonly dispatcher: Dispatcher;
     readonly getContracts: () => ContractState | undefined;
@@ -74,7 +74,7 @@
     const answer = await parts.dispatcher.dispatch(call);
     run.endCall();
     run.budget.takeBack(lent, answer.unspent);
-    parts.downstream.record(call.context.customer, call.context.actionClass, answer.threshold);
+    parts.downstream.record(call.context, answer);
     parts.metrics.recordOutbound(call.service, answer);
     return answer;
 }
--- a/test/dispatcher.test.ts
+++ b/test/dispatcher.test.ts
@@ -3,7 +3,7 @@
 import { Balancer } from "../src/process/balancer.js";
 import type { Claims } from "../src/process/claims.js";
 import { Directory, unknownOffsets } from "../src/process/directory.js";
-import { DownstreamThresholds } from "../src/process/downstream.js";
+import { LearnedThresholds } from "../src/process/learnedThresholds.js";
 import { RetryRatio } from "../src/process/rateLimit.js";
 import type { Answer, Reason } from "../src/request/answer.js";
 import { createNotRun } from "../src/request/answer.js";
@@ -44,7 +44,7 @@
         peers,
         localEndpoint: { isReady: () => false, run: async () => createNotRun("notReady", 100, 0) },
         claims: {} as Claims,
-        downstream: new DownstreamThresholds(clock),
+        downstream: new LearnedThresholds(clock),
         getMembers: () => undefined,
     });
     const answer = await dispatcher.dispatch(createCall(clock.readMonotonic() + 1000));
--- a/test/endpointCrash.test.ts
+++ b/test/endpointCrash.test.ts
@@ -6,7 +6,7 @@
 import { SystemClock } from "../src/process/clock.js";
 import { CrashReporter } from "../src/process/crashReporter.js";
 import { Directory, unknownOffsets } from "../src/process/directory.js";
-import { DownstreamThresholds } from "../src/process/downstream.js";
+import { LearnedThresholds } from "../src/process/learnedThresholds.js";
 import { LocalEndpoint } from "../src/process/localEndpoint.js";
 import { Quarantine } from "../src/process/quarantine.js";
 import { createSuccess } from "../src/process/result.js";
@@ -46,7 +46,7 @@
         admission: new Admission(clock, "adaptive"),
         runs: new RunTable(),
         quarantine: new Quarantine(clock),
-        downstream: new DownstreamThresholds(clock),
+        downstream: new LearnedThresholds(clock),
         reportCrash,
     });
     endpoint.announce({ boot: "first", slots: 4, isDraining: false });
--- a/test/ownershipModel.ts
+++ b/test/ownershipModel.ts
@@ -13,7 +13,7 @@
 import { Balancer } from "../src/process/balancer.js";
 import { Claims } from "../src/process/claims.js";
 import { Directory, unknownOffsets } from "../src/process/directory.js";
-import { DownstreamThresholds } from "../src/process/downstream.js";
+import { LearnedThresholds } from "../src/process/learnedThresholds.js";
 import { Ownership } from "../src/process/ownership.js";
 import { RetryRatio } from "../src/process/rateLimit.js";
 import type { Result } from "../src/process/result.js";
@@ -214,7 +214,7 @@
             peers: this,
             localEndpoint: { isReady: () => true, run: call => this.runAtEndpoint(call) },
             claims: this.claims,
-            downstream: new DownstreamThresholds(clock),
+            downstream: new LearnedThresholds(clock),
             getMembers: () => this.members.get()?.state,
         });
     }
