Choose between two instances that differ, and leave the data centre for its price

Reading the choice of an instance shows two ways to the slow one that no load could close: an instance in the own data centre was preferred whatever it cost, and the two that are compared were drawn with replacement, so that of two instances the slow one was drawn twice in a quarter of the choices. An advance is not repeated when its chain fails there; browsing is.

Change: two that differ are drawn, in the own data centre and outside; a call leaves when the own one costs over twice as much.

--- a/src/process/balancer.ts
+++ b/src/process/balancer.ts
@@ -1,6 +1,7 @@
 /**
  * Choice of an instance for a call: two are drawn at random, and the one with less of this node's own work and shorter recent
- * answers gets the call. Instances in the own data centre are preferred while they work.
+ * answers gets the call. This is done among the instances of the own data centre and among the others; a call leaves the data
+ * centre when the choice there costs much more.
  */
 import type { Member, SlotName } from "../version/member.js";
 import { formatSlot } from "../version/member.js";
@@ -13,6 +14,8 @@
 const avoidanceMs = 250;
 /** Time in which the memory of a slow instance halves, so that it is tried again, in milliseconds. */
 const forgettingMs = 5000;
+/** Factor by which the own data centre may cost more than another one before calls leave it. */
+const localPreference = 2;
 
 /** This node's own experience with one instance. */
 interface Experience {
@@ -42,17 +45,24 @@
         const now = this.clock.readMonotonic();
         const untried = candidates.filter(member => !tried.has(formatSlot(member)));
         const willing = untried.filter(member => this.getExperience(formatSlot(member)).avoidUntil <= now);
-        const local = willing.filter(member => member.dataCentre === this.dataCentre);
-        const pool = local.length > 0 ? local : willing.length > 0 ? willing : untried;
-        return this.chooseOfTwo(pool, now);
+        const pool = willing.length > 0 ? willing : untried;
+        const local = this.chooseOfTwo(pool.filter(member => member.dataCentre === this.dataCentre), now);
+        const remote = this.chooseOfTwo(pool.filter(member => member.dataCentre !== this.dataCentre), now);
+        if (local === undefined || remote === undefined) {
+            return local ?? remote;
+        }
+        return this.computeCost(local, now) <= localPreference * this.computeCost(remote, now) ? local : remote;
     }
 
+    /** Draws two members that differ and returns the one that costs less. */
     private chooseOfTwo(pool: readonly Member[], now: number): Member | undefined {
-        const first = pool[Math.floor(this.random() * pool.length)];
-        const second = pool[Math.floor(this.random() * pool.length)];
-        if (first === undefined || second === undefined) {
+        const firstIndex = Math.floor(this.random() * pool.length);
+        const first = pool[firstIndex];
+        if (first === undefined || pool.length === 1) {
             return first;
         }
+        const distance = 1 + Math.floor(this.random() * (pool.length - 1));
+        const second = pool[(firstIndex + distance) % pool.length]!;
         return this.computeCost(first, now) <= this.computeCost(second, now) ? first : second;
     }
 
