--- a/bench/trace.ts
+++ b/bench/trace.ts
@@ -15,7 +15,7 @@
             readonly perSecond: number;
         }
         | { readonly kind: "slow"; readonly service: string; readonly factor: number; readonly index?: number; }
-        | { readonly kind: "kill"; readonly service: string; readonly index: number; }
+        | { readonly kind: "kill" | "restart"; readonly service: string; readonly index: number; }
         | { readonly kind: "log"; readonly isDown: boolean; }
         | { readonly kind: "causeBegins" | "causeEnds" | "end"; }
     );
@@ -68,6 +68,9 @@
             instance.node?.kill("SIGKILL");
             return;
         }
+        case "restart":
+            await cluster.listService(event.service)[event.index]!.start();
+            return;
         case "log":
             await cluster.changeLog({ isDown: event.isDown });
             return;
