Look up each claim of a handover once, and draw run tokens from the buffered source

Cause: a profile of a node whose partner left (18,000 claims, 64 partitions) shows 892 ms without a break in taking over: each partition hashed the keys of all claims that had been sent ahead. The heir answers nobody for that time, on each graceful replacement. The same profile gives 9 us a call to random bytes for the run's token.

Change: claims are kept by partition when they arrive; the token is a random UUID, whose bytes are drawn in stock.

The model of at-most-once passes (11 of 11).

--- a/src/process/ownership.ts
+++ b/src/process/ownership.ts
@@ -62,7 +62,9 @@
 
 /** Claims that an owner sent ahead of its handover. */
 interface Staged {
-    readonly claims: ClaimTransfer[];
+    /** Claims by partition: a handover moves many partitions with many claims, and each is looked up once. */
+    readonly claims: Map<number, ClaimTransfer[]>;
+    /** Partitions whose claims have all arrived. */
     readonly complete: Set<number>;
 }
 
@@ -141,9 +143,14 @@
             return;
         }
         const giver = formatGiver(createSlotIncarnation(request.from));
-        const staged = this.staged.get(giver) ?? { claims: [], complete: new Set<number>() };
+        const staged: Staged = this.staged.get(giver) ?? { claims: new Map(), complete: new Set() };
         this.staged.set(giver, staged);
-        staged.claims.push(...request.claims);
+        for (const claim of request.claims) {
+            const partition = findPartition(claim.key);
+            const claims = staged.claims.get(partition) ?? [];
+            staged.claims.set(partition, claims);
+            claims.push(claim);
+        }
         if (request.isLast) {
             request.partitions.forEach(partition => staged.complete.add(partition));
         }
@@ -186,7 +193,8 @@
         if (entry.origin === "handover") {
             for (const staged of this.staged.values()) {
                 if (staged.complete.delete(partition)) {
-                    this.claims?.adopt(staged.claims.filter(claim => findPartition(claim.key) === partition));
+                    this.claims?.adopt(staged.claims.get(partition) ?? []);
+                    staged.claims.delete(partition);
                     return 0;
                 }
             }
--- a/src/process/runTable.ts
+++ b/src/process/runTable.ts
@@ -1,12 +1,12 @@
 /** Runs in progress at the local endpoint. The endpoint's calls to other services name their run by its token. */
-import { randomBytes } from "node:crypto";
+import { randomUUID } from "node:crypto";
 import type { ActionContext } from "../request/action.js";
 import { RetryBudget } from "../request/budget.js";
 import type { Clock } from "./clock.js";
 
 /** One run of a request at the local endpoint. */
 export class Run {
-    readonly token = randomBytes(12).toString("base64url");
+    readonly token = randomUUID();
     readonly budget: RetryBudget;
     private readonly startedAt: number;
     private callsInProgress = 0;
