--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -2,16 +2,16 @@
  * Cost of control at rest for growing numbers of nodes: processor time, resident memory, bytes and reads of the log, and the
  * time until a contract is in force everywhere. Every node is a daemon process of its own; there are no endpoints.
  *
- * Run with `npm run bench:capacity -- [--sizes 10,30,60,120] [--seconds 20]`. Bytes are those of the TCP connections of one
- * node's address, read with `ss`, so they include the framing of HTTP and gRPC.
+ * Run with `npm run bench:capacity -- [--sizes 10,30,60,120] [--seconds 20]`. Bytes are those of all TCP connections
+ * of one node, sent and received, framing of HTTP and gRPC included.
  */
-import { spawnSync } from "node:child_process";
 import { appendFileSync, mkdirSync } from "node:fs";
 import process from "node:process";
 import { parseArgs } from "node:util";
 import { Cluster } from "../standin/cluster.js";
 import { createContract } from "../standin/plans.js";
 import { postJson, sleep, waitFor } from "../standin/processes.js";
+import { ConnectionBytes } from "./connectionBytes.js";
 import { readUsage } from "./processUsage.js";
 
 const services = 6;
@@ -26,14 +26,6 @@
     options: { sizes: { type: "string", default: "10,30,60,120" }, seconds: { type: "string", default: "20" } },
 });
 
-/** Bytes sent and received so far on the open TCP connections of an address. */
-function readBytes(address: string): number {
-    const listing = spawnSync("ss", ["-tinH", "src", address]).stdout.toString();
-    const sent = [...listing.matchAll(/bytes_sent:(\d+)/g)].reduce((sum, match) => sum + Number(match[1]), 0);
-    const received = [...listing.matchAll(/bytes_received:(\d+)/g)].reduce((sum, match) => sum + Number(match[1]), 0);
-    return sent + received;
-}
-
 async function readLogCounts(cluster: Cluster): Promise<{ appends: number; reads: number; }> {
     return await postJson(`${cluster.log}/control`, {}) as { appends: number; reads: number; };
 }
@@ -105,9 +97,13 @@
         const [subject] = instances;
         const readCpu = (): number => instances.reduce((sum, instance) => sum + readUsage(instance.node?.pid).cpuMs, 0);
         const seconds = Number(values.seconds);
-        const before = { cpu: readCpu(), bytes: readBytes(subject!.address), log: await readLogCounts(cluster) };
-        await sleep(seconds * 1000);
-        const after = { cpu: readCpu(), bytes: readBytes(subject!.address), log: await readLogCounts(cluster) };
+        const bytes = new ConnectionBytes(subject!.node!.pid!);
+        const before = { cpu: readCpu(), log: await readLogCounts(cluster) };
+        for (let second = 0; second < seconds; second += 1) {
+            await sleep(1000);
+            bytes.addSample();
+        }
+        const after = { cpu: readCpu(), log: await readLogCounts(cluster) };
         const resident = instances.map(instance => readUsage(instance.node?.pid).residentBytes / 2 ** 20);
         const spreads = [
             await measureSpread(cluster, 1),
@@ -119,7 +115,7 @@
             cpuPercent: (after.cpu - before.cpu) / (seconds * 10) / instances.length,
             residentMegabytes: resident.reduce((sum, each) => sum + each, 0) / resident.length,
             maxResidentMegabytes: Math.max(...resident),
-            bytesPerSecond: (after.bytes - before.bytes) / seconds,
+            bytesPerSecond: bytes.getTotal() / seconds,
             logReadsPerSecond: (after.log.reads - before.log.reads) / seconds,
             logAppendsPerSecond: (after.log.appends - before.log.appends) / seconds,
             appendsToStart: before.log.appends,
