Use the stand-ins' random numbers and one directory in the new tests

The test of the choice of an instance had a generator of its own beside `createRandom` of the stand-ins, and two tests built a directory of known members in the same loop, which the fakes now do.

--- a/test/balancer.test.ts
+++ b/test/balancer.test.ts
@@ -2,6 +2,7 @@
 import { Balancer } from "../src/process/balancer.js";
 import type { Member } from "../src/version/member.js";
 import { formatSlot } from "../src/version/member.js";
+import { createRandom } from "../standin/random.js";
 import { createMember, FakeClock } from "./fakes.js";
 
 /** Time in which an instance that has become fast has to have its part of the calls again, in milliseconds. */
@@ -14,19 +15,10 @@
     readonly answerMs: number;
 }
 
-/** Sequence of numbers in [0, 1) that is the same in each run. */
-function createRandom(): () => number {
-    let state = 1;
-    return () => {
-        state = (state * 48_271) % 2_147_483_647;
-        return state / 2_147_483_647;
-    };
-}
-
 /** Balancer in "klaten" that makes calls one after the other. */
 class SerialCaller {
     private readonly clock = new FakeClock();
-    private readonly balancer = new Balancer(this.clock, createRandom(), "klaten");
+    private readonly balancer = new Balancer(this.clock, createRandom(1), "klaten");
 
     /** Makes calls for a time and returns each instance's share of them. */
     run(instances: readonly Instance[], milliseconds: number): number[] {
--- a/test/dispatcher.test.ts
+++ b/test/dispatcher.test.ts
@@ -2,23 +2,19 @@
 import type { PeerCaller } from "../src/connection/peers.js";
 import { Balancer } from "../src/process/balancer.js";
 import type { Claims } from "../src/process/claims.js";
-import { Directory, unknownOffsets } from "../src/process/directory.js";
 import { LearnedThresholds } from "../src/process/learnedThresholds.js";
 import { RetryRatio } from "../src/process/rateLimit.js";
 import type { Answer, Reason } from "../src/request/answer.js";
 import { createNotRun } from "../src/request/answer.js";
 import { Dispatcher } from "../src/request/dispatcher.js";
-import { createCall, createMember, FakeClock } from "./fakes.js";
+import { createCall, createDirectory, createMember, FakeClock } from "./fakes.js";
 
 /** Dispatches an idempotent call; the first instance that is asked refuses it, the next one completes it. */
 async function dispatchRefused(reason: Reason): Promise<{ readonly answer: Answer; readonly asked: number; }> {
     const clock = new FakeClock();
     const self = createMember("kas-benang", 1);
-    const directory = new Directory(clock, { member: self, health: "alive", refutation: 0, offsets: unknownOffsets });
-    for (const host of [2, 3]) {
-        const member = createMember("katalog", host);
-        directory.mergeUpdate({ member, health: "alive", refutation: 0, offsets: unknownOffsets });
-    }
+    const others = [2, 3].map(host => createMember("katalog", host));
+    const directory = createDirectory(clock, self, others);
     let asked = 0;
     const peers: PeerCaller = {
         send: async (_member, _call, _mode, lent) => {
--- a/test/endpointCrash.test.ts
+++ b/test/endpointCrash.test.ts
@@ -5,14 +5,13 @@
 import { Admission } from "../src/process/admission.js";
 import { SystemClock } from "../src/process/clock.js";
 import { CrashReporter } from "../src/process/crashReporter.js";
-import { Directory, unknownOffsets } from "../src/process/directory.js";
 import { LearnedThresholds } from "../src/process/learnedThresholds.js";
 import { LocalEndpoint } from "../src/process/localEndpoint.js";
 import { Quarantine } from "../src/process/quarantine.js";
 import { createSuccess } from "../src/process/result.js";
 import { RunTable } from "../src/process/runTable.js";
 import type { Answer } from "../src/request/answer.js";
-import { createCall, createMember, FakeLog, silentLogger } from "./fakes.js";
+import { createCall, createDirectory, createMember, FakeLog, silentLogger } from "./fakes.js";
 
 /** What an endpoint does with connections once it has cut the answer. */
 type Ending = "refuses connections" | "accepts a connection and closes it" | "keeps connections open";
@@ -77,16 +76,8 @@
     it("is known to the other instances of the service before the caller is answered", async () => {
         const clock = new SystemClock();
         const self = createMember("katalog", 1);
-        const directory = new Directory(clock, {
-            member: self,
-            health: "alive",
-            refutation: 0,
-            offsets: unknownOffsets,
-        });
-        for (const [service, host] of [["katalog", 2], ["katalog", 3], ["ekspor", 4]] as const) {
-            const member = createMember(service, host);
-            directory.mergeUpdate({ member, health: "alive", refutation: 0, offsets: unknownOffsets });
-        }
+        const others = [createMember("katalog", 2), createMember("katalog", 3), createMember("ekspor", 4)];
+        const directory = createDirectory(clock, self, others);
         const events: string[] = [];
         const control = {
             call: async (slot: string) => {
--- a/test/fakes.ts
+++ b/test/fakes.ts
@@ -1,6 +1,7 @@
 /** Small fakes at the interfaces of the product. */
 import type { LogError, LogPage, LogService } from "../src/connection/logService.js";
 import type { Clock } from "../src/process/clock.js";
+import { Directory, unknownOffsets } from "../src/process/directory.js";
 import type { Logger } from "../src/process/logger.js";
 import type { Result } from "../src/process/result.js";
 import { createFailure, createSuccess } from "../src/process/result.js";
@@ -125,6 +126,14 @@
     };
 }
 
+/** Directory of a node that knows the other members as alive. */
+export function createDirectory(clock: Clock, self: Member, others: readonly Member[]): Directory {
+    const describe = (member: Member) => ({ member, health: "alive", refutation: 0, offsets: unknownOffsets }) as const;
+    const directory = new Directory(clock, describe(self));
+    others.forEach(member => directory.mergeUpdate(describe(member)));
+    return directory;
+}
+
 /** Idempotent call inside a chain. `deadline` is monotonic, in milliseconds. */
 export function createCall(deadline: number): Call {
     return {
