--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -28,7 +28,7 @@
 };
 
 export default typescript.config(
-    { ignores: ["dist", "node_modules", "reports"] },
+    { ignores: ["dist", "target", "node_modules", "reports"] },
     js.configs.recommended,
     ...typescript.configs.strict,
     {
--- /dev/null
+++ b/src/connection/endpointConnection.ts
@@ -0,0 +1,238 @@
+/**
+ * One connection to the local endpoint. It carries one request at a time and reads each answer whole.
+ *
+ * An answer belongs to the request whose attempt it names; any other is skipped. Bytes that belong to no request, an answer
+ * that ends early, and an answer that came before the request was out close the connection.
+ */
+import { HTTPParser } from "http-parser-js";
+import type { Socket } from "node:net";
+import { connect } from "node:net";
+import type { AnswerFacts, Dialect } from "../request/dialect.js";
+import { findHeader } from "../request/dialect.js";
+import type { HeaderList } from "../request/headers.js";
+
+/** Time for a new connection, in milliseconds. */
+const connectTimeoutMs = 600;
+/** Longest answer that is held, in bytes. */
+const maxAnswerBytes = 67_108_864;
+
+/** A request as it goes to the endpoint. */
+export interface EndpointRequest {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: HeaderList;
+    readonly body: Buffer;
+    /** Attempt that the answer must name; `undefined` for a health check, whose answer names none. */
+    readonly attemptId: string | undefined;
+}
+
+/** A whole answer of the endpoint. */
+export interface EndpointAnswer {
+    readonly status: number;
+    readonly headers: HeaderList;
+    readonly body: Buffer;
+    readonly facts: AnswerFacts;
+}
+
+/** Why no answer could be read. */
+export type LossCause = "reset" | "closed" | "garbled" | "cutShort" | "aborted";
+
+/** Outcome of one request on the connection. After `lost` the request may have run. */
+export type ExchangeResult =
+    | { readonly kind: "answered"; readonly answer: EndpointAnswer; }
+    | { readonly kind: "lost"; readonly cause: LossCause; };
+
+/** The request in progress on a connection. */
+interface Exchange {
+    readonly attemptId: string | undefined;
+    /** Whether its answer has no body whatever its headers say. */
+    readonly isBodyless: boolean;
+    readonly settle: (result: ExchangeResult) => void;
+}
+
+/** The answer that is being read. */
+interface PartialAnswer {
+    readonly status: number;
+    readonly headers: HeaderList;
+    readonly chunks: Buffer[];
+    bytes: number;
+    readonly shouldKeepAlive: boolean;
+}
+
+/** A connection to the endpoint. */
+export class EndpointConnection {
+    /** Time of the last answer, on the clock of the pool. */
+    idleSince = 0;
+    /** Idle time that the endpoint allows, in milliseconds, if it says so. */
+    allowedIdleMs: number | undefined;
+    private exchange: Exchange | undefined;
+    private partial: PartialAnswer | undefined;
+    private isOpen = true;
+    private hasFailed = false;
+    private readonly parser = new HTTPParser(HTTPParser.RESPONSE);
+
+    constructor(private readonly socket: Socket, private readonly dialect: Dialect) {
+        socket.setNoDelay(true);
+        socket.on("data", chunk => this.readChunk(chunk));
+        socket.on("end", () => this.readEnd());
+        socket.on("error", () => this.fail("reset"));
+        socket.on("close", () => this.fail("closed"));
+        this.parser.onHeadersComplete = info => this.startAnswer(info);
+        this.parser.onBody = (chunk, offset, length) => this.addBody(chunk.subarray(offset, offset + length));
+        this.parser.onMessageComplete = () => this.finishAnswer();
+    }
+
+    /** Whether another request may be sent. */
+    isReusable(): boolean {
+        return this.isOpen && this.exchange === undefined && this.partial === undefined;
+    }
+
+    /** Sends a request and reads its answer. Never rejects. */
+    send(request: EndpointRequest): Promise<ExchangeResult> {
+        return new Promise(resolve => {
+            this.exchange = {
+                attemptId: request.attemptId,
+                isBodyless: request.method === "HEAD",
+                settle: resolve,
+            };
+            const head = formatHead(request);
+            if (request.body.length === 0) {
+                this.socket.write(head, "latin1");
+                return;
+            }
+            this.socket.cork();
+            this.socket.write(head, "latin1");
+            this.socket.write(request.body);
+            this.socket.uncork();
+        });
+    }
+
+    /** Closes the connection at once; a request in progress ends as aborted. */
+    destroy(): void {
+        this.fail("aborted");
+    }
+
+    private readChunk(chunk: Buffer): void {
+        if (!this.isOpen) {
+            return;
+        }
+        if (this.exchange === undefined) {
+            this.fail("garbled");
+            return;
+        }
+        const result = this.parser.execute(chunk);
+        if (typeof result !== "number" || this.hasFailed) {
+            this.fail("garbled");
+        }
+    }
+
+    private readEnd(): void {
+        const result = this.parser.finish();
+        this.fail(result instanceof Error ? "cutShort" : "closed");
+    }
+
+    private startAnswer(info: { statusCode: number; headers: string[]; shouldKeepAlive: boolean; }): number {
+        const length = findHeader(info.headers, "content-length");
+        this.hasFailed ||= length !== undefined && !/^\d{1,15}$/.test(length);
+        this.partial = {
+            status: info.statusCode,
+            headers: info.headers,
+            chunks: [],
+            bytes: 0,
+            shouldKeepAlive: info.shouldKeepAlive,
+        };
+        return this.exchange?.isBodyless === true ? 1 : 0;
+    }
+
+    private addBody(piece: Buffer): void {
+        const { partial } = this;
+        if (partial === undefined) {
+            return;
+        }
+        partial.bytes += piece.length;
+        partial.chunks.push(piece);
+        this.hasFailed ||= partial.bytes > maxAnswerBytes;
+    }
+
+    private finishAnswer(): void {
+        const { partial, exchange } = this;
+        this.partial = undefined;
+        if (partial === undefined || partial.status < 200 || this.hasFailed) {
+            return;
+        }
+        const facts = this.dialect.readAnswer(partial.status, partial.headers);
+        if (exchange === undefined) {
+            this.hasFailed = true;
+            return;
+        }
+        if (exchange.attemptId !== undefined && facts.attemptId !== exchange.attemptId) {
+            // A second or late answer to an earlier request; one that names no attempt can't be told apart from it.
+            this.hasFailed ||= facts.attemptId === undefined;
+            return;
+        }
+        this.exchange = undefined;
+        this.noteIdleLimit(partial);
+        if (!partial.shouldKeepAlive || this.socket.writableLength > 0) {
+            this.close();
+        }
+        const body = partial.chunks.length === 1 ? Buffer.from(partial.chunks[0]!) : Buffer.concat(partial.chunks);
+        exchange.settle({
+            kind: "answered",
+            answer: { status: partial.status, headers: partial.headers, body, facts },
+        });
+    }
+
+    private noteIdleLimit(partial: PartialAnswer): void {
+        const seconds = /timeout=(\d+)/.exec(findHeader(partial.headers, "keep-alive") ?? "")?.[1];
+        this.allowedIdleMs = seconds === undefined ? this.allowedIdleMs : Number(seconds) * 1000;
+    }
+
+    private close(): void {
+        this.isOpen = false;
+        this.socket.destroy();
+    }
+
+    private fail(cause: LossCause): void {
+        const { exchange } = this;
+        this.exchange = undefined;
+        if (this.isOpen) {
+            this.close();
+        }
+        exchange?.settle({ kind: "lost", cause });
+    }
+}
+
+/** Opens a connection; `undefined` when the endpoint can't be reached, so that nothing was sent. */
+export function openEndpointConnection(
+    host: string,
+    port: number,
+    dialect: Dialect,
+): Promise<EndpointConnection | undefined> {
+    return new Promise(resolve => {
+        const socket = connect({ host, port });
+        const timer = setTimeout(() => socket.destroy(), connectTimeoutMs);
+        socket.once("error", () => undefined);
+        socket.once("close", () => {
+            clearTimeout(timer);
+            resolve(undefined);
+        });
+        socket.once("connect", () => {
+            clearTimeout(timer);
+            socket.removeAllListeners("close");
+            socket.removeAllListeners("error");
+            resolve(new EndpointConnection(socket, dialect));
+        });
+    });
+}
+
+function formatHead(request: EndpointRequest): string {
+    const lines = [`${request.method} ${request.path} HTTP/1.1`];
+    for (let index = 0; index + 1 < request.headers.length; index += 2) {
+        lines.push(`${request.headers[index]}: ${request.headers[index + 1]}`);
+    }
+    const isBodyAllowed = request.method !== "GET" && request.method !== "HEAD";
+    if (request.body.length > 0 || isBodyAllowed) {
+        lines.push(`Content-Length: ${request.body.length}`);
+    }
+    return lines.join("\r\n") + "\r\n\r\n";
+}
--- a/src/connection/httpServer.ts
+++ b/src/connection/httpServer.ts
@@ -52,6 +52,11 @@
         });
     }
 
+    /** Sets the idle time after which a connection is closed, in milliseconds; clients are told it in seconds. */
+    setIdleTimeout(milliseconds: number): void {
+        this.server.keepAliveTimeout = milliseconds;
+    }
+
     /** Asks clients to close their connections with the next answer. */
     startStopping(): void {
         this.isStopping = true;
--- /dev/null
+++ b/src/connection/linkServer.ts
@@ -0,0 +1,129 @@
+/** Accepts links of other nodes and answers what arrives on them. */
+import type { Server, Socket } from "node:net";
+import { createServer } from "node:net";
+import type { HelloMessage } from "./link.js";
+import type { LinkMessage, RunMessage } from "./linkMessage.js";
+import { encodeMessage, MessageReader } from "./linkMessage.js";
+
+/** The answering end of one link. */
+export interface AcceptedLink {
+    /** Address of the other node, once it has said it. */
+    readonly getPeer: () => string | undefined;
+    /** Sends a message; does nothing once the link is closed. */
+    readonly post: (message: LinkMessage) => void;
+    readonly isOpen: () => boolean;
+    /** Calls `listener` when the link is closed. */
+    readonly onClose: (listener: () => void) => void;
+}
+
+/** What the node does with what arrives. */
+export interface LinkHandlers {
+    readonly createHello: () => HelloMessage;
+    readonly greet: (hello: HelloMessage) => void;
+    readonly run: (message: RunMessage, link: AcceptedLink) => void;
+    readonly cancel: (id: number, link: AcceptedLink) => void;
+    readonly receive: (message: LinkMessage, link: AcceptedLink) => void;
+    readonly reportFailure: (cause: string, peer: string | undefined) => void;
+}
+
+/** Listener for links. */
+export class LinkServer {
+    private readonly server: Server;
+    private readonly links = new Set<AcceptedLink>();
+    private readonly sockets = new Set<Socket>();
+
+    constructor(private readonly handlers: LinkHandlers) {
+        this.server = createServer({ noDelay: true }, socket => this.accept(socket));
+    }
+
+    /** Binds the listener. */
+    start(address: string, port: number): Promise<void> {
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(port, address, () => {
+                this.server.removeListener("error", reject);
+                resolve();
+            });
+        });
+    }
+
+    /** Sends a message on every open link. */
+    postToAll(message: LinkMessage): void {
+        for (const link of this.links) {
+            link.post(message);
+        }
+    }
+
+    /** Closes the listener and all links. */
+    stop(): void {
+        this.server.close();
+        for (const socket of this.sockets) {
+            socket.destroy();
+        }
+    }
+
+    private accept(socket: Socket): void {
+        const reader = new MessageReader();
+        const listeners: (() => void)[] = [];
+        let peer: string | undefined;
+        let isOpen = true;
+        const link: AcceptedLink = {
+            getPeer: () => peer,
+            post: message => {
+                if (isOpen) {
+                    socket.write(encodeMessage(message));
+                }
+            },
+            isOpen: () => isOpen,
+            onClose: listener => listeners.push(listener),
+        };
+        this.links.add(link);
+        this.sockets.add(socket);
+        socket.on("error", () => undefined);
+        socket.on("close", () => {
+            isOpen = false;
+            this.links.delete(link);
+            this.sockets.delete(socket);
+            listeners.forEach(listener => listener());
+        });
+        socket.on("data", chunk => {
+            const messages = reader.read(chunk);
+            if (messages === undefined) {
+                this.handlers.reportFailure("malformed bytes", peer);
+                socket.destroy();
+                return;
+            }
+            for (const message of messages) {
+                if (message.kind === "hello") {
+                    peer = message.address;
+                }
+                this.dispatch(message, link, socket);
+            }
+        });
+        link.post(this.handlers.createHello());
+    }
+
+    /** A message whose fields are not what they should be closes its link and touches no other. */
+    private dispatch(message: LinkMessage, link: AcceptedLink, socket: Socket): void {
+        const { handlers } = this;
+        try {
+            switch (message.kind) {
+                case "hello":
+                    handlers.greet(message);
+                    return;
+                case "run":
+                    handlers.run(message, link);
+                    return;
+                case "cancel":
+                    handlers.cancel(message.id, link);
+                    return;
+                default:
+                    handlers.receive(message, link);
+            }
+        }
+        catch (error) {
+            handlers.reportFailure((error as Error).message, link.getPeer());
+            socket.destroy();
+        }
+    }
+}
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -9,7 +9,8 @@
 import { formatKeyError, keyNames, readKeys } from "./process/keys.js";
 import { createLogger } from "./process/logger.js";
 import { Node } from "./process/node.js";
-import { formatSettingsError, readSettings } from "./process/settings.js";
+import { readSettings } from "./process/settings.js";
+import { formatSettingsError } from "./process/settingsFile.js";
 
 const usage = "usage: turmericspoked --config FILE";
 
--- /dev/null
+++ b/src/process/endpointProbe.ts
@@ -0,0 +1,29 @@
+/** Health check of the endpoint beside this node, by which a node that restarts learns the endpoint's incarnation at once. */
+import type { EndpointPool } from "../connection/endpointPool.js";
+
+/** Time for the answer, in milliseconds. */
+const probeTimeoutMs = 1500;
+
+/** What a health check found. */
+export interface ProbeResult {
+    readonly isHealthy: boolean;
+    readonly endpointId: string | undefined;
+    readonly slots: number | undefined;
+}
+
+/** Asks the endpoint for its health. Never rejects. */
+export async function probeEndpoint(pool: EndpointPool, healthPath: string): Promise<ProbeResult> {
+    const request = {
+        method: "GET",
+        path: healthPath,
+        headers: ["Host", "endpoint"],
+        body: Buffer.alloc(0),
+        attemptId: undefined,
+    };
+    const result = await pool.send(request, true, AbortSignal.timeout(probeTimeoutMs));
+    if (result.kind !== "answered") {
+        return { isHealthy: false, endpointId: undefined, slots: undefined };
+    }
+    const { status, facts } = result.answer;
+    return { isHealthy: status === 200, endpointId: facts.endpointId, slots: facts.load?.slots };
+}
--- /dev/null
+++ b/src/process/endpointReports.ts
@@ -0,0 +1,52 @@
+/** Listener for the reports of the endpoint beside this node: `POST /endpoint/ID/report` and `POST /endpoint/ID/leave`. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import * as v from "valibot";
+import { sendJson } from "../connection/httpServer.js";
+import { readBody } from "../request/body.js";
+import { createRange, parseJson, parseWith } from "../version/schema.js";
+import type { EndpointReport } from "./ownEndpoint.js";
+
+/** Longest report, in bytes. */
+const maxReportBytes = 65_536;
+
+const reportSchema = v.object({
+    slots: createRange(0, 1_000_000),
+    state: v.picklist(["ready", "draining"]),
+    warmupLeftMs: v.optional(v.pipe(v.number(), v.minValue(0)), 0),
+    reportNumber: createRange(0, Number.MAX_SAFE_INTEGER),
+});
+
+/** What the node does with a report. */
+export interface ReportHandlers {
+    readonly report: (report: EndpointReport) => void;
+    readonly leave: (id: string) => void;
+}
+
+/** Serves one report. Malformed ones are refused and change nothing. */
+export async function serveEndpointReport(
+    handlers: ReportHandlers,
+    request: IncomingMessage,
+    response: ServerResponse,
+): Promise<void> {
+    const body = await readBody(request, maxReportBytes);
+    if (body === "cut") {
+        return;
+    }
+    const [, id, call] = /^\/endpoint\/([^/?]{1,256})\/(report|leave)$/.exec(request.url ?? "") ?? [];
+    if (request.method !== "POST" || id === undefined) {
+        sendJson(response, 404, { error: "no such call" });
+        return;
+    }
+    if (call === "leave") {
+        handlers.leave(id);
+        sendJson(response, 200, {});
+        return;
+    }
+    const report = body === "tooLarge" ? undefined : parseWith(reportSchema, parseJson(body.toString("utf8")));
+    if (report === undefined) {
+        sendJson(response, 400, { error: "not a report" });
+        return;
+    }
+    handlers.report({ id, ...report });
+    sendJson(response, 200, {});
+}
--- /dev/null
+++ b/src/process/endpointRunner.ts
@@ -0,0 +1,282 @@
+/**
+ * Runs requests at the endpoint beside this node. Only this node reaches the endpoint, so what runs, how much at once and what
+ * waits is decided here, and a request that is refused here has not run.
+ */
+import type { EndpointAnswer, LossCause } from "../connection/endpointConnection.js";
+import type { EndpointPool, SendResult } from "../connection/endpointPool.js";
+import type { Failure, LoadReport, Refusal } from "../connection/linkMessage.js";
+import type { Dialect } from "../request/dialect.js";
+import { copyEndToEndHeaders } from "../request/dialect.js";
+import type { HeaderList } from "../request/headers.js";
+import type { Clock } from "./clock.js";
+import type { Logger } from "./logger.js";
+import type { OwnEndpoint } from "./ownEndpoint.js";
+import type { Candidate } from "./waitingLine.js";
+import { WaitingLine } from "./waitingLine.js";
+
+/** Part of the endpoint's slots that is used: near full, endpoints get slower. */
+const slotShare = 0.95;
+/** Part of the slots that is used while the endpoint is slow after its start. */
+const warmSlotShare = 0.6;
+/** Slots assumed while the endpoint has not told them. */
+const assumedSlots = 8;
+/** Time beyond its deadline after which a run without an answer is given up, in milliseconds. */
+const answerGraceMs = 60;
+/** Weight of a new run in the share of failed runs. */
+const failureWeight = 0.05;
+/** Least time that a run needs; with less left it isn't begun, in milliseconds. */
+const minRunMs = 3;
+/** Retry advice while the endpoint takes no work, in milliseconds. */
+const closedRetryMs = 300;
+
+/** A request for the endpoint beside this node. Times are on the monotonic clock. */
+export interface RunRequest extends Candidate {
+    readonly attemptId: string;
+    readonly service: string;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: HeaderList;
+    readonly body: Buffer;
+    readonly isIdempotent: boolean;
+    readonly callerService: string;
+}
+
+/** How a run ended. Only `refused` proves that the request has not run. */
+export type RunOutcome =
+    | {
+        readonly kind: "answer";
+        readonly status: number;
+        readonly headers: HeaderList;
+        readonly body: Buffer;
+        readonly runMs: number;
+        readonly waitedMs: number;
+    }
+    | { readonly kind: "refused"; readonly cause: Refusal; readonly retryAfterMs: number; }
+    | { readonly kind: "failed"; readonly cause: Failure; readonly ranMs: number; };
+
+/** What the runner needs. */
+export interface EndpointRunnerParts {
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly service: string;
+    readonly dialect: Dialect;
+    readonly endpoint: OwnEndpoint;
+    readonly pool: EndpointPool;
+    readonly isStopping: () => boolean;
+}
+
+/** A request with the call-back that tells what became of its wait. */
+interface Waiting extends Candidate {
+    readonly settle: (refusal: Refusal | undefined) => void;
+}
+
+/** Runs requests, at most as many at once as the endpoint has slots for. */
+export class EndpointRunner {
+    private readonly line = new WaitingLine<Waiting>();
+    private failureShare = 0;
+
+    constructor(private readonly parts: EndpointRunnerParts) {}
+
+    /** Load of the endpoint, for those who choose among instances. */
+    getLoad(): LoadReport {
+        const isClosed = this.findClosedCause() !== undefined;
+        return {
+            running: this.line.getRunning(),
+            waiting: this.line.getWaiting(),
+            limit: isClosed ? 0 : this.updateLimit(),
+            failureShare: this.failureShare,
+        };
+    }
+
+    /** Runs a request or refuses it. `signal` gives it up. Never rejects. */
+    async run(request: RunRequest, signal: AbortSignal): Promise<RunOutcome> {
+        const { clock } = this.parts;
+        const arrivedAt = clock.readMonotonic();
+        const closed = request.service === this.parts.service ? this.findClosedCause() : "wrongService";
+        if (closed !== undefined) {
+            return this.refuse(request, closed, closedRetryMs);
+        }
+        this.updateLimit();
+        const refusal = await this.waitForPlace(request, arrivedAt, signal);
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        const startedAt = clock.readMonotonic();
+        const outcome = await this.runInPlace(request, startedAt, signal);
+        this.endRun(request, outcome, clock.readMonotonic() - startedAt);
+        return outcome.kind === "answer" ? { ...outcome, waitedMs: startedAt - arrivedAt } : outcome;
+    }
+
+    /** Refuses all that waits; called when the endpoint leaves or is gone. */
+    refuseWaiting(cause: Refusal): void {
+        for (const waiting of this.line.takeAll()) {
+            waiting.settle(cause);
+        }
+    }
+
+    private findClosedCause(): Refusal | undefined {
+        return this.parts.isStopping() ? "leaving" : this.parts.endpoint.findRefusal();
+    }
+
+    private updateLimit(): number {
+        const { endpoint } = this.parts;
+        const slots = endpoint.getSlots() > 0 ? endpoint.getSlots() : assumedSlots;
+        this.line.setLimit(Math.floor(slots * (endpoint.isWarming() ? warmSlotShare : slotShare)));
+        return this.line.getLimit();
+    }
+
+    /** Waits for a place; the outcome is a refusal, or `undefined` once the place is taken. */
+    private async waitForPlace(
+        request: RunRequest,
+        now: number,
+        signal: AbortSignal,
+    ): Promise<RunOutcome | undefined> {
+        if (request.deadline - now < minRunMs) {
+            return this.refuse(request, "late", 0);
+        }
+        let settle: (refusal: Refusal | undefined) => void = () => undefined;
+        const decided = new Promise<Refusal | undefined>(resolve => settle = resolve);
+        const { isCall, priority, route, deadline, target } = request;
+        const waiting: Waiting = { isCall, priority, route, deadline, target, settle };
+        const decision = this.line.offer(waiting, now);
+        if (decision.kind === "run") {
+            return undefined;
+        }
+        if (decision.kind === "refuse") {
+            return this.refuse(request, "full", decision.waitMs);
+        }
+        this.refuseHopeless(now);
+        const cancel = (): void => {
+            if (this.line.remove(waiting)) {
+                settle("cancelled");
+            }
+        };
+        signal.addEventListener("abort", cancel, { once: true });
+        const refusal = await decided;
+        signal.removeEventListener("abort", cancel);
+        return refusal === undefined ? undefined : this.refuse(request, refusal, this.estimateRetryMs());
+    }
+
+    private async runInPlace(request: RunRequest, startedAt: number, signal: AbortSignal): Promise<RunOutcome> {
+        if (signal.aborted) {
+            return this.refuse(request, "cancelled", 0);
+        }
+        const closed = this.findClosedCause();
+        if (closed !== undefined) {
+            return this.refuse(request, closed, closedRetryMs);
+        }
+        const leftMs = request.deadline - startedAt;
+        const giveUp = new AbortController();
+        const timer = setTimeout(() => giveUp.abort(), leftMs + answerGraceMs);
+        const abort = (): void => giveUp.abort();
+        if (request.isIdempotent) {
+            signal.addEventListener("abort", abort, { once: true });
+        }
+        let result = await this.send(request, leftMs, giveUp.signal);
+        if (this.isForAnother(result)) {
+            result = await this.send(request, leftMs, giveUp.signal);
+        }
+        clearTimeout(timer);
+        signal.removeEventListener("abort", abort);
+        return this.readResult(request, result, startedAt);
+    }
+
+    private send(request: RunRequest, timeLeftMs: number, signal: AbortSignal): Promise<SendResult> {
+        const { dialect, pool, endpoint } = this.parts;
+        const { method, path, body, attemptId, callerService } = request;
+        const endpointId = endpoint.getId();
+        const own = dialect.createRunHeaders({ attemptId, timeLeftMs, callerService, endpointId });
+        const headers = [...request.headers, ...own];
+        return pool.send({ method, path, headers, body, attemptId }, request.isIdempotent, signal);
+    }
+
+    /** Whether the endpoint refused since it is another incarnation than expected, which is known from now on. */
+    private isForAnother(result: SendResult): boolean {
+        if (result.kind !== "answered" || result.answer.status !== 421) {
+            return false;
+        }
+        const { endpointId, load } = result.answer.facts;
+        const { endpoint, logger } = this.parts;
+        const before = endpoint.getId();
+        if (endpointId === undefined || !endpoint.learn(endpointId, load?.slots)) {
+            return false;
+        }
+        logger.info("endpointLearned", { endpoint: endpointId, before });
+        return endpoint.findRefusal() === undefined;
+    }
+
+    private readResult(request: RunRequest, result: SendResult, startedAt: number): RunOutcome {
+        const ranMs = this.parts.clock.readMonotonic() - startedAt;
+        switch (result.kind) {
+            case "unsent":
+                if (result.cause === "aborted") {
+                    return this.refuse(request, "cancelled", 0);
+                }
+                this.parts.endpoint.recordAway();
+                return this.refuse(request, "away", closedRetryMs);
+            case "lost":
+                return { kind: "failed", cause: describeLoss(result.cause), ranMs };
+            case "answered":
+                return this.readAnswer(request, result.answer, ranMs);
+        }
+    }
+
+    private readAnswer(request: RunRequest, answer: EndpointAnswer, runMs: number): RunOutcome {
+        const { status, headers, body, facts } = answer;
+        if (facts.isNotRun || status === 421) {
+            return this.refuse(request, "shed", this.estimateRetryMs());
+        }
+        if (!facts.isSigned) {
+            return { kind: "failed", cause: "unsigned", ranMs: runMs };
+        }
+        return { kind: "answer", status, headers: copyEndToEndHeaders(headers, noHeaders), body, runMs, waitedMs: 0 };
+    }
+
+    private endRun(request: RunRequest, outcome: RunOutcome, heldMs: number): void {
+        const isSample = outcome.kind !== "refused";
+        this.line.release(request.route, isSample ? heldMs : undefined);
+        const hasFailed = outcome.kind === "failed" || (outcome.kind === "answer" && outcome.status >= 500)
+            || (outcome.kind === "refused" && outcome.cause === "shed");
+        this.failureShare += ((hasFailed ? 1 : 0) - this.failureShare) * failureWeight;
+        const now = this.parts.clock.readMonotonic();
+        this.refuseHopeless(now);
+        for (;;) {
+            const next = this.line.takeNext();
+            if (next === undefined) {
+                return;
+            }
+            next.settle(undefined);
+        }
+    }
+
+    private refuseHopeless(now: number): void {
+        for (const waiting of this.line.takeHopeless(now)) {
+            waiting.settle("late");
+        }
+    }
+
+    private estimateRetryMs(): number {
+        return this.line.estimateWaitMs(this.line.getWaiting());
+    }
+
+    private refuse(request: RunRequest, cause: Refusal, retryAfterMs: number): RunOutcome {
+        if (cause !== "cancelled") {
+            this.parts.logger.info("runRefused", {
+                request: request.attemptId,
+                route: request.route,
+                cause,
+                running: this.line.getRunning(),
+                waiting: this.line.getWaiting(),
+                limit: this.line.getLimit(),
+                leftMs: Math.round(request.deadline - this.parts.clock.readMonotonic()),
+            });
+        }
+        return { kind: "refused", cause, retryAfterMs };
+    }
+}
+
+const noHeaders: ReadonlySet<string> = new Set();
+
+function describeLoss(cause: LossCause): Failure {
+    return cause === "aborted" ? "noAnswer" : cause;
+}
--- /dev/null
+++ b/src/process/routedMetrics.ts
@@ -0,0 +1,41 @@
+/** Metrics of a routed node, in the Prometheus format. Labels hold only names from the configuration and closed sets. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Upper bounds of the buckets of request times, in seconds. */
+const secondsBuckets = [0.005, 0.025, 0.1, 0.25, 0.5, 1, 2.5, 5];
+
+/** Counters, gauges and histograms of one routed node. */
+export class RoutedMetrics {
+    readonly registry = new Registry();
+    private readonly requests = new Counter({
+        name: "turmericspoke_requests_total",
+        help: "Requests that entered at this node, by route, outcome and cause.",
+        labelNames: ["route", "outcome", "cause"] as const,
+        registers: [this.registry],
+    });
+    private readonly seconds = new Histogram({
+        name: "turmericspoke_request_seconds",
+        help: "Time from a request's headers to its final answer.",
+        labelNames: ["outcome"] as const,
+        buckets: secondsBuckets,
+        registers: [this.registry],
+    });
+
+    /** Counts the end of a request. */
+    recordEnd(route: string, outcome: string, cause: string, milliseconds: number): void {
+        this.requests.inc({ route, outcome, cause });
+        this.seconds.observe({ outcome }, milliseconds / 1000);
+    }
+
+    /** Adds a gauge that is read when the metrics are. */
+    addGauge(name: string, help: string, read: () => number): void {
+        new Gauge({
+            name: `turmericspoke_${name}`,
+            help,
+            registers: [this.registry],
+            collect() {
+                this.set(read());
+            },
+        });
+    }
+}
--- /dev/null
+++ b/src/process/routedSettings.ts
@@ -0,0 +1,63 @@
+/** Settings of the routed node: one TOML file, checked before anything starts. */
+import * as v from "valibot";
+import { createRange, shortTextSchema } from "../version/schema.js";
+import { logLevels } from "./logger.js";
+import type { Result } from "./result.js";
+import type { SettingsError } from "./settingsFile.js";
+import { parseSettingsText, readSettingsText } from "./settingsFile.js";
+
+const endSchema = v.pipe(
+    v.string(),
+    v.regex(/^[0-9.]+:[0-9]+$/, "IP:PORT"),
+    v.transform(text => {
+        const [host, port] = text.split(":");
+        return { host: host!, port: Number(port) };
+    }),
+);
+const numberSchema = v.pipe(v.number(), v.minValue(0));
+
+const routedSettingsSchema = v.strictObject({
+    service: shortTextSchema,
+    dataCentre: shortTextSchema,
+    /** IP number of the instance. */
+    address: shortTextSchema,
+    /** Name of the machine, for logs. */
+    machine: shortTextSchema,
+    /** Whether the whole system starts for the first time. */
+    isFirstStart: v.optional(v.boolean(), false),
+    listeners: v.strictObject({
+        /** Requests of callers and of the endpoint beside this node. */
+        caller: endSchema,
+        ready: endSchema,
+        /** Reports of the endpoint beside this node. */
+        report: endSchema,
+        /** Links of other nodes. */
+        peerPort: createRange(1, 65_535),
+        metricsPort: createRange(1, 65_535),
+    }),
+    endpoint: v.strictObject({ address: endSchema }),
+    store: v.strictObject({ address: endSchema }),
+    bounds: v.strictObject({
+        /** Time for a graceful stop, in seconds. */
+        graceSeconds: numberSchema,
+        /** Repeats for each request. */
+        retryRatio: numberSchema,
+        /** Repeats that all nodes together may send besides, in one window. */
+        retrySlack: numberSchema,
+        retryWindowSeconds: v.pipe(v.number(), v.minValue(0.1)),
+    }),
+    logging: v.optional(v.strictObject({ level: v.optional(v.picklist(logLevels), "info") }), {}),
+});
+
+/** Checked settings with every default filled in. */
+export type RoutedSettings = v.InferOutput<typeof routedSettingsSchema>;
+
+/** Reads and checks a settings file. */
+export function readRoutedSettings(file: string): Result<RoutedSettings, SettingsError> {
+    return readSettingsText(file, text => parseRoutedSettings(file, text));
+}
+
+/** Parses and checks the text of a settings file; `file` is for messages only. */
+export function parseRoutedSettings(file: string, text: string): Result<RoutedSettings, SettingsError> {
+    return parseSettingsText(routedSettingsSchema, file, text);
+}
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -1,25 +1,12 @@
 /** Settings of the daemon: one TOML file, checked before anything starts. */
-import { readFileSync } from "node:fs";
 import { isIP } from "node:net";
-import { parse as parseToml, TomlError } from "smol-toml";
 import * as v from "valibot";
-import { createRange, formatAllowed, shortTextSchema } from "../version/schema.js";
+import { createRange, shortTextSchema } from "../version/schema.js";
 import { admissionModes } from "./admission.js";
 import { logLevels } from "./logger.js";
 import type { Result } from "./result.js";
-import { createFailure, createSuccess } from "./result.js";
-
-/** What can be wrong with the settings. */
-export type SettingsError =
-    | { readonly kind: "unreadable"; readonly file: string; readonly message: string; }
-    | { readonly kind: "syntax"; readonly file: string; readonly line: number; readonly message: string; }
-    | {
-        readonly kind: "value";
-        readonly file: string;
-        readonly key: string;
-        readonly value: string;
-        readonly allowed: string;
-    };
+import type { SettingsError } from "./settingsFile.js";
+import { parseSettingsText, readSettingsText } from "./settingsFile.js";
 
 const portSchema = createRange(1, 65_535);
 const addressSchema = v.pipe(v.string(), v.check(text => isIP(text) !== 0, "an IP number"));
@@ -101,48 +88,10 @@
 
 /** Reads and checks a settings file. */
 export function readSettings(file: string): Result<Settings, SettingsError> {
-    let text: string;
-    try {
-        text = readFileSync(file, "utf8");
-    }
-    catch (error) {
-        return createFailure({ kind: "unreadable", file, message: (error as Error).message });
-    }
-    return parseSettings(file, text);
+    return readSettingsText(file, text => parseSettings(file, text));
 }
 
 /** Parses and checks the text of a settings file; `file` is for messages only. */
 export function parseSettings(file: string, text: string): Result<Settings, SettingsError> {
-    let raw: unknown;
-    try {
-        raw = parseToml(text);
-    }
-    catch (error) {
-        const line = error instanceof TomlError ? error.line : 0;
-        return createFailure({ kind: "syntax", file, line, message: (error as Error).message.split("\n")[0]! });
-    }
-    const parsed = v.safeParse(settingsSchema, raw, { abortEarly: true });
-    if (parsed.success) {
-        return createSuccess(parsed.output);
-    }
-    const issue = parsed.issues[0];
-    return createFailure({
-        kind: "value",
-        file,
-        key: v.getDotPath(issue) ?? "settings",
-        value: issue.received,
-        allowed: formatAllowed(issue),
-    });
-}
-
-/** Formats a settings error as one line for a person. */
-export function formatSettingsError(error: SettingsError): string {
-    switch (error.kind) {
-        case "unreadable":
-            return `${error.file}: ${error.message}`;
-        case "syntax":
-            return `${error.file}:${error.line}: ${error.message}`;
-        case "value":
-            return `${error.file}: ${error.key} = ${error.value}, allowed: ${error.allowed}`;
-    }
+    return parseSettingsText(settingsSchema, file, text);
 }
--- /dev/null
+++ b/src/request/forwarder.ts
@@ -0,0 +1,242 @@
+/**
+ * Takes one request from the node where it entered to an instance of its service, and to another one where that is safe.
+ *
+ * A refusal proves that the request has not run, so it may be offered elsewhere whatever its kind. After any other failure only
+ * an idempotent request is sent again, within its route's bound and the allowance for repeats.
+ */
+import type { PeerLinks } from "../connection/peerLinks.js";
+import type { Clock } from "../process/clock.js";
+import type { EndpointRunner, RunOutcome } from "../process/endpointRunner.js";
+import type { InstanceRegister } from "../process/instanceRegister.js";
+import type { Logger } from "../process/logger.js";
+import type { Placement } from "../process/placement.js";
+import type { RetryAllowance } from "../process/retryAllowance.js";
+import type { RouteContract } from "../version/configuration.js";
+import type { InstanceRecord } from "../version/instanceRecord.js";
+import type { HeaderList } from "./headers.js";
+
+/** Instances that may turn a request away for want of room before its refusal is final. */
+const maxOffers = 3;
+/** Retry advice when no instance takes work, in milliseconds. */
+const noInstanceRetryMs = 400;
+
+/** A request on its way. Times are on the monotonic clock. */
+export interface RoutedCall {
+    readonly attemptId: string;
+    readonly route: RouteContract;
+    readonly service: string;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: HeaderList;
+    readonly body: Buffer;
+    /** Whether a run at the endpoint beside this node waits for it. */
+    readonly isCall: boolean;
+    readonly deadline: number;
+    readonly target: number;
+    /** Aborts when nobody waits for the answer any more. */
+    readonly signal: AbortSignal;
+}
+
+/** Final outcome of a request. */
+export type ForwardOutcome =
+    | { readonly kind: "answer"; readonly status: number; readonly headers: HeaderList; readonly body: Buffer; }
+    /** No send of the request has run or will run. */
+    | { readonly kind: "refused"; readonly cause: string; readonly retryAfterMs: number; }
+    | { readonly kind: "failed"; readonly cause: string; };
+
+/** What the forwarder needs from the rest of the node. */
+export interface ForwarderParts {
+    readonly clock: Clock;
+    readonly logger: Logger;
+    /** Address of the own instance. */
+    readonly address: string;
+    readonly service: string;
+    readonly register: InstanceRegister;
+    readonly placement: Placement;
+    readonly allowance: RetryAllowance;
+    readonly links: PeerLinks;
+    readonly runner: EndpointRunner;
+}
+
+/** Progress of one request over its sends. */
+interface Progress {
+    readonly tried: Set<string>;
+    sends: number;
+    offers: number;
+    /** Sends that reached an endpoint. */
+    runs: number;
+    /** The best failure so far of a send that may have run. */
+    failure: ForwardOutcome | undefined;
+}
+
+/** Forwards requests. */
+export class Forwarder {
+    constructor(private readonly parts: ForwarderParts) {}
+
+    /** Forwards a request and returns its final outcome. Never rejects. */
+    async forward(call: RoutedCall): Promise<ForwardOutcome> {
+        const { allowance, clock } = this.parts;
+        allowance.recordRequest(call.service);
+        const progress: Progress = { tried: new Set(), sends: 0, offers: 0, runs: 0, failure: undefined };
+        let last: ForwardOutcome = { kind: "refused", cause: "noInstance", retryAfterMs: noInstanceRetryMs };
+        while (!call.signal.aborted && clock.readMonotonic() < call.deadline) {
+            const record = this.choose(call, progress);
+            if (record === undefined) {
+                break;
+            }
+            const outcome = await this.sendTo(record, call, progress);
+            last = describeOutcome(outcome);
+            const next = this.decide(call, record, outcome, progress);
+            if (next !== "again") {
+                break;
+            }
+            this.logRepeat(call, record, outcome, progress);
+        }
+        return settle(last, progress);
+    }
+
+    private choose(call: RoutedCall, progress: Progress): InstanceRecord | undefined {
+        const { register, placement } = this.parts;
+        return placement.choose(register.listOfService(call.service), progress.tried);
+    }
+
+    private async sendTo(record: InstanceRecord, call: RoutedCall, progress: Progress): Promise<RunOutcome> {
+        const { placement, address } = this.parts;
+        progress.tried.add(record.address);
+        progress.sends += 1;
+        placement.startRun(record.address);
+        const outcome = record.address === address
+            ? await this.runHere(call)
+            : await this.runThere(record, call, progress.sends);
+        placement.endRun(record.address);
+        return outcome;
+    }
+
+    private async runHere(call: RoutedCall): Promise<RunOutcome> {
+        const { runner, placement, address } = this.parts;
+        const outcome = await runner.run(
+            {
+                ...describeRun(call),
+                isIdempotent: call.route.repetition === "idempotent",
+                callerService: this.parts.service,
+                deadline: call.deadline,
+                target: call.target,
+            },
+            call.signal,
+        );
+        placement.recordLoad(address, runner.getLoad());
+        return outcome;
+    }
+
+    private async runThere(record: InstanceRecord, call: RoutedCall, sendNumber: number): Promise<RunOutcome> {
+        const outcome = await this.parts.links.run(
+            record.address,
+            {
+                ...describeRun(call),
+                sendNumber,
+                isIdempotent: call.route.repetition === "idempotent",
+                callerService: this.parts.service,
+                deadline: call.deadline,
+                target: call.target,
+            },
+            call.signal,
+        );
+        switch (outcome.kind) {
+            case "unsent":
+                return { kind: "refused", cause: "away", retryAfterMs: noInstanceRetryMs };
+            case "lost":
+                return { kind: "failed", cause: "linkLost", ranMs: 0 };
+            default:
+                return outcome;
+        }
+    }
+
+    /** Decides whether the request goes to another instance, and notes what its last send tells of the instance. */
+    private decide(
+        call: RoutedCall,
+        record: InstanceRecord,
+        outcome: RunOutcome,
+        progress: Progress,
+    ): "final" | "again" {
+        const { placement } = this.parts;
+        switch (outcome.kind) {
+            case "answer":
+                placement.recordRun(record.address, call.route.name, outcome.runMs);
+                progress.runs += 1;
+                return outcome.status >= 500 ? this.decideRepeat(call, outcome, progress) : "final";
+            case "failed":
+                if (outcome.ranMs > 0) {
+                    placement.recordRun(record.address, call.route.name, outcome.ranMs);
+                }
+                progress.runs += 1;
+                return this.decideRepeat(call, outcome, progress);
+            case "refused":
+                return this.decideOffer(call, record, outcome.cause, progress);
+        }
+    }
+
+    /** An idempotent request whose run failed is sent again within its bounds. */
+    private decideRepeat(call: RoutedCall, outcome: RunOutcome, progress: Progress): "final" | "again" {
+        const described = describeOutcome(outcome);
+        // An endpoint's own failure tells the caller more than a failure of ours.
+        progress.failure = progress.failure?.kind === "answer" ? progress.failure : described;
+        if (call.route.repetition !== "idempotent" || call.signal.aborted) {
+            return "final";
+        }
+        return this.takeRepeat(call, progress) ? "again" : "final";
+    }
+
+    private decideOffer(
+        call: RoutedCall,
+        record: InstanceRecord,
+        cause: string,
+        progress: Progress,
+    ): "final" | "again" {
+        switch (cause) {
+            case "full":
+            case "late":
+                progress.offers += 1;
+                return progress.offers < maxOffers ? "again" : "final";
+            case "shed":
+                // The endpoint itself was reached, so another one is a repeat.
+                progress.runs += 1;
+                return this.takeRepeat(call, progress) ? "again" : "final";
+            case "cancelled":
+                return "final";
+            default:
+                this.parts.placement.avoid(record.address);
+                return "again";
+        }
+    }
+
+    private takeRepeat(call: RoutedCall, progress: Progress): boolean {
+        return progress.runs < call.route.maxRuns && this.parts.allowance.take(call.service);
+    }
+
+    private logRepeat(call: RoutedCall, record: InstanceRecord, outcome: RunOutcome, progress: Progress): void {
+        this.parts.logger.info("placedAgain", {
+            request: call.attemptId,
+            route: call.route.name,
+            after: record.address,
+            outcome: outcome.kind,
+            cause: outcome.kind === "answer" ? String(outcome.status) : outcome.cause,
+            sends: progress.sends,
+            runs: progress.runs,
+            leftMs: Math.round(call.deadline - this.parts.clock.readMonotonic()),
+        });
+    }
+}
+
+function describeRun(call: RoutedCall) {
+    const { attemptId, service, route, method, path, headers, body, isCall } = call;
+    return { attemptId, service, route: route.name, priority: route.priority, method, path, headers, body, isCall };
+}
+
+function describeOutcome(outcome: RunOutcome): ForwardOutcome {
+    return outcome.kind === "failed" ? { kind: "failed", cause: outcome.cause } : outcome;
+}
+
+/** A refusal is final only if no earlier send may have run. */
+function settle(last: ForwardOutcome, progress: Progress): ForwardOutcome {
+    return last.kind === "answer" && last.status < 500 ? last : progress.failure ?? last;
+}
--- /dev/null
+++ b/src/request/routedEntry.ts
@@ -0,0 +1,218 @@
+/** Requests of callers and of the endpoint beside this node: finds the route, forwards, and answers in time. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Clock } from "../process/clock.js";
+import type { Logger } from "../process/logger.js";
+import type { RoutedMetrics } from "../process/routedMetrics.js";
+import type { ShareDraw } from "../process/shareDraw.js";
+import type { RouteContract } from "../version/configuration.js";
+import type { ConfigurationHolder } from "../version/configurationHolder.js";
+import { readBody } from "./body.js";
+import type { Dialect, RequestFacts } from "./dialect.js";
+import type { Forwarder, ForwardOutcome, RoutedCall } from "./forwarder.js";
+
+/** Time for the other nodes to say how a request ended that was given up at its deadline, in milliseconds. */
+const lastWordMs = 40;
+/** Retry advice while no configuration is known, in milliseconds. */
+const notReadyRetryMs = 500;
+/** Shortest retry advice, in milliseconds. */
+const minRetryMs = 150;
+/** Part of the time that is left to the caller up to which a retry may be advised. */
+const maxRetryShare = 1 / 3;
+
+/** What the entry needs from the rest of the node. */
+export interface RoutedEntryParts {
+    readonly clock: Clock;
+    readonly random: () => number;
+    readonly logger: Logger;
+    readonly metrics: RoutedMetrics;
+    readonly dialect: Dialect;
+    readonly holder: ConfigurationHolder;
+    readonly draw: ShareDraw;
+    readonly forwarder: Forwarder;
+    /** Address of the own instance: what comes from there are calls of its endpoint. */
+    readonly address: string;
+    readonly isStopping: () => boolean;
+}
+
+/** A request that was read and has a route. */
+interface Entered {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly facts: RequestFacts;
+    readonly route: RouteContract;
+    readonly version: number;
+    readonly body: Buffer;
+    readonly startedAt: number;
+}
+
+/** Serves one request. */
+export async function serveRouted(
+    parts: RoutedEntryParts,
+    request: IncomingMessage,
+    response: ServerResponse,
+): Promise<void> {
+    const startedAt = parts.clock.readMonotonic();
+    if (parts.isStopping()) {
+        response.setHeader("connection", "close");
+    }
+    const facts = parts.dialect.readRequest(request.rawHeaders);
+    const maxBodyBytes = parts.holder.getTable()?.configuration.limits.maxBodyBytes ?? Infinity;
+    const body = await readBody(request, maxBodyBytes);
+    if (body === "cut") {
+        return;
+    }
+    if (body === "tooLarge") {
+        response.setHeader("connection", "close");
+        sendOwn(response, 413, undefined);
+        return;
+    }
+    const table = parts.holder.getTable();
+    if (table === undefined) {
+        sendOwn(response, 503, notReadyRetryMs);
+        logEntry(parts, "refused", { request: facts.attemptId, cause: "noConfiguration", status: 503 });
+        return;
+    }
+    const { version } = table.configuration;
+    const route = table.find(request.headers.host ?? "", request.url ?? "/");
+    if (route === undefined) {
+        sendOwn(response, 404, undefined);
+        logEntry(parts, "refused", { request: facts.attemptId, cause: "noRoute", version, status: 404 });
+        return;
+    }
+    if (facts.attemptId === undefined) {
+        sendOwn(response, 400, undefined);
+        logEntry(parts, "refused", { cause: "noAttempt", version, status: 400 });
+        return;
+    }
+    await forwardEntered(parts, { request, response, facts, route, version, body, startedAt }, facts.attemptId);
+}
+
+async function forwardEntered(parts: RoutedEntryParts, entered: Entered, attemptId: string): Promise<void> {
+    const { request, response, route, startedAt, body } = entered;
+    const giveUp = new AbortController();
+    const clientGone = new Promise<"gone">(resolve => {
+        response.once("close", () => {
+            if (!response.writableFinished) {
+                giveUp.abort();
+                resolve("gone");
+            }
+        });
+    });
+    const waitMs = Math.min(entered.facts.deadlineMs ?? Infinity, route.timeoutMs);
+    const call: RoutedCall = {
+        attemptId,
+        route,
+        service: parts.draw.choose(route),
+        method: request.method ?? "GET",
+        path: request.url ?? "/",
+        headers: parts.dialect.copyRequestHeaders(request.rawHeaders),
+        body,
+        isCall: isFromOwnInstance(parts, request),
+        deadline: startedAt + waitMs,
+        target: startedAt + route.targetLatencyMs,
+        signal: giveUp.signal,
+    };
+    const forwarded = parts.forwarder.forward(call);
+    const outcome = await Promise.race([forwarded, clientGone, endAtDeadline(parts, call, giveUp, forwarded)]);
+    const elapsedMs = parts.clock.readMonotonic() - startedAt;
+    const status = outcome === "gone" ? 499 : sendOutcome(parts, response, entered, outcome);
+    recordEnd(parts, entered, call, outcome, status, elapsedMs);
+}
+
+/** Waits for the deadline, gives the request up, and takes the last word of who has it, if it comes at once. */
+async function endAtDeadline(
+    parts: RoutedEntryParts,
+    call: RoutedCall,
+    giveUp: AbortController,
+    forwarded: Promise<ForwardOutcome>,
+): Promise<ForwardOutcome> {
+    const ended = new AbortController();
+    void forwarded.then(() => ended.abort());
+    await parts.clock.sleep(Math.max(0, call.deadline - parts.clock.readMonotonic()), ended.signal);
+    if (ended.signal.aborted) {
+        return forwarded;
+    }
+    giveUp.abort();
+    const late: ForwardOutcome = { kind: "failed", cause: "timeout" };
+    return Promise.race([forwarded, parts.clock.sleep(lastWordMs, ended.signal).then(() => late)]);
+}
+
+/** Sends the final answer and returns its status. */
+function sendOutcome(
+    parts: RoutedEntryParts,
+    response: ServerResponse,
+    entered: Entered,
+    outcome: ForwardOutcome,
+): number {
+    if (outcome.kind === "answer") {
+        const length = ["Content-Length", String(outcome.body.length)];
+        response.writeHead(outcome.status, [...outcome.headers, ...length]);
+        response.end(outcome.body);
+        return outcome.status;
+    }
+    if (outcome.kind === "refused") {
+        sendOwn(response, 503, computeRetryMs(parts, entered, outcome.retryAfterMs));
+        return 503;
+    }
+    const status = outcome.cause === "timeout" || outcome.cause === "noAnswer" ? 504 : 502;
+    sendOwn(response, status, undefined);
+    return status;
+}
+
+/** When to come back: once there is likely room, spread so that callers don't return together, and early enough to be served. */
+function computeRetryMs(parts: RoutedEntryParts, entered: Entered, estimateMs: number): number {
+    const spent = parts.clock.readMonotonic() - entered.startedAt;
+    const leftMs = (entered.facts.deadlineMs ?? entered.route.timeoutMs) - spent;
+    const spreadMs = Math.max(minRetryMs, estimateMs) * (0.75 + parts.random() * 0.75);
+    return Math.max(50, Math.min(spreadMs, leftMs * maxRetryShare));
+}
+
+/** Sends an answer of the system itself. */
+function sendOwn(response: ServerResponse, status: number, retryAfterMs: number | undefined): void {
+    if (response.destroyed || response.headersSent) {
+        return;
+    }
+    const headers: Record<string, string> = { "Content-Length": "0" };
+    if (retryAfterMs !== undefined) {
+        headers["Retry-After"] = (retryAfterMs / 1000).toFixed(3);
+    }
+    response.writeHead(status, headers);
+    response.end();
+}
+
+function isFromOwnInstance(parts: RoutedEntryParts, request: IncomingMessage): boolean {
+    return request.socket.remoteAddress === parts.address;
+}
+
+function recordEnd(
+    parts: RoutedEntryParts,
+    entered: Entered,
+    call: RoutedCall,
+    outcome: ForwardOutcome | "gone",
+    status: number,
+    elapsedMs: number,
+): void {
+    const cause = outcome === "gone" ? "callerGone" : outcome.kind === "answer" ? undefined : outcome.cause;
+    const kind = outcome === "gone" ? "gone" : outcome.kind;
+    parts.metrics.recordEnd(call.route.name, kind, cause ?? "", elapsedMs);
+    logEntry(parts, kind, {
+        request: call.attemptId,
+        route: call.route.name,
+        service: call.service,
+        version: entered.version,
+        isCall: call.isCall,
+        status,
+        cause,
+        ms: Math.round(elapsedMs),
+        timeoutMs: Math.round(call.deadline - entered.startedAt),
+    });
+}
+
+function logEntry(
+    parts: RoutedEntryParts,
+    outcome: string,
+    fields: Readonly<Record<string, string | number | boolean | undefined>>,
+): void {
+    const isUsual = outcome === "answer" && (fields["status"] as number) < 500;
+    parts.logger[isUsual ? "debug" : "info"]("requestEnded", { outcome, ...fields });
+}
--- /dev/null
+++ b/src/version/routeTable.ts
@@ -0,0 +1,27 @@
+/** Finds the route of a request: of the routes of its host, the one with the longest prefix that begins the path. */
+import type { Configuration, RouteContract } from "./configuration.js";
+
+/** Routes of one version of the configuration. */
+export class RouteTable {
+    /** Routes by host, the longest prefix first. */
+    private readonly byHost = new Map<string, RouteContract[]>();
+
+    constructor(readonly configuration: Configuration) {
+        for (const route of configuration.routes) {
+            const routes = this.byHost.get(route.host) ?? [];
+            routes.push(route);
+            this.byHost.set(route.host, routes);
+        }
+        for (const routes of this.byHost.values()) {
+            routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+        }
+    }
+
+    /** Finds the route of a request; `undefined` when there is none. `host` may carry a port, `path` a query. */
+    find(host: string, path: string): RouteContract | undefined {
+        const routes = this.byHost.get(host.toLowerCase().replace(/:\d+$/, ""));
+        const query = path.indexOf("?");
+        const pathOnly = query === -1 ? path : path.slice(0, query);
+        return routes?.find(route => pathOnly.startsWith(route.pathPrefix));
+    }
+}
--- /dev/null
+++ b/test/routed/decisions.test.ts
@@ -0,0 +1,261 @@
+/** Decisions of the routed node, apart from input and output, in virtual time. */
+import { expect } from "chai";
+import fc from "fast-check";
+import type { LoadReport } from "../../src/connection/linkMessage.js";
+import { InstanceRegister } from "../../src/process/instanceRegister.js";
+import { OwnEndpoint } from "../../src/process/ownEndpoint.js";
+import { Placement } from "../../src/process/placement.js";
+import { RetryAllowance } from "../../src/process/retryAllowance.js";
+import { ShareDraw } from "../../src/process/shareDraw.js";
+import { createRandom } from "../../standin/random.js";
+import { FakeClock, readPropertyOptions } from "../fakes.js";
+import { createRecord, createRoute } from "./samples.js";
+
+describe("shares of a split route", () => {
+    it("keeps each share within one request of its weight, over any run of requests", () => {
+        fc.assert(
+            fc.property(
+                fc.array(fc.integer({ min: 1, max: 99 }), { minLength: 2, maxLength: 4 }),
+                fc.integer({ min: 1, max: 400 }),
+                fc.integer(),
+                (weights, requests, seed) => {
+                    const draw = new ShareDraw(createRandom(seed));
+                    const shares = weights.map((weight, index) => ({ service: `s${index}`, weight }));
+                    const route = createRoute({ shares });
+                    const counts = new Map<string, number>();
+                    for (let index = 0; index < requests; index += 1) {
+                        const service = draw.choose(route);
+                        counts.set(service, (counts.get(service) ?? 0) + 1);
+                    }
+                    const total = weights.reduce((sum, weight) => sum + weight, 0);
+                    for (const { service, weight } of shares) {
+                        expect(counts.get(service) ?? 0).closeTo(requests * weight / total, weights.length);
+                    }
+                },
+            ),
+            readPropertyOptions(200),
+        );
+    });
+});
+
+describe("allowance for repeats", () => {
+    const limits = { ratio: 0.1, slack: 30, windowMs: 10_000 };
+
+    it("gives a ratio of the requests of the window and a part of the slack", () => {
+        const allowance = new RetryAllowance(new FakeClock(), limits, () => 15);
+        for (let index = 0; index < 100; index += 1) {
+            allowance.recordRequest("katalog");
+        }
+        let taken = 0;
+        while (allowance.take("katalog")) {
+            taken += 1;
+        }
+        expect(taken).equals(12);
+    });
+
+    it("gives nothing for the requests of another service", () => {
+        const allowance = new RetryAllowance(new FakeClock(), { ...limits, slack: 0 }, () => 1);
+        allowance.recordRequest("katalog");
+        expect(allowance.take("mutu")).equals(false);
+    });
+
+    it("holds in every sliding window, whatever is asked when", () => {
+        const clock = new FakeClock();
+        const random = createRandom(7);
+        const allowance = new RetryAllowance(clock, limits, () => 1);
+        const requests: number[] = [];
+        const repeats: number[] = [];
+        for (let step = 0; step < 4000; step += 1) {
+            clock.addTime(random() * 20);
+            if (random() < 0.5) {
+                allowance.recordRequest("katalog");
+                requests.push(clock.readMonotonic());
+            }
+            else if (allowance.take("katalog")) {
+                repeats.push(clock.readMonotonic());
+            }
+        }
+        for (const end of repeats) {
+            const inWindow = (times: readonly number[]): number =>
+                times.filter(time => time > end - 8000 && time <= end).length;
+            const requestsBefore = requests.filter(time => time > end - 10_000 && time <= end).length;
+            expect(inWindow(repeats)).at.most(requestsBefore * limits.ratio + limits.slack);
+        }
+    });
+});
+
+describe("state of the endpoint beside a node", () => {
+    const report = { id: "a", slots: 10, state: "ready", warmupLeftMs: 0, reportNumber: 1 } as const;
+    const cases: readonly {
+        readonly name: string;
+        readonly play: (endpoint: OwnEndpoint) => void;
+        readonly id: string | undefined;
+        readonly refusal: string | undefined;
+    }[] = [
+        { name: "takes nothing before the first report", play: () => undefined, id: undefined, refusal: "notKnown" },
+        { name: "takes work after a report", play: each => each.report(report), id: "a", refusal: undefined },
+        {
+            name: "takes no work once it drains, whatever older report arrives late",
+            play: each => {
+                each.report({ ...report, reportNumber: 5, state: "draining" });
+                each.report({ ...report, reportNumber: 4 });
+                each.report({ ...report, reportNumber: 6 });
+            },
+            id: "a",
+            refusal: "leaving",
+        },
+        {
+            name: "takes no work after it has said that it is gone",
+            play: each => {
+                each.report(report);
+                each.leave("a");
+                each.report({ ...report, reportNumber: 9 });
+            },
+            id: "a",
+            refusal: "leaving",
+        },
+        {
+            name: "stays with the new incarnation when the old one's report or leave arrives late",
+            play: each => {
+                each.report(report);
+                each.report({ ...report, id: "b" });
+                each.report({ ...report, reportNumber: 2, state: "draining" });
+                each.leave("a");
+            },
+            id: "b",
+            refusal: undefined,
+        },
+        {
+            name: "believes the endpoint's own answer over a late report of an unknown incarnation",
+            play: each => {
+                each.learn("b", 10);
+                each.report(report);
+                each.learn("b", undefined);
+                each.report({ ...report, reportNumber: 2 });
+            },
+            id: "b",
+            refusal: undefined,
+        },
+        {
+            name: "remembers that an incarnation drains while another was believed in its place",
+            play: each => {
+                each.learn("b", 10);
+                each.report(report);
+                each.report({ ...report, id: "b", reportNumber: 7, state: "draining" });
+                each.learn("b", undefined);
+            },
+            id: "b",
+            refusal: "leaving",
+        },
+    ];
+    for (const { name, play, id, refusal } of cases) {
+        it(name, () => {
+            const endpoint = new OwnEndpoint(new FakeClock());
+            play(endpoint);
+            expect(endpoint.getId()).equals(id);
+            expect(endpoint.findRefusal()).equals(refusal);
+        });
+    }
+
+    it("is left alone for a moment after it refused a connection", () => {
+        const clock = new FakeClock();
+        const endpoint = new OwnEndpoint(clock);
+        endpoint.report(report);
+        endpoint.recordAway();
+        expect(endpoint.findRefusal()).equals("away");
+        clock.addTime(300);
+        expect(endpoint.findRefusal()).equals(undefined);
+    });
+});
+
+describe("known instances", () => {
+    it("take an instance's own word over a third party's", () => {
+        const register = new InstanceRegister();
+        register.put(createRecord("10.0.0.1", { slots: 5 }), "self");
+        register.put(createRecord("10.0.0.1", { slots: 9 }), "peer");
+        register.put(createRecord("10.0.0.2", { slots: 7 }), "peer");
+        expect(register.list().map(record => record.slots)).deep.equals([5, 7]);
+    });
+
+    it("list an address under its new service once it is used again", () => {
+        const register = new InstanceRegister();
+        register.put(createRecord("10.0.0.1", { service: "katalog" }), "log");
+        expect(register.listOfService("katalog")).length(1);
+        register.put(createRecord("10.0.0.1", { service: "mutu" }), "log");
+        expect(register.listOfService("katalog")).length(0);
+        expect(register.listOfService("mutu")).length(1);
+    });
+});
+
+describe("placement", () => {
+    const near = createRecord("10.0.0.1", { dataCentre: "klaten" });
+    const near2 = createRecord("10.0.0.2", { dataCentre: "klaten" });
+    const far = createRecord("10.0.0.3", { dataCentre: "jepara" });
+    const idle: LoadReport = { running: 0, waiting: 0, limit: 10, failureShare: 0 };
+    const cases: readonly {
+        readonly name: string;
+        readonly play: (placement: Placement, clock: FakeClock) => void;
+        readonly chosen: string | undefined;
+    }[] = [
+        { name: "stays in the own data centre on a calm day", play: () => undefined, chosen: "near" },
+        {
+            name: "leaves the own data centre before its instances are full",
+            play: placement => {
+                placement.recordLoad("10.0.0.1", { ...idle, running: 9 });
+                placement.recordLoad("10.0.0.2", { ...idle, running: 10 });
+            },
+            chosen: "10.0.0.3",
+        },
+        {
+            name: "passes over an instance that takes no work",
+            play: placement => placement.recordLoad("10.0.0.1", { ...idle, limit: 0 }),
+            chosen: "10.0.0.2",
+        },
+        {
+            name: "passes over an instance that fails half of its runs",
+            play: placement => placement.recordLoad("10.0.0.1", { ...idle, failureShare: 0.5 }),
+            chosen: "10.0.0.2",
+        },
+        {
+            name: "passes over an instance whose runs take four times as long as elsewhere",
+            play: placement => {
+                for (let index = 0; index < 40; index += 1) {
+                    placement.recordRun("10.0.0.2", "r", 100);
+                    placement.recordRun("10.0.0.3", "r", 100);
+                    placement.recordRun("10.0.0.1", "r", 400);
+                }
+            },
+            chosen: "10.0.0.2",
+        },
+        {
+            name: "comes back to an instance that was passed over, after a while",
+            play: (placement, clock) => {
+                placement.avoid("10.0.0.1");
+                placement.recordLoad("10.0.0.2", { ...idle, running: 5 });
+                clock.addTime(600);
+            },
+            chosen: "10.0.0.1",
+        },
+        {
+            name: "offers to nobody when all take no work",
+            play: placement => ["10.0.0.1", "10.0.0.2", "10.0.0.3"].forEach(each => placement.avoid(each)),
+            chosen: undefined,
+        },
+    ];
+    for (const { name, play, chosen } of cases) {
+        it(name, () => {
+            const clock = new FakeClock();
+            const placement = new Placement(clock, createRandom(3), "klaten", () => true);
+            play(placement, clock);
+            const record = placement.choose([near, near2, far], new Set());
+            expect(chosen === "near" ? record?.dataCentre : record?.address).equals(
+                chosen === "near" ? "klaten" : chosen,
+            );
+        });
+    }
+
+    it("prefers an instance that there is a link to", () => {
+        const placement = new Placement(new FakeClock(), createRandom(3), "klaten", each => each === "10.0.0.3");
+        expect(placement.choose([near, far], new Set())?.address).equals("10.0.0.3");
+    });
+});
--- /dev/null
+++ b/test/routed/endpointConnection.test.ts
@@ -0,0 +1,227 @@
+/** What the client of the local endpoint makes of each way in which an endpoint may answer. */
+import { expect } from "chai";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { createServer } from "node:net";
+import { PlatformDialect } from "../../platform/headers.js";
+import { EndpointPool } from "../../src/connection/endpointPool.js";
+import { SystemClock } from "../../src/process/clock.js";
+
+const dialect = new PlatformDialect();
+
+/** Text of an answer. */
+function formatAnswer(attempt: string, body: string, extra = ""): string {
+    return `HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\nUpstream-Signature: s\r\n${extra}`
+        + `Content-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+/** Endpoint that answers each request as a script says. */
+class ScriptedEndpoint {
+    connections = 0;
+    readonly heads: string[] = [];
+    private readonly sockets = new Set<Socket>();
+    private readonly server: Server;
+
+    constructor(answer: (socket: Socket, attempt: string, count: number) => void) {
+        this.server = createServer(socket => {
+            this.connections += 1;
+            this.sockets.add(socket);
+            socket.on("error", () => undefined);
+            let text = "";
+            socket.on("data", chunk => {
+                text += chunk.toString("latin1");
+                for (let end = text.indexOf("\r\n\r\n"); end !== -1; end = text.indexOf("\r\n\r\n")) {
+                    const head = text.slice(0, end);
+                    text = text.slice(end + 4);
+                    this.heads.push(head);
+                    answer(socket, /Attempt-Id: (\S+)/.exec(head)?.[1] ?? "", this.heads.length);
+                }
+            });
+        });
+    }
+
+    async start(): Promise<number> {
+        await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    stop(): void {
+        this.sockets.forEach(socket => socket.destroy());
+        this.server.close();
+    }
+}
+
+/** Sends requests one after the other and describes how each ended. */
+async function runRequests(
+    answer: (socket: Socket, attempt: string, count: number) => void,
+    attempts: readonly string[],
+    isIdempotent = true,
+): Promise<{ endings: string[]; connections: number; }> {
+    const endpoint = new ScriptedEndpoint(answer);
+    const pool = new EndpointPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+    const endings: string[] = [];
+    for (const attemptId of attempts) {
+        const request = {
+            method: "GET",
+            path: "/loom/1",
+            headers: ["Host", "katalog.example", "Attempt-Id", attemptId],
+            body: Buffer.alloc(0),
+            attemptId,
+        };
+        const result = await pool.send(request, isIdempotent, AbortSignal.timeout(400));
+        endings.push(
+            result.kind === "answered"
+                ? `${result.answer.status} ${result.answer.body.toString()}`
+                : `${result.kind} ${result.cause}`,
+        );
+        await new Promise(resolve => setTimeout(resolve, 15));
+    }
+    const { connections } = endpoint;
+    pool.destroy();
+    endpoint.stop();
+    return { endings, connections };
+}
+
+describe("answers of the local endpoint", () => {
+    const cases: readonly {
+        readonly name: string;
+        readonly answer: (socket: Socket, attempt: string, count: number) => void;
+        readonly endings: readonly string[];
+        readonly connections: number;
+    }[] = [
+        {
+            name: "are read whole, one after the other on one connection",
+            answer: (socket, attempt) => socket.write(formatAnswer(attempt, attempt)),
+            endings: ["200 a", "200 b"],
+            connections: 1,
+        },
+        {
+            name: "are read whole when they arrive byte by byte",
+            answer: (socket, attempt) => {
+                for (const byte of formatAnswer(attempt, attempt)) {
+                    socket.write(byte);
+                }
+            },
+            endings: ["200 a", "200 b"],
+            connections: 1,
+        },
+        {
+            name: "are read in chunks",
+            answer: (socket, attempt) =>
+                socket.write(
+                    `HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n${attempt}\r\n0\r\n\r\n`,
+                ),
+            endings: ["200 a", "200 b"],
+            connections: 1,
+        },
+        {
+            name: "without a length end with the connection",
+            answer: (socket, attempt) => socket.end(`HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\n\r\n${attempt}`),
+            endings: ["200 a", "200 b"],
+            connections: 2,
+        },
+        {
+            name: "without a length are not whole when the connection is reset",
+            answer: (socket, attempt) => {
+                socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\n\r\n${attempt}`);
+                setTimeout(() => socket.resetAndDestroy(), 5);
+            },
+            endings: ["lost reset", "lost reset"],
+            connections: 2,
+        },
+        {
+            name: "that end early are not whole",
+            answer: (socket, attempt) => socket.end(formatAnswer(attempt, "0123456789").slice(0, -3)),
+            endings: ["lost cutShort", "lost cutShort"],
+            connections: 2,
+        },
+        {
+            name: "that are no HTTP are not taken",
+            answer: socket => socket.write("\u0000\u0001garbage\r\n\r\n"),
+            endings: ["lost garbled", "lost garbled"],
+            connections: 2,
+        },
+        {
+            name: "with a length that is no number are not taken",
+            answer: (socket, attempt) => socket.write(formatAnswer(attempt, "x").replace("Length: 1", "Length: one")),
+            endings: ["lost garbled", "lost garbled"],
+            connections: 2,
+        },
+        {
+            name: "that are sent twice serve one request, and the connection is given up",
+            answer: (socket, attempt) => {
+                socket.write(formatAnswer(attempt, attempt));
+                setTimeout(() => socket.write(formatAnswer(attempt, attempt)), 5);
+            },
+            endings: ["200 a", "200 b"],
+            connections: 2,
+        },
+        {
+            name: "that are sent twice in one piece serve one request",
+            answer: (socket, attempt) => socket.write(formatAnswer(attempt, attempt) + formatAnswer(attempt, "again")),
+            endings: ["200 a", "200 b"],
+            connections: 2,
+        },
+        {
+            name: "to an earlier request that arrive late are skipped",
+            answer: (socket, attempt, count) =>
+                socket.write((count > 1 ? formatAnswer("a", "late") : "") + formatAnswer(attempt, attempt)),
+            endings: ["200 a", "200 b", "200 c"],
+            connections: 1,
+        },
+        {
+            name: "that name no attempt are not taken",
+            answer: socket => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"),
+            endings: ["lost garbled", "lost garbled"],
+            connections: 2,
+        },
+        {
+            name: "that never come leave the outcome open",
+            answer: () => undefined,
+            endings: ["lost aborted"],
+            connections: 1,
+        },
+        {
+            name: "that ask for the end of the connection end it",
+            answer: (socket, attempt) => socket.write(formatAnswer(attempt, attempt, "Connection: close\r\n")),
+            endings: ["200 a", "200 b"],
+            connections: 2,
+        },
+    ];
+    for (const { name, answer, endings, connections } of cases) {
+        it(name, async () => {
+            const result = await runRequests(answer, ["a", "b", "c"].slice(0, endings.length));
+            expect(result).deep.equals({ endings, connections });
+        });
+    }
+
+    it("leave a request unsent when nothing listens", async () => {
+        const endpoint = new ScriptedEndpoint(() => undefined);
+        const port = await endpoint.start();
+        endpoint.stop();
+        const pool = new EndpointPool(new SystemClock(), "127.0.0.1", port, dialect);
+        const request = { method: "GET", path: "/", headers: [], body: Buffer.alloc(0), attemptId: "a" };
+        const result = await pool.send(request, true, AbortSignal.timeout(400));
+        expect(result).deep.equals({ kind: "unsent", cause: "unreachable" });
+    });
+
+    it("to a long request that come before it is out end the connection, so that no rest of it is taken for a request", async () => {
+        const endpoint = new ScriptedEndpoint((socket, attempt) => {
+            socket.pause();
+            socket.write(formatAnswer(attempt, attempt));
+        });
+        const pool = new EndpointPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+        const request = (attemptId: string, bytes: number) => ({
+            method: "POST",
+            path: "/loom/1",
+            headers: ["Attempt-Id", attemptId],
+            body: Buffer.alloc(bytes),
+            attemptId,
+        });
+        const first = await pool.send(request("a", 30_000_000), true, AbortSignal.timeout(2000));
+        const second = await pool.send(request("b", 0), true, AbortSignal.timeout(2000));
+        expect([first.kind, second.kind]).deep.equals(["answered", "answered"]);
+        expect(endpoint.connections).equals(2);
+        pool.destroy();
+        endpoint.stop();
+    });
+});
--- /dev/null
+++ b/test/routed/linkMessage.test.ts
@@ -0,0 +1,77 @@
+/** Messages between nodes: what is sent arrives, in whatever pieces; what is no message is told apart. */
+import { expect } from "chai";
+import fc from "fast-check";
+import type { LinkMessage } from "../../src/connection/linkMessage.js";
+import { encodeMessage, MessageReader } from "../../src/connection/linkMessage.js";
+import { readPropertyOptions } from "../fakes.js";
+
+const load = { running: 3, waiting: 1, limit: 9, failureShare: 0.25 };
+const samples: readonly LinkMessage[] = [
+    {
+        kind: "run",
+        id: 1,
+        attemptId: "a",
+        sendNumber: 2,
+        isResent: false,
+        service: "katalog",
+        route: "r",
+        method: "POST",
+        path: "/loom/1?x",
+        headers: ["Host", "katalog.example"],
+        body: Buffer.from("body"),
+        isIdempotent: true,
+        isCall: false,
+        priority: 2,
+        timeLeftMs: 812.5,
+        targetLeftMs: -3,
+        callerService: "ekspor",
+    },
+    { kind: "answer", id: 1, status: 200, headers: ["a", "b"], body: Buffer.from("x"), runMs: 5, waitedMs: 0, load },
+    { kind: "refused", id: 2, cause: "full", retryAfterMs: 12, load },
+    { kind: "failed", id: 3, cause: "reset", ranMs: 1, load },
+    { kind: "cancel", id: 4 },
+    { kind: "hello", address: "10.0.0.1", incarnation: 1_764_812_345_678_901, version: -1, record: "{}" },
+    { kind: "ping", version: 4_294_967_295 },
+    { kind: "pong", version: 12, load },
+    { kind: "load", load },
+    { kind: "ask", topic: "configuration" },
+    { kind: "configuration", text: "{}" },
+    { kind: "instances", records: ["{}"] },
+    { kind: "crashes", fingerprints: ["f"], incident: "i" },
+];
+
+describe("messages between nodes", () => {
+    it("arrive as they were sent, in whatever pieces", () => {
+        const bytes = Buffer.concat(samples.map(encodeMessage));
+        fc.assert(
+            fc.property(fc.array(fc.integer({ min: 1, max: 300 }), { minLength: 1, maxLength: 20 }), sizes => {
+                const reader = new MessageReader();
+                const received: LinkMessage[] = [];
+                let position = 0;
+                for (let index = 0; position < bytes.length; index += 1) {
+                    const size = sizes[index % sizes.length]!;
+                    received.push(...reader.read(bytes.subarray(position, position + size)) ?? expect.fail());
+                    position += size;
+                }
+                expect(received).deep.equals(samples);
+            }),
+            readPropertyOptions(50),
+        );
+    });
+
+    it("that are malformed never fail the reader", () => {
+        fc.assert(
+            fc.property(fc.uint8Array({ maxLength: 200 }), bytes => {
+                const framed = Buffer.alloc(4 + bytes.length);
+                framed.writeUInt32BE(bytes.length, 0);
+                framed.set(bytes, 4);
+                new MessageReader().read(framed);
+            }),
+            readPropertyOptions(500),
+        );
+    });
+
+    it("that claim to be longer than any message end the stream", () => {
+        expect(new MessageReader().read(Buffer.from([0xff, 0xff, 0xff, 0xff]))).equals(undefined);
+    });
+});
--- /dev/null
+++ b/test/routed/waitingLine.test.ts
@@ -0,0 +1,123 @@
+/** Load patterns at one endpoint, replayed in virtual time. */
+import { expect } from "chai";
+import type { Candidate } from "../../src/process/waitingLine.js";
+import { WaitingLine } from "../../src/process/waitingLine.js";
+
+/** A request of a replay. */
+interface Arrival extends Candidate {
+    readonly at: number;
+    readonly name: string;
+}
+
+/** How each request of a replay ended. */
+interface Ending {
+    readonly name: string;
+    readonly outcome: "run" | "refused";
+    /** Time from arrival to the start of the run or the refusal, in milliseconds. */
+    readonly afterMs: number;
+}
+
+/** Replays arrivals at an endpoint whose runs take a fixed time. */
+function runReplay(arrivals: readonly Arrival[], limit: number, runMs: number): Ending[] {
+    const line = new WaitingLine<Arrival>();
+    line.setLimit(limit);
+    const endings: Ending[] = [];
+    const ends: { at: number; route: string; }[] = [];
+    const end = (arrival: Arrival, outcome: Ending["outcome"], now: number): void => {
+        endings.push({ name: arrival.name, outcome, afterMs: now - arrival.at });
+        if (outcome === "run") {
+            ends.push({ at: now + runMs, route: arrival.route });
+        }
+    };
+    const refuseHopeless = (now: number): void => line.takeHopeless(now).forEach(each => end(each, "refused", now));
+    const finishUntil = (time: number): void => {
+        for (;;) {
+            ends.sort((a, b) => a.at - b.at);
+            if (ends.length === 0 || ends[0]!.at > time) {
+                return;
+            }
+            const { at, route } = ends.shift()!;
+            line.release(route, runMs);
+            refuseHopeless(at);
+            for (let next = line.takeNext(); next !== undefined; next = line.takeNext()) {
+                end(next, "run", at);
+            }
+        }
+    };
+    for (const arrival of arrivals) {
+        finishUntil(arrival.at);
+        const decision = line.offer(arrival, arrival.at);
+        if (decision.kind === "wait") {
+            refuseHopeless(arrival.at);
+        }
+        else {
+            end(arrival, decision.kind === "run" ? "run" : "refused", arrival.at);
+        }
+    }
+    finishUntil(Infinity);
+    return endings;
+}
+
+/** Arrivals at a steady rate for five seconds. */
+function createArrivals(
+    name: string,
+    everyMs: number,
+    change: { priority?: number; isCall?: boolean; timeoutMs?: number; targetMs?: number; },
+): Arrival[] {
+    const { priority = 0, isCall = false, timeoutMs = 1000, targetMs = 500 } = change;
+    return Array.from({ length: Math.floor(5000 / everyMs) }, (_, index) => {
+        const at = index * everyMs;
+        return { at, name, route: name, priority, isCall, deadline: at + timeoutMs, target: at + targetMs };
+    });
+}
+
+function merge(...lists: readonly Arrival[][]): Arrival[] {
+    return lists.flat().sort((a, b) => a.at - b.at);
+}
+
+/** Share of the requests of a name that ran. */
+function computeServed(endings: readonly Ending[], name: string): number {
+    const own = endings.filter(ending => ending.name === name);
+    return own.filter(ending => ending.outcome === "run").length / own.length;
+}
+
+describe("waiting at an endpoint", () => {
+    it("runs all at once below the limit", () => {
+        const endings = runReplay(createArrivals("page", 20, {}), 10, 100);
+        expect(endings.every(ending => ending.outcome === "run" && ending.afterMs === 0)).equals(true);
+    });
+
+    it("serves the urgent route whole while a less urgent one brings three times the capacity", () => {
+        const pages = createArrivals("page", 3.3, { priority: 2 });
+        const endings = runReplay(merge(pages, createArrivals("advance", 25, { priority: 0 })), 10, 100);
+        expect(computeServed(endings, "advance")).equals(1);
+        expect(computeServed(endings, "page")).within(0.15, 0.35);
+    });
+
+    it("turns nothing away late: who is refused is refused within an eighth of the target", () => {
+        const endings = runReplay(createArrivals("page", 3.3, { priority: 2 }), 10, 100);
+        const refused = endings.filter(ending => ending.outcome === "refused").map(ending => ending.afterMs);
+        expect(refused.length).above(100);
+        expect(Math.max(...refused)).at.most(63);
+    });
+
+    it("lets calls of running work go before new work of any rank", () => {
+        const calls = createArrivals("call", 14, { isCall: true, priority: 3 });
+        const endings = runReplay(merge(calls, createArrivals("grade", 10, { priority: 0 })), 10, 100);
+        expect(computeServed(endings, "call")).equals(1);
+    });
+
+    it("keeps the endpoint busy in overload", () => {
+        const endings = runReplay(createArrivals("page", 3.3, { priority: 2 }), 10, 100);
+        const runs = endings.filter(ending => ending.outcome === "run").length;
+        expect(runs).at.least(480);
+    });
+
+    it("refuses what can't end before its deadline though a place will be free", () => {
+        const line = new WaitingLine<Arrival>();
+        line.setLimit(1);
+        const [first, second] = createArrivals("page", 2000, { timeoutMs: 40, targetMs: 40 });
+        expect(line.offer(first!, 0).kind).equals("run");
+        expect(line.offer({ ...second!, at: 0, deadline: 40 }, 0).kind).equals("refuse");
+    });
+});
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
-import { formatSettingsError, parseSettings } from "../src/process/settings.js";
+import { parseSettings } from "../src/process/settings.js";
+import { formatSettingsError } from "../src/process/settingsFile.js";
 
 const good = `service = "katalog"
 dataCentre = "klaten"
--- a/tools/format.mjs
+++ b/tools/format.mjs
@@ -9,7 +9,7 @@
 import { readdirSync, readFileSync, writeFileSync } from "node:fs";
 import process from "node:process";
 
-const folders = ["src", "standin", "bench", "test", "tools"];
+const folders = ["src", "platform", "standin", "bench", "test", "tools"];
 const isOnlyCheck = process.argv.includes("--check");
 
 const { typescript, ...globalConfiguration } = JSON.parse(readFileSync("dprint.json", "utf8"));
