--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -5,6 +5,7 @@
  * so that the clocks of two machines need not agree.
  */
 import { Packr } from "msgpackr";
+import type { Behind, Origin } from "../process/runsInProgress.js";
 import type { HeaderList } from "../request/headers.js";
 
 /** Why the node beside an endpoint turned a request away before the endpoint got it. */
@@ -56,8 +57,7 @@
     readonly headers: HeaderList;
     readonly body: Buffer;
     readonly isIdempotent: boolean;
-    readonly isCall: boolean;
-    readonly priority: number;
+    readonly origin: Origin;
     readonly timeLeftMs: number;
     readonly targetLeftMs: number;
     readonly callerService: string;
@@ -72,7 +72,10 @@
     readonly body: Buffer;
     /** Time at the endpoint, in milliseconds. */
     readonly runMs: number;
+    /** Time for which it and its calls waited for places, in milliseconds. */
     readonly waitedMs: number;
+    /** What the calls of the run met. */
+    readonly behind: Behind;
     readonly load: LoadReport;
 }
 
@@ -151,13 +154,12 @@
         "headers",
         "body",
         "isIdempotent",
-        "isCall",
-        "priority",
+        "origin",
         "timeLeftMs",
         "targetLeftMs",
         "callerService",
     ],
-    answer: ["id", "status", "headers", "body", "runMs", "waitedMs", "load"],
+    answer: ["id", "status", "headers", "body", "runMs", "waitedMs", "behind", "load"],
     refused: ["id", "cause", "retryAfterMs", "load"],
     failed: ["id", "cause", "ranMs", "load"],
     cancel: ["id"],
@@ -180,7 +182,7 @@
     const values = message as unknown as Readonly<Record<string, unknown>>;
     const items: unknown[] = [kinds.indexOf(message.kind)];
     for (const field of fieldsByKind[message.kind]) {
-        items.push(field === "load" ? encodeLoad(values[field] as LoadReport) : values[field]);
+        items.push(encodeField(field, values[field]));
     }
     const packed = packr.pack(items);
     const framed = Buffer.allocUnsafe(4 + packed.length);
@@ -254,12 +256,47 @@
     }
     const message: Record<string, unknown> = { kind };
     fields.forEach((field, index) => {
-        const value: unknown = items[index + 1];
-        message[field] = field === "load" ? decodeLoad(value) : value;
+        message[field] = decodeField(field, items[index + 1]);
     });
     return message as unknown as LinkMessage;
 }
 
+function encodeField(field: string, value: unknown): unknown {
+    switch (field) {
+        case "load":
+            return encodeLoad(value as LoadReport);
+        case "origin":
+            return encodeOrigin(value as Origin);
+        default:
+            return value;
+    }
+}
+
+function decodeField(field: string, value: unknown): unknown {
+    switch (field) {
+        case "load":
+            return decodeLoad(value);
+        case "origin":
+            return decodeOrigin(value);
+        default:
+            return value;
+    }
+}
+
+function encodeOrigin(origin: Origin): unknown[] {
+    return [origin.route, origin.priority, origin.isRepeated, origin.depth];
+}
+
+function decodeOrigin(value: unknown): Origin {
+    const [route, priority, isRepeated, depth] = Array.isArray(value) ? value as unknown[] : [];
+    return {
+        route: String(route ?? ""),
+        priority: Number(priority ?? 0),
+        isRepeated: isRepeated === true,
+        depth: Number(depth ?? 0),
+    };
+}
+
 function encodeLoad(load: LoadReport): number[] {
     return [load.running, load.waiting, load.limit, Math.round(load.failureShare * 100)];
 }
--- a/src/process/endpointRunner.ts
+++ b/src/process/endpointRunner.ts
@@ -11,6 +11,7 @@
 import type { Clock } from "./clock.js";
 import type { Logger } from "./logger.js";
 import type { OwnEndpoint } from "./ownEndpoint.js";
+import type { Behind, Origin, RunInProgress, RunsInProgress } from "./runsInProgress.js";
 import type { Candidate } from "./waitingLine.js";
 import { WaitingLine } from "./waitingLine.js";
 
@@ -24,13 +25,15 @@
 const answerGraceMs = 60;
 /** Weight of a new run in the share of failed runs. */
 const failureWeight = 0.05;
+/** Half-life of the share of failed runs while nothing runs, in milliseconds. */
+const forgetFailuresMs = 1500;
 /** Least time that a run needs; with less left it isn't begun, in milliseconds. */
 const minRunMs = 3;
 /** Retry advice while the endpoint takes no work, in milliseconds. */
 const closedRetryMs = 300;
 
 /** A request for the endpoint beside this node. Times are on the monotonic clock. */
-export interface RunRequest extends Candidate {
+export interface RunRequest extends Omit<Candidate, "depth" | "priority"> {
     readonly attemptId: string;
     readonly service: string;
     readonly method: string;
@@ -39,6 +42,7 @@
     readonly body: Buffer;
     readonly isIdempotent: boolean;
     readonly callerService: string;
+    readonly origin: Origin;
 }
 
 /** How a run ended. Only `refused` proves that the request has not run. */
@@ -49,7 +53,10 @@
         readonly headers: HeaderList;
         readonly body: Buffer;
         readonly runMs: number;
+        /** Time for which it and its calls waited for places, in milliseconds. */
         readonly waitedMs: number;
+        /** What the calls of the run met. */
+        readonly behind: Behind;
     }
     | { readonly kind: "refused"; readonly cause: Refusal; readonly retryAfterMs: number; }
     | { readonly kind: "failed"; readonly cause: Failure; readonly ranMs: number; };
@@ -62,6 +69,7 @@
     readonly dialect: Dialect;
     readonly endpoint: OwnEndpoint;
     readonly pool: EndpointPool;
+    readonly runs: RunsInProgress;
     readonly isStopping: () => boolean;
 }
 
@@ -74,6 +82,7 @@
 export class EndpointRunner {
     private readonly line = new WaitingLine<Waiting>();
     private failureShare = 0;
+    private failureShareAt = 0;
 
     constructor(private readonly parts: EndpointRunnerParts) {}
 
@@ -84,7 +93,7 @@
             running: this.line.getRunning(),
             waiting: this.line.getWaiting(),
             limit: isClosed ? 0 : this.updateLimit(),
-            failureShare: this.failureShare,
+            failureShare: this.computeFailureShare(),
         };
     }
 
@@ -104,7 +113,9 @@
         const startedAt = clock.readMonotonic();
         const outcome = await this.runInPlace(request, startedAt, signal);
         this.endRun(request, outcome, clock.readMonotonic() - startedAt);
-        return outcome.kind === "answer" ? { ...outcome, waitedMs: startedAt - arrivedAt } : outcome;
+        return outcome.kind === "answer"
+            ? { ...outcome, waitedMs: outcome.waitedMs + startedAt - arrivedAt }
+            : outcome;
     }
 
     /** Refuses all that waits; called when the endpoint leaves or is gone. */
@@ -136,8 +147,8 @@
         }
         let settle: (refusal: Refusal | undefined) => void = () => undefined;
         const decided = new Promise<Refusal | undefined>(resolve => settle = resolve);
-        const { isCall, priority, route, deadline, target } = request;
-        const waiting: Waiting = { isCall, priority, route, deadline, target, settle };
+        const { origin, route, deadline, target } = request;
+        const waiting: Waiting = { depth: origin.depth, priority: origin.priority, route, deadline, target, settle };
         const decision = this.line.offer(waiting, now);
         if (decision.kind === "run") {
             return undefined;
@@ -172,13 +183,15 @@
         if (request.isIdempotent) {
             signal.addEventListener("abort", abort, { once: true });
         }
+        const run = this.parts.runs.start(request.attemptId, request.origin);
         let result = await this.send(request, leftMs, giveUp.signal);
         if (this.isForAnother(result)) {
             result = await this.send(request, leftMs, giveUp.signal);
         }
+        this.parts.runs.end(request.attemptId, run);
         clearTimeout(timer);
         signal.removeEventListener("abort", abort);
-        return this.readResult(request, result, startedAt);
+        return this.readResult(request, result, startedAt, run);
     }
 
     private send(request: RunRequest, timeLeftMs: number, signal: AbortSignal): Promise<SendResult> {
@@ -205,7 +218,7 @@
         return endpoint.findRefusal() === undefined;
     }
 
-    private readResult(request: RunRequest, result: SendResult, startedAt: number): RunOutcome {
+    private readResult(request: RunRequest, result: SendResult, startedAt: number, run: RunInProgress): RunOutcome {
         const ranMs = this.parts.clock.readMonotonic() - startedAt;
         switch (result.kind) {
             case "unsent":
@@ -217,11 +230,11 @@
             case "lost":
                 return { kind: "failed", cause: describeLoss(result.cause), ranMs };
             case "answered":
-                return this.readAnswer(request, result.answer, ranMs);
+                return this.readAnswer(request, result.answer, ranMs, run);
         }
     }
 
-    private readAnswer(request: RunRequest, answer: EndpointAnswer, runMs: number): RunOutcome {
+    private readAnswer(request: RunRequest, answer: EndpointAnswer, runMs: number, run: RunInProgress): RunOutcome {
         const { status, headers, body, facts } = answer;
         if (facts.isNotRun || status === 421) {
             return this.refuse(request, "shed", this.estimateRetryMs());
@@ -229,7 +242,15 @@
         if (!facts.isSigned) {
             return { kind: "failed", cause: "unsigned", ranMs: runMs };
         }
-        return { kind: "answer", status, headers: copyEndToEndHeaders(headers, noHeaders), body, runMs, waitedMs: 0 };
+        return {
+            kind: "answer",
+            status,
+            headers: copyEndToEndHeaders(headers, noHeaders),
+            body,
+            runMs,
+            waitedMs: run.getWaitedMs(),
+            behind: run.getBehind(),
+        };
     }
 
     private endRun(request: RunRequest, outcome: RunOutcome, heldMs: number): void {
@@ -237,8 +258,10 @@
         this.line.release(request.route, isSample ? heldMs : undefined);
         const hasFailed = outcome.kind === "failed" || (outcome.kind === "answer" && outcome.status >= 500)
             || (outcome.kind === "refused" && outcome.cause === "shed");
-        this.failureShare += ((hasFailed ? 1 : 0) - this.failureShare) * failureWeight;
         const now = this.parts.clock.readMonotonic();
+        const share = this.computeFailureShare();
+        this.failureShare = share + ((hasFailed ? 1 : 0) - share) * failureWeight;
+        this.failureShareAt = now;
         this.refuseHopeless(now);
         for (;;) {
             const next = this.line.takeNext();
@@ -249,6 +272,12 @@
         }
     }
 
+    /** Failures are forgotten with time, so that an instance that was passed over for them gets work again. */
+    private computeFailureShare(): number {
+        const age = this.parts.clock.readMonotonic() - this.failureShareAt;
+        return this.failureShare * 0.5 ** (age / forgetFailuresMs);
+    }
+
     private refuseHopeless(now: number): void {
         for (const waiting of this.line.takeHopeless(now)) {
             waiting.settle("late");
--- a/src/process/retryAllowance.ts
+++ b/src/process/retryAllowance.ts
@@ -2,13 +2,17 @@
  * Bound on second and later sends of requests to a service.
  *
  * Over a window, a node sends at most a ratio of its own requests for the service again, plus its part of a slack that all
- * nodes share. The parts are fixed by the number of nodes, so the sum holds whoever ends, and no agreement is needed.
+ * nodes share. The parts are fixed by the number of nodes, so the sum holds whoever ends, and no agreement is needed. The calls
+ * of a run that was itself a repeat count as repeats, and less urgent requests leave a part of the allowance to the urgent ones.
  */
 import type { Clock } from "./clock.js";
 
 /** Parts of the window that expire one by one. */
 const slices = 10;
 
+/** Part of the allowance that requests other than the most urgent may use. */
+const lessUrgentShare = 0.6;
+
 /** Sends of one service in one slice of the window. */
 interface Slice {
     readonly index: number;
@@ -40,12 +44,18 @@
         this.getCurrent(service).requests += 1;
     }
 
-    /** Takes the allowance for one repeat; `false` when it is used up. */
-    take(service: string): boolean {
+    /** Notes a first send that counts as a repeat, since the run that makes it is one. */
+    recordInherited(service: string): void {
+        this.getCurrent(service).repeats += 1;
+    }
+
+    /** Takes the allowance for one repeat of a request of a rank; `false` when its part is used up. */
+    take(service: string, priority: number): boolean {
         const current = this.getCurrent(service);
         const slack = this.limits.slack / Math.max(1, this.countNodes());
         const { requests, repeats } = this.sum(service);
-        if (repeats + 1 > requests * this.limits.ratio + slack) {
+        const share = priority === 0 ? 1 : lessUrgentShare;
+        if (repeats + 1 > (requests * this.limits.ratio + slack) * share) {
             return false;
         }
         current.repeats += 1;
--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -17,6 +17,7 @@
 import { probeEndpoint } from "./endpointProbe.js";
 import { serveEndpointReport } from "./endpointReports.js";
 import { EndpointRunner } from "./endpointRunner.js";
+import { EntryGate } from "./entryGate.js";
 import { InstancePublisher } from "./instancePublisher.js";
 import type { RecordSource } from "./instanceRegister.js";
 import { InstanceRegister } from "./instanceRegister.js";
@@ -29,6 +30,7 @@
 import { RetryAllowance } from "./retryAllowance.js";
 import { RoutedMetrics } from "./routedMetrics.js";
 import type { RoutedSettings } from "./routedSettings.js";
+import { RunsInProgress } from "./runsInProgress.js";
 import { ShareDraw } from "./shareDraw.js";
 import { WorkInProgress } from "./workInProgress.js";
 
@@ -50,6 +52,8 @@
 const housekeepingMs = 1000;
 /** Longest header section of a request, in bytes. */
 const maxHeaderBytes = 65_536;
+/** Part of the bound on repeats that is used: windows of nodes don't begin together. */
+const allowanceShare = 0.8;
 /** Time to let more instance records come in after a read, in milliseconds. */
 const instanceRestMs = 300;
 
@@ -75,6 +79,7 @@
     private readonly news: PeerNews;
     private readonly publisher: InstancePublisher;
     private readonly followers: readonly KeyedFollower[];
+    private readonly runs = new RunsInProgress();
     private readonly draw = new ShareDraw(Math.random);
     private readonly work: WorkInProgress;
     private readonly entry: RoutedEntryParts;
@@ -102,6 +107,7 @@
             dialect,
             endpoint: this.endpoint,
             pool: this.pool,
+            runs: this.runs,
             isStopping: () => this.isStopping,
         });
         this.remoteRuns = new RemoteRuns(clock, this.runner);
@@ -126,8 +132,8 @@
         this.publisher = new InstancePublisher(clock, Math.random, logger, log, topics.instances, address);
         this.followers = this.createFollowers();
         const allowance = new RetryAllowance(clock, {
-            ratio: bounds.retryRatio / 2,
-            slack: bounds.retrySlack / 2,
+            ratio: bounds.retryRatio * allowanceShare,
+            slack: bounds.retrySlack * allowanceShare,
             windowMs: bounds.retryWindowSeconds * 1000,
         }, () => this.register.count());
         const forwarder = new Forwarder({
@@ -150,7 +156,8 @@
             holder: this.holder,
             draw: this.draw,
             forwarder,
-            address,
+            runs: this.runs,
+            gate: new EntryGate(clock, Math.random),
             isStopping: () => this.isStopping,
         };
         this.callerListener = this.createCallerListener();
--- a/src/process/waitingLine.ts
+++ b/src/process/waitingLine.ts
@@ -3,15 +3,15 @@
  *
  * Load patterns that it answers: a peak above the endpoint's slots (requests wait in order of urgency, and what can't be
  * served in time is turned away at once, not after a wait); a deep service whose callers already run (their calls go before
- * new work, since a call turned away wastes the run that made it); an endpoint that slows (the estimated wait grows with the
+ * new work of the same rank, since a call turned away wastes the run that made it); an endpoint that slows (the estimated wait grows with the
  * measured run time, so the line gets shorter in requests).
  */
 
 /** A request that asks for a place at the endpoint. Times are on a monotonic scale, in milliseconds. */
 export interface Candidate {
-    /** Whether a run elsewhere waits for this call. */
-    readonly isCall: boolean;
-    /** Rank of the route; 0 is the most urgent. */
+    /** Calls between the caller's request and this one; 0 for the request itself. */
+    readonly depth: number;
+    /** Rank of the caller's request; 0 is the most urgent. */
     readonly priority: number;
     /** Route, by whose run times the wait is estimated. */
     readonly route: string;
@@ -156,7 +156,7 @@
     private computeMaxWaitMs(candidate: T, now: number): number {
         const runMs = this.getRunMs(candidate.route);
         const untilDeadline = candidate.deadline - now - runMs;
-        if (candidate.isCall) {
+        if (candidate.depth > 0) {
             return untilDeadline;
         }
         const untilTarget = candidate.target - now - runMs;
@@ -171,7 +171,7 @@
     }
 }
 
-/** Calls of running work go first, then the routes by rank. */
+/** The rank of the caller's request decides, then the work that was spent on it already. */
 function isMoreUrgent(a: Candidate, b: Candidate): boolean {
-    return a.isCall === b.isCall ? a.priority < b.priority : a.isCall;
+    return a.priority === b.priority ? a.depth > b.depth : a.priority < b.priority;
 }
--- a/src/request/dialect.ts
+++ b/src/request/dialect.ts
@@ -48,6 +48,8 @@
 /** Reads and writes the headers. Header lists are flat pairs of name and value. */
 export interface Dialect {
     readRequest(headers: HeaderList): RequestFacts;
+    /** Finds the attempt whose run makes this call; `undefined` when the attempt names none. */
+    findParentAttempt(attemptId: string): string | undefined;
     /** Headers that pass to the endpoint, without what the system sets itself. */
     copyRequestHeaders(headers: HeaderList): string[];
     createRunHeaders(facts: RunFacts): string[];
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -11,6 +11,7 @@
 import type { Logger } from "../process/logger.js";
 import type { Placement } from "../process/placement.js";
 import type { RetryAllowance } from "../process/retryAllowance.js";
+import type { Behind, Origin } from "../process/runsInProgress.js";
 import type { RouteContract } from "../version/configuration.js";
 import type { InstanceRecord } from "../version/instanceRecord.js";
 import type { HeaderList } from "./headers.js";
@@ -29,8 +30,7 @@
     readonly path: string;
     readonly headers: HeaderList;
     readonly body: Buffer;
-    /** Whether a run at the endpoint beside this node waits for it. */
-    readonly isCall: boolean;
+    readonly origin: Origin;
     readonly deadline: number;
     readonly target: number;
     /** Aborts when nobody waits for the answer any more. */
@@ -39,7 +39,14 @@
 
 /** Final outcome of a request. */
 export type ForwardOutcome =
-    | { readonly kind: "answer"; readonly status: number; readonly headers: HeaderList; readonly body: Buffer; }
+    | {
+        readonly kind: "answer";
+        readonly status: number;
+        readonly headers: HeaderList;
+        readonly body: Buffer;
+        readonly waitedMs: number;
+        readonly behind: Behind;
+    }
     /** No send of the request has run or will run. */
     | { readonly kind: "refused"; readonly cause: string; readonly retryAfterMs: number; }
     | { readonly kind: "failed"; readonly cause: string; };
@@ -77,6 +84,9 @@
     async forward(call: RoutedCall): Promise<ForwardOutcome> {
         const { allowance, clock } = this.parts;
         allowance.recordRequest(call.service);
+        if (call.origin.isRepeated) {
+            allowance.recordInherited(call.service);
+        }
         const progress: Progress = { tried: new Set(), sends: 0, offers: 0, runs: 0, failure: undefined };
         let last: ForwardOutcome = { kind: "refused", cause: "noInstance", retryAfterMs: noInstanceRetryMs };
         while (!call.signal.aborted && clock.readMonotonic() < call.deadline) {
@@ -106,21 +116,18 @@
         progress.sends += 1;
         placement.startRun(record.address);
         const outcome = record.address === address
-            ? await this.runHere(call)
-            : await this.runThere(record, call, progress.sends);
+            ? await this.runHere(call, progress)
+            : await this.runThere(record, call, progress);
         placement.endRun(record.address);
         return outcome;
     }
 
-    private async runHere(call: RoutedCall): Promise<RunOutcome> {
+    private async runHere(call: RoutedCall, progress: Progress): Promise<RunOutcome> {
         const { runner, placement, address } = this.parts;
         const outcome = await runner.run(
             {
-                ...describeRun(call),
-                isIdempotent: call.route.repetition === "idempotent",
-                callerService: this.parts.service,
-                deadline: call.deadline,
-                target: call.target,
+                ...this.describeRun(call, progress),
+                route: call.route.name,
             },
             call.signal,
         );
@@ -128,16 +135,13 @@
         return outcome;
     }
 
-    private async runThere(record: InstanceRecord, call: RoutedCall, sendNumber: number): Promise<RunOutcome> {
+    private async runThere(record: InstanceRecord, call: RoutedCall, progress: Progress): Promise<RunOutcome> {
         const outcome = await this.parts.links.run(
             record.address,
             {
-                ...describeRun(call),
-                sendNumber,
-                isIdempotent: call.route.repetition === "idempotent",
-                callerService: this.parts.service,
-                deadline: call.deadline,
-                target: call.target,
+                ...this.describeRun(call, progress),
+                route: call.route.name,
+                sendNumber: progress.sends,
             },
             call.signal,
         );
@@ -180,7 +184,9 @@
         const described = describeOutcome(outcome);
         // An endpoint's own failure tells the caller more than a failure of ours.
         progress.failure = progress.failure?.kind === "answer" ? progress.failure : described;
-        if (call.route.repetition !== "idempotent" || call.signal.aborted) {
+        // Another instance would meet the same trouble behind it, and its calls would add to that.
+        const isLostBehind = outcome.kind === "answer" && outcome.behind !== "none";
+        if (call.route.repetition !== "idempotent" || call.signal.aborted || isLostBehind) {
             return "final";
         }
         return this.takeRepeat(call, progress) ? "again" : "final";
@@ -210,7 +216,24 @@
     }
 
     private takeRepeat(call: RoutedCall, progress: Progress): boolean {
-        return progress.runs < call.route.maxRuns && this.parts.allowance.take(call.service);
+        return progress.runs < call.route.maxRuns && this.parts.allowance.take(call.service, call.origin.priority);
+    }
+
+    private describeRun(call: RoutedCall, progress: Progress) {
+        const { attemptId, service, method, path, headers, body, deadline, target, route } = call;
+        return {
+            attemptId,
+            service,
+            method,
+            path,
+            headers,
+            body,
+            deadline,
+            target,
+            isIdempotent: route.repetition === "idempotent",
+            callerService: this.parts.service,
+            origin: { ...call.origin, isRepeated: call.origin.isRepeated || progress.runs > 0 },
+        };
     }
 
     private logRepeat(call: RoutedCall, record: InstanceRecord, outcome: RunOutcome, progress: Progress): void {
@@ -227,11 +250,6 @@
     }
 }
 
-function describeRun(call: RoutedCall) {
-    const { attemptId, service, route, method, path, headers, body, isCall } = call;
-    return { attemptId, service, route: route.name, priority: route.priority, method, path, headers, body, isCall };
-}
-
 function describeOutcome(outcome: RunOutcome): ForwardOutcome {
     return outcome.kind === "failed" ? { kind: "failed", cause: outcome.cause } : outcome;
 }
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -1,8 +1,11 @@
 /** Requests of callers and of the endpoint beside this node: finds the route, forwards, and answers in time. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "../process/clock.js";
+import type { EntryGate } from "../process/entryGate.js";
 import type { Logger } from "../process/logger.js";
 import type { RoutedMetrics } from "../process/routedMetrics.js";
+import type { Behind, Origin, RunInProgress, RunsInProgress } from "../process/runsInProgress.js";
+import { crowdedWaitShare } from "../process/runsInProgress.js";
 import type { ShareDraw } from "../process/shareDraw.js";
 import type { RouteContract } from "../version/configuration.js";
 import type { ConfigurationHolder } from "../version/configurationHolder.js";
@@ -18,6 +21,8 @@
 const minRetryMs = 150;
 /** Part of the time that is left to the caller up to which a retry may be advised. */
 const maxRetryShare = 1 / 3;
+/** Retry advice for what is turned away for a crowded service behind, in milliseconds. */
+const crowdedRetryMs = 900;
 
 /** What the entry needs from the rest of the node. */
 export interface RoutedEntryParts {
@@ -29,8 +34,9 @@
     readonly holder: ConfigurationHolder;
     readonly draw: ShareDraw;
     readonly forwarder: Forwarder;
-    /** Address of the own instance: what comes from there are calls of its endpoint. */
-    readonly address: string;
+    /** Runs of the endpoint beside this node, whose calls enter here too. */
+    readonly runs: RunsInProgress;
+    readonly gate: EntryGate;
     readonly isStopping: () => boolean;
 }
 
@@ -43,6 +49,8 @@
     readonly version: number;
     readonly body: Buffer;
     readonly startedAt: number;
+    /** The run that makes the call; `undefined` for a request of a caller. */
+    readonly parent: RunInProgress | undefined;
 }
 
 /** Serves one request. */
@@ -84,7 +92,23 @@
         logEntry(parts, "refused", { cause: "noAttempt", version, status: 400 });
         return;
     }
-    await forwardEntered(parts, { request, response, facts, route, version, body, startedAt }, facts.attemptId);
+    const parent = parts.runs.find(parts.dialect.findParentAttempt(facts.attemptId));
+    const entered: Entered = { request, response, facts, route, version, body, startedAt, parent };
+    if (parent === undefined && !parts.gate.isAdmitted(route.name)) {
+        const refusal = { kind: "refused", cause: "crowdedBehind", retryAfterMs: crowdedRetryMs } as const;
+        const status = sendOutcome(parts, response, entered, refusal);
+        parts.metrics.recordEnd(route.name, "refused", refusal.cause, 0);
+        const share = parts.gate.getShare(route.name).toFixed(2);
+        logEntry(parts, "refused", {
+            request: facts.attemptId,
+            route: route.name,
+            cause: refusal.cause,
+            share,
+            status,
+        });
+        return;
+    }
+    await forwardEntered(parts, entered, facts.attemptId);
 }
 
 async function forwardEntered(parts: RoutedEntryParts, entered: Entered, attemptId: string): Promise<void> {
@@ -107,7 +131,7 @@
         path: request.url ?? "/",
         headers: parts.dialect.copyRequestHeaders(request.rawHeaders),
         body,
-        isCall: isFromOwnInstance(parts, request),
+        origin: createOrigin(entered),
         deadline: startedAt + waitMs,
         target: startedAt + route.targetLatencyMs,
         signal: giveUp.signal,
@@ -115,6 +139,9 @@
     const forwarded = parts.forwarder.forward(call);
     const outcome = await Promise.race([forwarded, clientGone, endAtDeadline(parts, call, giveUp, forwarded)]);
     const elapsedMs = parts.clock.readMonotonic() - startedAt;
+    if (outcome !== "gone") {
+        noteBehind(parts, entered, call, outcome);
+    }
     const status = outcome === "gone" ? 499 : sendOutcome(parts, response, entered, outcome);
     recordEnd(parts, entered, call, outcome, status, elapsedMs);
 }
@@ -180,8 +207,35 @@
     response.end();
 }
 
-function isFromOwnInstance(parts: RoutedEntryParts, request: IncomingMessage): boolean {
-    return request.socket.remoteAddress === parts.address;
+/** A call takes the rank of the request that it goes back to. */
+function createOrigin(entered: Entered): Origin {
+    const { route, parent } = entered;
+    return parent === undefined
+        ? { route: route.name, priority: route.priority, isRepeated: false, depth: 0 }
+        : { ...parent.origin, depth: parent.origin.depth + 1 };
+}
+
+/** Tells the run that made the call, or the gate of the route, whether it met a service without room. */
+function noteBehind(parts: RoutedEntryParts, entered: Entered, call: RoutedCall, outcome: ForwardOutcome): void {
+    const waitedMs = outcome.kind === "answer" ? outcome.waitedMs : 0;
+    if (entered.parent !== undefined) {
+        entered.parent.recordCall(describeBehind(outcome), waitedMs);
+        return;
+    }
+    const isLate = waitedMs > (call.deadline - entered.startedAt) * crowdedWaitShare;
+    const isCrowded = outcome.kind === "answer" && outcome.status >= 500 && (outcome.behind === "crowd" || isLate);
+    parts.gate.recordAnswer(call.route.name, isCrowded);
+}
+
+function describeBehind(outcome: ForwardOutcome): Behind {
+    switch (outcome.kind) {
+        case "answer":
+            return outcome.status < 500 ? "none" : outcome.behind === "crowd" ? "crowd" : "failure";
+        case "refused":
+            return outcome.cause === "full" || outcome.cause === "late" ? "crowd" : "failure";
+        case "failed":
+            return "failure";
+    }
 }
 
 function recordEnd(
@@ -200,7 +254,9 @@
         route: call.route.name,
         service: call.service,
         version: entered.version,
-        isCall: call.isCall,
+        origin: call.origin.route,
+        depth: call.origin.depth,
+        behind: outcome !== "gone" && outcome.kind === "answer" ? outcome.behind : undefined,
         status,
         cause,
         ms: Math.round(elapsedMs),
--- /dev/null
+++ b/standin/platformUpstream.ts
@@ -0,0 +1,196 @@
+/**
+ * Stand-in of an upstream on the platform: runs requests in a limited number of slots, makes calls through its node, and sends
+ * its heartbeats. It records each run, so that a test sees what ran how often.
+ */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer, request as httpRequest } from "node:http";
+
+/** A call that each run makes. */
+export interface UpstreamCall {
+    readonly host: string;
+    readonly path: string;
+}
+
+/** What an upstream does. */
+export interface UpstreamPlan {
+    readonly address: string;
+    readonly port: number;
+    readonly service: string;
+    readonly slots: number;
+    /** Time that each run holds its slot besides its calls, in milliseconds. */
+    readonly runMs: number;
+    readonly calls: readonly UpstreamCall[];
+    /** Where calls go. */
+    readonly outboundPort: number;
+    /** Where heartbeats go. */
+    readonly controlPort: number;
+}
+
+/** Time between heartbeats, in milliseconds. */
+const heartbeatMs = 300;
+
+/** One upstream. */
+export class PlatformUpstream {
+    /** Attempts that ran here, in order. */
+    readonly runs: string[] = [];
+    /** Headers of the last request. */
+    lastHeaders: readonly string[] = [];
+    running = 0;
+    mostRunning = 0;
+    /** Runs whose caller's connection closed before the answer. */
+    abandoned = 0;
+    /** Changes how runs end: lose the connection after the run, refuse unrun, or fail. */
+    fault: "none" | "reset" | "shed" | "fail" = "none";
+    runMs: number;
+    id: string;
+    private state: "ready" | "draining" = "ready";
+    private number = 0;
+    private life = 0;
+    private server: Server | undefined;
+    private timer: NodeJS.Timeout | undefined;
+
+    constructor(readonly plan: UpstreamPlan) {
+        this.runMs = plan.runMs;
+        this.id = this.createId();
+    }
+
+    /** Starts a new incarnation. */
+    async start(): Promise<void> {
+        this.life += 1;
+        this.id = this.createId();
+        this.state = "ready";
+        this.number = 0;
+        this.server = createServer((request, response) => void this.serve(request, response));
+        const { port, address } = this.plan;
+        await new Promise<void>(resolve => this.server!.listen(port, address, resolve));
+        this.timer = setInterval(() => void this.sendHeartbeat(), heartbeatMs);
+        await this.sendHeartbeat();
+    }
+
+    /** Ends at once, without a word. */
+    endAbruptly(): void {
+        clearInterval(this.timer);
+        this.server?.closeAllConnections();
+        this.server?.close();
+        this.running = 0;
+    }
+
+    /** Says that it leaves. */
+    async drain(): Promise<void> {
+        this.state = "draining";
+        await this.sendHeartbeat();
+    }
+
+    /** Says that it is gone, as an upstream that never drains does. */
+    async leave(): Promise<void> {
+        await this.post(`/rpc?call=instances.deregister&of=${this.id}`, undefined);
+    }
+
+    /** Sends a heartbeat. Returns whether it was acknowledged. */
+    async sendHeartbeat(): Promise<boolean> {
+        this.number += 1;
+        return this.post(`/rpc?call=instances.heartbeat&of=${this.id}`, {
+            slots: this.plan.slots,
+            state: this.state,
+            warmupLeftMs: 0,
+            reportNumber: this.number,
+        });
+    }
+
+    private createId(): string {
+        return `i-${this.plan.address}-${this.life}`;
+    }
+
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const chunks: Buffer[] = [];
+        for await (const chunk of request) {
+            chunks.push(chunk as Buffer);
+        }
+        const attempt = request.headers["attempt-id"];
+        const expected = request.headers["expect-instance"];
+        if (request.url === "/healthz") {
+            response.writeHead(this.state === "ready" ? 200 : 503, {
+                "Upstream-Instance": this.id,
+                "Upstream-Load": `${this.running},0,${this.plan.slots}`,
+            }).end();
+            return;
+        }
+        const echo = { "Attempt-Id": String(attempt) };
+        if (expected !== undefined && expected !== this.id) {
+            response.writeHead(421, { ...echo, "Upstream-Instance": this.id }).end();
+            return;
+        }
+        if (this.fault === "shed") {
+            response.writeHead(503, { ...echo, "Not-Executed": "1" }).end();
+            return;
+        }
+        this.lastHeaders = request.rawHeaders;
+        await this.run(String(attempt), echo, Buffer.concat(chunks), response);
+    }
+
+    private async run(
+        attempt: string,
+        echo: Record<string, string>,
+        body: Buffer,
+        response: ServerResponse,
+    ): Promise<void> {
+        this.runs.push(attempt);
+        this.running += 1;
+        this.mostRunning = Math.max(this.mostRunning, this.running);
+        response.once("close", () => this.abandoned += response.writableFinished ? 0 : 1);
+        await new Promise(resolve => setTimeout(resolve, this.runMs));
+        let status = this.fault === "fail" ? 500 : 200;
+        for (const [index, call] of this.plan.calls.entries()) {
+            if (status === 200 && await this.call(call, `${attempt}.c${index}`) !== 200) {
+                status = 500;
+            }
+        }
+        this.running -= 1;
+        if (this.fault === "reset") {
+            response.socket?.resetAndDestroy();
+            return;
+        }
+        response.writeHead(status, { ...echo, "Upstream-Signature": `s.${this.id}` }).end(body);
+    }
+
+    private call(call: UpstreamCall, attempt: string): Promise<number> {
+        return new Promise(resolve => {
+            const sent = httpRequest({
+                host: this.plan.address,
+                port: this.plan.outboundPort,
+                path: call.path,
+                headers: { Host: call.host, "Attempt-Id": attempt, "Deadline-Ms": "1000" },
+            }, answer => {
+                answer.resume();
+                answer.once("end", () => resolve(answer.statusCode ?? 0));
+                answer.once("error", () => resolve(0));
+            });
+            sent.once("error", () => resolve(0));
+            sent.end();
+        });
+    }
+
+    private post(path: string, body: unknown): Promise<boolean> {
+        return new Promise(resolve => {
+            const sent = httpRequest({
+                method: "POST",
+                host: this.plan.address,
+                port: this.plan.controlPort,
+                path: formatCall(path),
+                timeout: 1000,
+            }, answer => {
+                answer.resume();
+                resolve(answer.statusCode === 200);
+            });
+            sent.once("error", () => resolve(false));
+            sent.once("timeout", () => sent.destroy());
+            sent.end(body === undefined ? undefined : JSON.stringify(body));
+        });
+    }
+}
+
+/** Gives a call the path that deploy/wire.toml gives it. */
+function formatCall(path: string): string {
+    const [, call, id] = /call=instances\.(heartbeat|deregister)&of=(.+)$/.exec(path)!;
+    return `/endpoint/${id}/${call === "heartbeat" ? "report" : "leave"}`;
+}
--- a/test/routed/endpointConnection.test.ts
+++ b/test/routed/endpointConnection.test.ts
@@ -128,6 +128,15 @@
             endings: ["lost reset", "lost reset"],
             connections: 2,
         },
+        {
+            name: "without a length are not whole when a reset follows right behind the data",
+            answer: (socket, attempt) => {
+                socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\n\r\n${attempt}`);
+                socket.resetAndDestroy();
+            },
+            endings: ["lost reset", "lost reset"],
+            connections: 2,
+        },
         {
             name: "that end early are not whole",
             answer: (socket, attempt) => socket.end(formatAnswer(attempt, "0123456789").slice(0, -3)),
