Send an idempotent request elsewhere when it is silent for long, and keep crashing requests from crashing more

Cause of this change: a lost answer holds an idempotent call until its deadline and fails the whole chain above; a request that crashes its upstream was sent on without end. Change: after 3.5 times a route's usual time a second instance is asked, within the bounds on repeats; a connection that is lost while the endpoint takes no new one is a crash, whose requests are suspect at all nodes.

--- a/src/process/endpointRunner.ts
+++ b/src/process/endpointRunner.ts
@@ -5,12 +5,15 @@
 import type { EndpointAnswer, LossCause } from "../connection/endpointConnection.js";
 import type { EndpointPool, SendResult } from "../connection/endpointPool.js";
 import type { Failure, LoadReport, Refusal } from "../connection/linkMessage.js";
+import { computeFingerprint } from "../request/action.js";
 import type { Dialect } from "../request/dialect.js";
 import { copyEndToEndHeaders } from "../request/dialect.js";
 import type { HeaderList } from "../request/headers.js";
 import type { Clock } from "./clock.js";
+import type { CrashWatch } from "./crashWatch.js";
 import type { Logger } from "./logger.js";
 import type { OwnEndpoint } from "./ownEndpoint.js";
+import type { Quarantine } from "./quarantine.js";
 import type { Behind, Origin, RunInProgress, RunsInProgress } from "./runsInProgress.js";
 import type { Candidate } from "./waitingLine.js";
 import { WaitingLine } from "./waitingLine.js";
@@ -25,6 +28,8 @@
 const answerGraceMs = 60;
 /** Weight of a new run in the share of failed runs. */
 const failureWeight = 0.05;
+/** Retry advice for a request that crashed endpoints, in milliseconds. */
+const quarantineRetryMs = 5000;
 /** Half-life of the share of failed runs while nothing runs, in milliseconds. */
 const forgetFailuresMs = 1500;
 /** Least time that a run needs; with less left it isn't begun, in milliseconds. */
@@ -70,6 +75,8 @@
     readonly endpoint: OwnEndpoint;
     readonly pool: EndpointPool;
     readonly runs: RunsInProgress;
+    readonly quarantine: Quarantine;
+    readonly crashes: Pick<CrashWatch, "recordLost">;
     readonly isStopping: () => boolean;
 }
 
@@ -105,6 +112,9 @@
         if (closed !== undefined) {
             return this.refuse(request, closed, closedRetryMs);
         }
+        if (this.isQuarantined(request)) {
+            return this.refuse(request, "quarantined", quarantineRetryMs);
+        }
         this.updateLimit();
         const refusal = await this.waitForPlace(request, arrivedAt, signal);
         if (refusal !== undefined) {
@@ -125,6 +135,11 @@
         }
     }
 
+    private isQuarantined(request: RunRequest): boolean {
+        const { quarantine } = this.parts;
+        return !quarantine.isEmpty() && quarantine.isRefused(computeRunFingerprint(request));
+    }
+
     private findClosedCause(): Refusal | undefined {
         return this.parts.isStopping() ? "leaving" : this.parts.endpoint.findRefusal();
     }
@@ -228,6 +243,9 @@
                 this.parts.endpoint.recordAway();
                 return this.refuse(request, "away", closedRetryMs);
             case "lost":
+                if (result.cause === "reset" || result.cause === "closed") {
+                    this.parts.crashes.recordLost(computeRunFingerprint(request));
+                }
                 return { kind: "failed", cause: describeLoss(result.cause), ranMs };
             case "answered":
                 return this.readAnswer(request, result.answer, ranMs, run);
@@ -242,6 +260,9 @@
         if (!facts.isSigned) {
             return { kind: "failed", cause: "unsigned", ranMs: runMs };
         }
+        if (!this.parts.quarantine.isEmpty()) {
+            this.parts.quarantine.recordCompleted(computeRunFingerprint(request));
+        }
         return {
             kind: "answer",
             status,
@@ -306,6 +327,10 @@
 
 const noHeaders: ReadonlySet<string> = new Set();
 
+function computeRunFingerprint(request: RunRequest): string {
+    return computeFingerprint(request.service, request.method, request.path, request.body);
+}
+
 function describeLoss(cause: LossCause): Failure {
     return cause === "aborted" ? "noAnswer" : cause;
 }
--- a/src/process/quarantine.ts
+++ b/src/process/quarantine.ts
@@ -68,6 +68,11 @@
         this.records.delete(fingerprint);
     }
 
+    /** Whether no request is suspect. */
+    isEmpty(): boolean {
+        return this.records.size === 0;
+    }
+
     /** Whether a request must not run. */
     isRefused(fingerprint: string): boolean {
         return this.countCrashes(fingerprint) >= maxCrashes;
--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -14,6 +14,7 @@
 import { ConfigurationHolder } from "../version/configurationHolder.js";
 import { formatInstanceRecord, parseInstanceRecord } from "../version/instanceRecord.js";
 import type { Clock } from "./clock.js";
+import { CrashWatch } from "./crashWatch.js";
 import { probeEndpoint } from "./endpointProbe.js";
 import { serveEndpointReport } from "./endpointReports.js";
 import { EndpointRunner } from "./endpointRunner.js";
@@ -26,6 +27,7 @@
 import { OwnEndpoint } from "./ownEndpoint.js";
 import { PeerNews } from "./peerNews.js";
 import { Placement } from "./placement.js";
+import { Quarantine } from "./quarantine.js";
 import { RemoteRuns } from "./remoteRuns.js";
 import { RetryAllowance } from "./retryAllowance.js";
 import { RoutedMetrics } from "./routedMetrics.js";
@@ -80,6 +82,7 @@
     private readonly publisher: InstancePublisher;
     private readonly followers: readonly KeyedFollower[];
     private readonly runs = new RunsInProgress();
+    private readonly quarantine: Quarantine;
     private readonly draw = new ShareDraw(Math.random);
     private readonly work: WorkInProgress;
     private readonly entry: RoutedEntryParts;
@@ -98,6 +101,7 @@
         const { dialect, log } = ports;
         this.incarnation = Math.floor(clock.readDate().getTime() * 1000 + Math.random() * 1000);
         this.work = new WorkInProgress(clock);
+        this.quarantine = new Quarantine(clock);
         this.endpoint = new OwnEndpoint(clock);
         this.pool = new EndpointPool(clock, endpoint.address.host, endpoint.address.port, dialect);
         this.runner = new EndpointRunner({
@@ -108,6 +112,15 @@
             endpoint: this.endpoint,
             pool: this.pool,
             runs: this.runs,
+            quarantine: this.quarantine,
+            crashes: new CrashWatch({
+                clock,
+                logger,
+                quarantine: this.quarantine,
+                address,
+                isReachable: () => this.pool.isReachable(),
+                spread: (fingerprints, incident) => this.links.postToAll({ kind: "crashes", fingerprints, incident }),
+            }),
             isStopping: () => this.isStopping,
         });
         this.remoteRuns = new RemoteRuns(clock, this.runner);
@@ -254,6 +267,9 @@
                 if (message.kind === "ping") {
                     link.post({ kind: "pong", version: this.holder.getVersion(), load: this.runner.getLoad() });
                 }
+                if (message.kind === "crashes") {
+                    message.fingerprints.forEach(each => this.quarantine.recordCrash(each, message.incident));
+                }
                 this.news.receive(message, link.post);
             },
             reportFailure: (cause, peer) => this.logger.warn("linkRefused", { cause, peer }),
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -18,6 +18,10 @@
 
 /** Instances that may turn a request away for want of room before its refusal is final. */
 const maxOffers = 3;
+/** Multiple of a route's usual run time after which an answer is taken for lost. */
+const silenceFactor = 3.5;
+/** Shortest silence after which an answer is taken for lost, in milliseconds. */
+const minSilenceMs = 40;
 /** Retry advice when no instance takes work, in milliseconds. */
 const noInstanceRetryMs = 400;
 
@@ -65,6 +69,18 @@
     readonly runner: EndpointRunner;
 }
 
+/** A send that has ended. */
+interface Ended {
+    readonly record: InstanceRecord;
+    readonly outcome: RunOutcome;
+}
+
+/** A send in progress. */
+interface Send {
+    readonly ended: Promise<Ended>;
+    readonly cancel: () => void;
+}
+
 /** Progress of one request over its sends. */
 interface Progress {
     readonly tried: Set<string>;
@@ -94,13 +110,13 @@
             if (record === undefined) {
                 break;
             }
-            const outcome = await this.sendTo(record, call, progress);
-            last = describeOutcome(outcome);
-            const next = this.decide(call, record, outcome, progress);
+            const ended = await this.sendHedged(record, call, progress);
+            last = describeOutcome(ended.outcome);
+            const next = this.decide(call, ended.record, ended.outcome, progress);
             if (next !== "again") {
                 break;
             }
-            this.logRepeat(call, record, outcome, progress);
+            this.logAgain("placedAgain", call, ended.record, describeCause(ended.outcome), progress);
         }
         return settle(last, progress);
     }
@@ -110,10 +126,63 @@
         return placement.choose(register.listOfService(call.service), progress.tried);
     }
 
-    private async sendTo(record: InstanceRecord, call: RoutedCall, progress: Progress): Promise<RunOutcome> {
-        const { placement, address } = this.parts;
+    /** Sends a request to an instance, and an idempotent one to a second instance if the first is silent for unusually long. */
+    private async sendHedged(record: InstanceRecord, call: RoutedCall, progress: Progress): Promise<Ended> {
+        const first = this.startSend(record, call, progress);
+        const silenceMs = this.computeSilenceMs(call);
+        if (silenceMs === undefined || !await this.isSilent(first, silenceMs)) {
+            return first.ended;
+        }
+        const other = call.signal.aborted ? undefined : this.choose(call, progress);
+        if (other === undefined || !this.takeRepeat(call, progress.runs + 1)) {
+            return first.ended;
+        }
+        progress.runs += 1;
+        this.parts.placement.recordRun(record.address, call.route.name, silenceMs);
+        this.logAgain("hedged", call, record, "silent", progress);
+        const second = this.startSend(other, call, progress);
+        const winner = await Promise.race([first.ended, second.ended]);
+        const loser = winner.record === record ? second : first;
+        if (winner.outcome.kind !== "answer" || winner.outcome.status >= 500) {
+            return loser.ended;
+        }
+        loser.cancel();
+        return winner;
+    }
+
+    /** Silence after which an answer is probably lost, in milliseconds; `undefined` when a second send makes no sense. */
+    private computeSilenceMs(call: RoutedCall): number | undefined {
+        const usualMs = this.parts.placement.getRouteMs(call.route.name);
+        if (call.route.repetition !== "idempotent" || usualMs === undefined) {
+            return undefined;
+        }
+        const silenceMs = usualMs * silenceFactor + minSilenceMs;
+        const leftMs = call.deadline - this.parts.clock.readMonotonic();
+        return silenceMs + usualMs > leftMs ? undefined : silenceMs;
+    }
+
+    private async isSilent(send: Send, milliseconds: number): Promise<boolean> {
+        const hasEnded = new AbortController();
+        void send.ended.then(() => hasEnded.abort());
+        await this.parts.clock.sleep(milliseconds, hasEnded.signal);
+        return !hasEnded.signal.aborted;
+    }
+
+    private startSend(record: InstanceRecord, call: RoutedCall, progress: Progress): Send {
         progress.tried.add(record.address);
         progress.sends += 1;
+        const controller = new AbortController();
+        const cancel = (): void => controller.abort();
+        call.signal.addEventListener("abort", cancel, { once: true });
+        const ended = this.sendTo(record, { ...call, signal: controller.signal }, progress).then(outcome => {
+            call.signal.removeEventListener("abort", cancel);
+            return { record, outcome };
+        });
+        return { ended, cancel };
+    }
+
+    private async sendTo(record: InstanceRecord, call: RoutedCall, progress: Progress): Promise<RunOutcome> {
+        const { placement, address } = this.parts;
         placement.startRun(record.address);
         const outcome = record.address === address
             ? await this.runHere(call, progress)
@@ -189,7 +258,7 @@
         if (call.route.repetition !== "idempotent" || call.signal.aborted || isLostBehind) {
             return "final";
         }
-        return this.takeRepeat(call, progress) ? "again" : "final";
+        return this.takeRepeat(call, progress.runs) ? "again" : "final";
     }
 
     private decideOffer(
@@ -206,8 +275,9 @@
             case "shed":
                 // The endpoint itself was reached, so another one is a repeat.
                 progress.runs += 1;
-                return this.takeRepeat(call, progress) ? "again" : "final";
+                return this.takeRepeat(call, progress.runs) ? "again" : "final";
             case "cancelled":
+            case "quarantined":
                 return "final";
             default:
                 this.parts.placement.avoid(record.address);
@@ -215,8 +285,8 @@
         }
     }
 
-    private takeRepeat(call: RoutedCall, progress: Progress): boolean {
-        return progress.runs < call.route.maxRuns && this.parts.allowance.take(call.service, call.origin.priority);
+    private takeRepeat(call: RoutedCall, runs: number): boolean {
+        return runs < call.route.maxRuns && this.parts.allowance.take(call.service, call.origin.priority);
     }
 
     private describeRun(call: RoutedCall, progress: Progress) {
@@ -236,13 +306,18 @@
         };
     }
 
-    private logRepeat(call: RoutedCall, record: InstanceRecord, outcome: RunOutcome, progress: Progress): void {
-        this.parts.logger.info("placedAgain", {
+    private logAgain(
+        event: "placedAgain" | "hedged",
+        call: RoutedCall,
+        record: InstanceRecord,
+        cause: string,
+        progress: Progress,
+    ): void {
+        this.parts.logger.info(event, {
             request: call.attemptId,
             route: call.route.name,
             after: record.address,
-            outcome: outcome.kind,
-            cause: outcome.kind === "answer" ? String(outcome.status) : outcome.cause,
+            cause,
             sends: progress.sends,
             runs: progress.runs,
             leftMs: Math.round(call.deadline - this.parts.clock.readMonotonic()),
@@ -250,6 +325,10 @@
     }
 }
 
+function describeCause(outcome: RunOutcome): string {
+    return outcome.kind === "answer" ? String(outcome.status) : outcome.cause;
+}
+
 function describeOutcome(outcome: RunOutcome): ForwardOutcome {
     return outcome.kind === "failed" ? { kind: "failed", cause: outcome.cause } : outcome;
 }
--- a/standin/platformUpstream.ts
+++ b/standin/platformUpstream.ts
@@ -39,8 +39,8 @@
     mostRunning = 0;
     /** Runs whose caller's connection closed before the answer. */
     abandoned = 0;
-    /** Changes how runs end: lose the connection after the run, refuse unrun, or fail. */
-    fault: "none" | "reset" | "shed" | "fail" = "none";
+    /** Changes how runs end: lose the connection after the run, never answer, refuse unrun, or fail. */
+    fault: "none" | "reset" | "silent" | "shed" | "fail" = "none";
     runMs: number;
     id: string;
     private state: "ready" | "draining" = "ready";
@@ -124,6 +124,11 @@
             response.writeHead(503, { ...echo, "Not-Executed": "1" }).end();
             return;
         }
+        if (request.url?.endsWith("/crash") === true) {
+            this.runs.push(String(attempt));
+            this.endAbruptly();
+            return;
+        }
         this.lastHeaders = request.rawHeaders;
         await this.run(String(attempt), echo, Buffer.concat(chunks), response);
     }
@@ -150,6 +155,9 @@
             response.socket?.resetAndDestroy();
             return;
         }
+        if (this.fault === "silent") {
+            return;
+        }
         response.writeHead(status, { ...echo, "Upstream-Signature": `s.${this.id}` }).end(body);
     }
 
