--- a/src/cli.ts
+++ b/src/cli.ts
@@ -13,6 +13,7 @@
 import type { KeySource } from "./process/keys.js";
 import { formatKeyError, readKeys } from "./process/keys.js";
 import { releaseQuarantine, retireSlot, showAudit, showHistory, showStatus } from "./process/operatorCommands.js";
+import { checkFile, tellStory } from "./process/routedCommands.js";
 import type { ToolOptions } from "./process/tool.js";
 import { exitCodes } from "./process/tool.js";
 
@@ -129,6 +130,24 @@
         words => words.positional("fingerprint", { type: "string", demandOption: true }).option("operator", operator),
         runCommand(releaseQuarantine),
     )
+    .command(
+        "check <kind> <file>",
+        "check a routed node's settings or an operator's configuration",
+        words =>
+            words.positional("kind", { choices: ["settings", "configuration"] as const, demandOption: true })
+                .positional("file", { type: "string", demandOption: true }),
+        words => {
+            process.exitCode = checkFile(words.kind, words.file);
+        },
+    )
+    .command(
+        "explain <attempt>",
+        "tell the story of one request from the nodes' logs on standard input",
+        words => words.positional("attempt", { type: "string", demandOption: true }),
+        async words => {
+            process.exitCode = await tellStory(words.attempt, process.stdin);
+        },
+    )
     .completion("completion", "print a completion script for the shell")
     .demandCommand(1)
     .strict()
--- a/src/process/endpointRunner.ts
+++ b/src/process/endpointRunner.ts
@@ -77,7 +77,8 @@
     readonly runs: RunsInProgress;
     readonly quarantine: Quarantine;
     readonly crashes: Pick<CrashWatch, "recordLost">;
-    readonly isStopping: () => boolean;
+    /** Whether this node gives the endpoint no more work, since it stops. */
+    readonly isClosed: () => boolean;
 }
 
 /** A request with the call-back that tells what became of its wait. */
@@ -141,7 +142,7 @@
     }
 
     private findClosedCause(): Refusal | undefined {
-        return this.parts.isStopping() ? "leaving" : this.parts.endpoint.findRefusal();
+        return this.parts.isClosed() ? "leaving" : this.parts.endpoint.findRefusal();
     }
 
     private updateLimit(): number {
--- a/src/process/retryAllowance.ts
+++ b/src/process/retryAllowance.ts
@@ -35,10 +35,15 @@
 
     constructor(
         private readonly clock: Clock,
-        private readonly limits: RetryLimits,
+        private limits: RetryLimits,
         private readonly countNodes: () => number,
     ) {}
 
+    /** Changes the limits. */
+    setLimits(limits: RetryLimits): void {
+        this.limits = limits;
+    }
+
     /** Notes a first send to a service. */
     recordRequest(service: string): void {
         this.getCurrent(service).requests += 1;
--- /dev/null
+++ b/src/process/routedCommands.ts
@@ -0,0 +1,45 @@
+/** Commands of the tool for routed nodes: checks of files, and the story of a request. */
+import { readFileSync } from "node:fs";
+import { createInterface } from "node:readline";
+import { formatConfigurationError, parseConfiguration } from "../version/configuration.js";
+import { findStory } from "./explain.js";
+import { readRoutedSettings } from "./routedSettings.js";
+import { formatSettingsError } from "./settingsFile.js";
+import { exitCodes } from "./tool.js";
+
+/** Checks a file and prints what is wrong with it. Returns the exit code. */
+export function checkFile(kind: "settings" | "configuration", file: string): number {
+    const problem = kind === "settings" ? findSettingsProblem(file) : findConfigurationProblem(file);
+    process.stdout.write(problem === undefined ? `${file}: valid\n` : `${problem}\n`);
+    return problem === undefined ? exitCodes.done : exitCodes.usage;
+}
+
+/** Prints the lines of a request and of its calls. Returns the exit code. */
+export async function tellStory(attempt: string, input: NodeJS.ReadableStream): Promise<number> {
+    const lines: string[] = [];
+    for await (const line of createInterface({ input })) {
+        if (line.includes(attempt)) {
+            lines.push(line);
+        }
+    }
+    const story = findStory(attempt, lines);
+    process.stdout.write(story.map(line => `${line}\n`).join("") || `${attempt}: no line\n`);
+    return story.length === 0 ? exitCodes.unknown : exitCodes.done;
+}
+
+function findSettingsProblem(file: string): string | undefined {
+    const settings = readRoutedSettings(file);
+    return settings.ok ? undefined : formatSettingsError(settings.error);
+}
+
+function findConfigurationProblem(file: string): string | undefined {
+    let text: string;
+    try {
+        text = readFileSync(file, "utf8");
+    }
+    catch (error) {
+        return `${file}: ${(error as Error).message}`;
+    }
+    const parsed = parseConfiguration(text);
+    return parsed.ok ? undefined : `${file}: ${formatConfigurationError(parsed.error)}`;
+}
--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -29,6 +29,7 @@
 import { Placement } from "./placement.js";
 import { Quarantine } from "./quarantine.js";
 import { RemoteRuns } from "./remoteRuns.js";
+import type { RetryLimits } from "./retryAllowance.js";
 import { RetryAllowance } from "./retryAllowance.js";
 import { RoutedMetrics } from "./routedMetrics.js";
 import type { RoutedSettings } from "./routedSettings.js";
@@ -45,7 +46,9 @@
 } as const;
 
 /** Time that callers are given to go elsewhere before a graceful stop closes their connections, in milliseconds. */
-const leaveMs = 3200;
+const leaveMs = 2200;
+/** Time for the last runs before a stop gives up waiting, in milliseconds. */
+const lastRunsMs = 1500;
 /** Time before the end of the grace period at which a stop gives up waiting, in milliseconds. */
 const stopMarginMs = 600;
 /** Time between looks during a graceful stop, in milliseconds. */
@@ -65,6 +68,14 @@
     readonly dialect: Dialect;
 }
 
+function createRetryLimits(bounds: RoutedSettings["bounds"]): RetryLimits {
+    return {
+        ratio: bounds.retryRatio * allowanceShare,
+        slack: bounds.retrySlack * allowanceShare,
+        windowMs: bounds.retryWindowSeconds * 1000,
+    };
+}
+
 /** One routed node: all that its process holds. */
 export class RoutedNode {
     readonly holder = new ConfigurationHolder();
@@ -89,7 +100,11 @@
     private readonly listeners: { readonly host: string; readonly port: number; readonly listener: HttpListener; }[];
     private readonly callerListener: HttpListener;
     private readonly incarnation: number;
+    private readonly allowance: RetryAllowance;
+    private graceMs: number;
     private isStopping = false;
+    /** Whether the endpoint gets no more work, since this process ends soon. */
+    private isClosed = false;
 
     constructor(
         private readonly settings: RoutedSettings,
@@ -99,6 +114,7 @@
     ) {
         const { address, service, dataCentre, bounds, endpoint, listeners } = settings;
         const { dialect, log } = ports;
+        this.graceMs = bounds.graceSeconds * 1000;
         this.incarnation = Math.floor(clock.readDate().getTime() * 1000 + Math.random() * 1000);
         this.work = new WorkInProgress(clock);
         this.quarantine = new Quarantine(clock);
@@ -121,7 +137,7 @@
                 isReachable: () => this.pool.isReachable(),
                 spread: (fingerprints, incident) => this.links.postToAll({ kind: "crashes", fingerprints, incident }),
             }),
-            isStopping: () => this.isStopping,
+            isClosed: () => this.isClosed,
         });
         this.remoteRuns = new RemoteRuns(clock, this.runner);
         this.placement = new Placement(
@@ -144,11 +160,7 @@
         });
         this.publisher = new InstancePublisher(clock, Math.random, logger, log, topics.instances, address);
         this.followers = this.createFollowers();
-        const allowance = new RetryAllowance(clock, {
-            ratio: bounds.retryRatio * allowanceShare,
-            slack: bounds.retrySlack * allowanceShare,
-            windowMs: bounds.retryWindowSeconds * 1000,
-        }, () => this.register.count());
+        this.allowance = new RetryAllowance(clock, createRetryLimits(bounds), () => this.register.count());
         const forwarder = new Forwarder({
             clock,
             logger,
@@ -156,7 +168,7 @@
             service,
             register: this.register,
             placement: this.placement,
-            allowance,
+            allowance: this.allowance,
             links: this.links,
             runner: this.runner,
         });
@@ -206,21 +218,32 @@
         this.logger.info("started", { machine, service, address, incarnation: this.incarnation, isFirstStart });
     }
 
-    /** Stops gracefully: says so, lets callers go elsewhere, and finishes what is in progress. */
+    /** Applies changed settings. Only bounds change while the process runs; addresses need a restart. */
+    applySettings(settings: RoutedSettings): void {
+        this.graceMs = settings.bounds.graceSeconds * 1000;
+        this.allowance.setLimits(createRetryLimits(settings.bounds));
+    }
+
+    /**
+     * Stops gracefully: says so, lets callers go elsewhere, and finishes what is in progress.
+     *
+     * The endpoint goes on without its node and is out of reach until the node is back, so it is closed as late as its runs
+     * allow, and later still while no other instance of its service takes work.
+     */
     async stop(): Promise<void> {
         const startedAt = this.clock.readMonotonic();
         this.isStopping = true;
         this.logger.info("stopping", { requests: this.work.getCount(), running: this.runner.getLoad().running });
-        this.runner.refuseWaiting("leaving");
-        this.spreadLoad();
-        const giveUpAt = startedAt + Math.max(0, this.settings.bounds.graceSeconds * 1000 - stopMarginMs);
-        for (;;) {
-            await this.clock.sleep(stopCheckMs);
-            const now = this.clock.readMonotonic();
-            const isIdle = this.work.getCount() === 0 && this.runner.getLoad().running === 0;
-            if (now >= giveUpAt || (now - startedAt >= leaveMs && isIdle)) {
+        const giveUpAt = startedAt + Math.max(0, this.graceMs - stopMarginMs);
+        for (let now = startedAt; now < giveUpAt; now = this.clock.readMonotonic()) {
+            const isDue = now - startedAt >= leaveMs && (this.hasOtherInstance() || giveUpAt - now < lastRunsMs);
+            if (isDue && !this.isClosed) {
+                this.close();
+            }
+            if (this.isClosed && this.work.getCount() === 0 && this.runner.getLoad().running === 0) {
                 break;
             }
+            await this.clock.sleep(stopCheckMs);
         }
         this.logger.info("stopped", { requests: this.work.getCount(), running: this.runner.getLoad().running });
         this.stopping.abort();
@@ -229,6 +252,20 @@
         this.pool.destroy();
     }
 
+    /** Whether another instance of the own service takes work. */
+    private hasOtherInstance(): boolean {
+        const { service, address } = this.settings;
+        return this.placement.choose(this.register.listOfService(service), new Set([address])) !== undefined;
+    }
+
+    /** Gives the endpoint no more work, and tells the others. */
+    private close(): void {
+        this.isClosed = true;
+        this.logger.info("closed", { running: this.runner.getLoad().running });
+        this.runner.refuseWaiting("leaving");
+        this.spreadLoad();
+    }
+
     /** Why the node is not ready for callers; `undefined` when it is. */
     findNotReadyCause(): string | undefined {
         if (this.isStopping) {
--- /dev/null
+++ b/src/process/settingsWatch.ts
@@ -0,0 +1,58 @@
+/** Notices that the settings file has changed, at a signal or without one, and hands on what is valid. */
+import { readFileSync } from "node:fs";
+import type { Clock } from "./clock.js";
+import type { Logger } from "./logger.js";
+import type { RoutedSettings } from "./routedSettings.js";
+import { parseRoutedSettings } from "./routedSettings.js";
+import { formatSettingsError } from "./settingsFile.js";
+
+/** Time between looks at the file, in milliseconds. */
+const checkIntervalMs = 3000;
+
+/** Watches one settings file. */
+export class SettingsWatch {
+    private text: string;
+
+    constructor(
+        private readonly clock: Clock,
+        private readonly logger: Logger,
+        private readonly file: string,
+        private readonly apply: (settings: RoutedSettings) => void,
+    ) {
+        this.text = this.readText() ?? "";
+    }
+
+    /** Looks at the file until the signal aborts. */
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.clock.sleep(checkIntervalMs, signal);
+            this.check();
+        }
+    }
+
+    /** Looks at the file now. Invalid settings change nothing. */
+    check(): void {
+        const text = this.readText();
+        if (text === undefined || text === this.text) {
+            return;
+        }
+        this.text = text;
+        const settings = parseRoutedSettings(this.file, text);
+        if (!settings.ok) {
+            this.logger.error("settingsRefused", { cause: formatSettingsError(settings.error) });
+            return;
+        }
+        this.logger.info("settingsReloaded", { file: this.file });
+        this.apply(settings.value);
+    }
+
+    private readText(): string | undefined {
+        try {
+            return readFileSync(this.file, "utf8");
+        }
+        catch (error) {
+            this.logger.warn("settingsUnreadable", { cause: (error as Error).message });
+            return undefined;
+        }
+    }
+}
--- /dev/null
+++ b/test/routed/deploy.test.ts
@@ -0,0 +1,135 @@
+/** What keeps the product apart from the platform, and the files by which the platform runs it. */
+import { expect } from "chai";
+import { readdirSync, readFileSync } from "node:fs";
+import { parse as parseToml } from "smol-toml";
+import { parseRoutedSettings } from "../../src/process/routedSettings.js";
+import { formatSettingsError } from "../../src/process/settingsFile.js";
+import { formatConfigurationError, parseConfiguration } from "../../src/version/configuration.js";
+
+/** Names that only platform/ may know. */
+const platformNames = [
+    /"attempt-id"/i,
+    /"deadline-ms"/i,
+    /caller-service/i,
+    /expect-instance/i,
+    /upstream-(signature|instance|load)/i,
+    /not-executed/i,
+    /weighted_services|target_latency|max_connections|health_check|ramp_left|heartbeat_addr/,
+    /keyed\.|op\/config|log-(append|read|newest|join)/,
+    /instances\.(heartbeat|deregister)/,
+    /sidecar|control_plane/,
+    /TURMERICSPOKE_SETTINGS/,
+];
+
+/** Most lines of platform/, which only translates. */
+const maxPlatformLines = 400;
+
+function listFiles(folder: string): string[] {
+    return readdirSync(folder, { recursive: true })
+        .map(name => `${folder}/${String(name)}`)
+        .filter(name => name.endsWith(".ts"));
+}
+
+describe("platform", () => {
+    it("has no name of its own in the product", () => {
+        const found = listFiles("src").flatMap(file => {
+            const text = readFileSync(file, "utf8");
+            return platformNames.filter(name => name.test(text)).map(name => `${file}: ${name.source}`);
+        });
+        expect(found).deep.equals([]);
+    });
+
+    it("is translated in one small folder", () => {
+        const lines = listFiles("platform").reduce(
+            (sum, file) => sum + readFileSync(file, "utf8").split("\n").length,
+            0,
+        );
+        expect(lines).at.most(maxPlatformLines);
+    });
+});
+
+/** Fills in a template as the platform does, as far as ours needs it: `{{a.b}}` and `{{a.b|json}}`. */
+function fillTemplate(template: string, fields: unknown): string {
+    return template.replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_match, path: string, isJson: string | undefined) => {
+        const value = path.split(".").reduce<unknown>((at, key) => (at as Record<string, unknown>)?.[key], fields);
+        return isJson === undefined ? String(value ?? "") : JSON.stringify(value);
+    });
+}
+
+describe("files of the deployment", () => {
+    const fields = {
+        node: "sidecar-pekalongan-1",
+        ip: "10.1.0.8",
+        dataCentre: "pekalongan",
+        bootstrap: true,
+        service: "huvo11a",
+        app: "10.1.0.8:8301",
+        listen: { outbound: "10.1.0.8:8304", ready: "10.1.0.8:8302", control: "10.1.0.8:8306" },
+        port_range: [7620, 7635],
+        platform: { address: "10.200.1.7:8309" },
+        bounds: { grace: 6, budget_ratio: 0.2, budget_slack: 49, budget_window: 10 },
+    };
+
+    it("render settings that the node takes", () => {
+        const text = fillTemplate(readFileSync("deploy/settings.toml", "utf8"), fields);
+        const settings = parseRoutedSettings("settings.toml", text);
+        expect(settings.ok ? "" : formatSettingsError(settings.error)).equals("");
+        expect(settings.ok && settings.value.listeners.caller).deep.equals({ host: "10.1.0.8", port: 8304 });
+        expect(settings.ok && settings.value.bounds.graceSeconds).equals(6);
+    });
+
+    it("name a role whose template and program exist", () => {
+        const system = parseToml(readFileSync("deploy/system.toml", "utf8")) as {
+            roles: Record<string, { run: string; template: string; }>;
+        };
+        const [role] = Object.values(system.roles);
+        expect(role?.template).equals("deploy/settings.toml");
+        expect(role?.run).contains("target/platform/main.js");
+    });
+
+    it("give the operator's configuration the product's names", () => {
+        const wire = parseToml(readFileSync("deploy/wire.toml", "utf8")) as {
+            fields: Record<string, string>;
+            words: Record<string, string>;
+        };
+        const { fields: names, words } = wire;
+        const route = {
+            name: "r",
+            host: "h.example",
+            [names["prefix"]!]: "/a/",
+            [names["kind"]!]: words["unsafe"],
+            [names["timeout"]!]: 1200,
+            [names["target_latency"]!]: 1500,
+            [names["attempts"]!]: 2,
+            priority: 2,
+            [names["weighted_services"]!]: [{ service: "s", weight: 90 }, { service: "t", weight: 10 }],
+        };
+        const service = (name: string) => ({ name, [names["health_check"]!]: "/h", [names["max_connections"]!]: 5 });
+        const limits = { [names["max_body_bytes"]!]: 9, [names["idle_timeout"]!]: 15_000 };
+        const parsed = parseConfiguration(
+            JSON.stringify({ version: 7, routes: [route], services: [service("s"), service("t")], limits }),
+        );
+        expect(parsed.ok ? "" : formatConfigurationError(parsed.error)).equals("");
+        const value = parsed.ok ? parsed.value : expect.fail();
+        expect(value.routes[0]).deep.include({ repetition: "atMostOnce", timeoutMs: 1200, maxRuns: 2 });
+        expect(value.limits).deep.include({ maxBodyBytes: 9, idleTimeoutMs: 15_000 });
+    });
+
+    const mistakes: readonly { readonly name: string; readonly change: [RegExp, string]; readonly error: string; }[] = [
+        {
+            name: "an address without a port",
+            change: [/caller = ".*"/, "caller = \"10.1.0.8\""],
+            error: "listeners.caller",
+        },
+        { name: "a ratio below 0", change: [/retryRatio = .*/, "retryRatio = -1"], error: "bounds.retryRatio" },
+        { name: "an unknown key", change: [/retryRatio = /, "retryShare = "], error: "bounds.retry" },
+        { name: "a line that is no TOML", change: [/\[bounds\]/, "[bounds"], error: "settings.toml:" },
+    ];
+    for (const { name, change, error } of mistakes) {
+        it(`are refused with the place of ${name}`, () => {
+            const text = fillTemplate(readFileSync("deploy/settings.toml", "utf8"), fields).replace(...change);
+            const settings = parseRoutedSettings("settings.toml", text);
+            expect(settings.ok ? "" : formatSettingsError(settings.error)).contains(error);
+        });
+    }
+});
