--- a/src/process/retryAllowance.ts
+++ b/src/process/retryAllowance.ts
@@ -6,12 +6,23 @@
  * of a run that was itself a repeat count as repeats, and less urgent requests leave a part of the allowance to the urgent ones.
  */
 import type { Clock } from "./clock.js";
+import type { Origin } from "./runsInProgress.js";
 
 /** Parts of the window that expire one by one. */
 const slices = 10;
 
-/** Part of the allowance that requests other than the most urgent may use. */
-const lessUrgentShare = 0.6;
+/** Part of the allowance that requests other than the most urgent may use before any work was spent on them. */
+const lessUrgentShare = 0.3;
+/** Further part for each call that was served before: its work is wasted if the request fails now. */
+const servedCallShare = 0.2;
+/** Largest part of the allowance that requests other than the most urgent may use. */
+const maxLessUrgentShare = 0.8;
+
+function computeShare(origin: Pick<Origin, "priority" | "servedBefore">): number {
+    return origin.priority === 0
+        ? 1
+        : Math.min(maxLessUrgentShare, lessUrgentShare + servedCallShare * origin.servedBefore);
+}
 
 /** Sends of one service in one slice of the window. */
 interface Slice {
@@ -54,12 +65,12 @@
         this.getCurrent(service).repeats += 1;
     }
 
-    /** Takes the allowance for one repeat of a request of a rank; `false` when its part is used up. */
-    take(service: string, priority: number): boolean {
+    /** Takes the allowance for one repeat; `false` when the part that the request may use is used up. */
+    take(service: string, origin: Pick<Origin, "priority" | "servedBefore">): boolean {
         const current = this.getCurrent(service);
         const slack = this.limits.slack / Math.max(1, this.countNodes());
         const { requests, repeats } = this.sum(service);
-        const share = priority === 0 ? 1 : lessUrgentShare;
+        const share = computeShare(origin);
         if (repeats + 1 > (requests * this.limits.ratio + slack) * share) {
             return false;
         }
--- a/src/process/runsInProgress.ts
+++ b/src/process/runsInProgress.ts
@@ -15,21 +15,29 @@
     readonly isRepeated: boolean;
     /** Calls between it and here. */
     readonly depth: number;
+    /** Calls of the same run that were served before this one. */
+    readonly servedBefore: number;
 }
 
 /** What the calls of a run met: nothing bad, a service without room, or a failure. */
 export type Behind = "none" | "crowd" | "failure";
 
 /** Part of a request's time that waiting behind may take before the services behind count as crowded. */
-export const crowdedWaitShare = 0.3;
+export const crowdedWaitShare = 0.15;
 
 /** One run in progress. */
 export class RunInProgress {
     private behind: Behind = "none";
     private waitedMs = 0;
+    private servedCalls = 0;
 
     constructor(readonly origin: Origin) {}
 
+    /** Calls of the run that were served so far: work that is wasted if the next one fails. */
+    getServedCalls(): number {
+        return this.servedCalls;
+    }
+
     /** What the calls of the run met so far. */
     getBehind(): Behind {
         return this.behind;
@@ -43,6 +51,7 @@
     /** Notes how a call of the run ended. */
     recordCall(behind: Behind, waitedMs: number): void {
         this.waitedMs += waitedMs;
+        this.servedCalls += behind === "none" ? 1 : 0;
         if (behind === "crowd" || this.behind === "none") {
             this.behind = behind;
         }
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -286,7 +286,7 @@
     }
 
     private takeRepeat(call: RoutedCall, runs: number): boolean {
-        return runs < call.route.maxRuns && this.parts.allowance.take(call.service, call.origin.priority);
+        return runs < call.route.maxRuns && this.parts.allowance.take(call.service, call.origin);
     }
 
     private describeRun(call: RoutedCall, progress: Progress) {
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -211,8 +211,8 @@
 function createOrigin(entered: Entered): Origin {
     const { route, parent } = entered;
     return parent === undefined
-        ? { route: route.name, priority: route.priority, isRepeated: false, depth: 0 }
-        : { ...parent.origin, depth: parent.origin.depth + 1 };
+        ? { route: route.name, priority: route.priority, isRepeated: false, depth: 0, servedBefore: 0 }
+        : { ...parent.origin, depth: parent.origin.depth + 1, servedBefore: parent.getServedCalls() };
 }
 
 /** Tells the run that made the call, or the gate of the route, whether it met a service without room. */
@@ -223,8 +223,10 @@
         return;
     }
     const isLate = waitedMs > (call.deadline - entered.startedAt) * crowdedWaitShare;
-    const isCrowded = outcome.kind === "answer" && outcome.status >= 500 && (outcome.behind === "crowd" || isLate);
-    parts.gate.recordAnswer(call.route.name, isCrowded);
+    const hasFailed = outcome.kind !== "answer" || outcome.status >= 500;
+    const isLostToCrowd = outcome.kind === "answer" && hasFailed && outcome.behind === "crowd";
+    // Long waits behind are reason enough to let in fewer of the less urgent requests; urgent ones only once they fail.
+    parts.gate.recordAnswer(call.route.name, isLostToCrowd || (isLate && (hasFailed || call.origin.priority > 0)));
 }
 
 function describeBehind(outcome: ForwardOutcome): Behind {
--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -13,6 +13,8 @@
 import { FakeClock, readPropertyOptions } from "../fakes.js";
 import { createRecord, createRoute } from "./samples.js";
 
+const urgent = { priority: 0, servedBefore: 0 };
+
 describe("shares of a split route", () => {
     it("keeps each share within one request of its weight, over any run of requests", () => {
         fc.assert(
@@ -49,7 +51,7 @@
             allowance.recordRequest("katalog");
         }
         let taken = 0;
-        while (allowance.take("katalog", 0)) {
+        while (allowance.take("katalog", urgent)) {
             taken += 1;
         }
         expect(taken).equals(12);
@@ -58,7 +60,7 @@
     it("gives nothing for the requests of another service", () => {
         const allowance = new RetryAllowance(new FakeClock(), { ...limits, slack: 0 }, () => 1);
         allowance.recordRequest("katalog");
-        expect(allowance.take("mutu", 0)).equals(false);
+        expect(allowance.take("mutu", urgent)).equals(false);
     });
 
     it("holds in every sliding window, whatever is asked when", () => {
@@ -73,7 +75,7 @@
                 allowance.recordRequest("katalog");
                 requests.push(clock.readMonotonic());
             }
-            else if (allowance.take("katalog", 0)) {
+            else if (allowance.take("katalog", urgent)) {
                 repeats.push(clock.readMonotonic());
             }
         }
@@ -90,20 +92,26 @@
     const limits = { ratio: 0.1, slack: 0, windowMs: 10_000 };
 
     /** Takes the allowance as often as it is given. */
-    function takeAll(allowance: RetryAllowance, priority: number): number {
+    function takeAll(allowance: RetryAllowance, priority: number, servedBefore = 0): number {
         let taken = 0;
-        while (allowance.take("mutu", priority)) {
+        while (allowance.take("mutu", { priority, servedBefore })) {
             taken += 1;
         }
         return taken;
     }
 
-    it("leaves a part of the allowance to urgent requests", () => {
+    it("leaves parts of the allowance to urgent requests, and to those that work was spent on", () => {
         const allowance = new RetryAllowance(new FakeClock(), limits, () => 1);
         for (let index = 0; index < 100; index += 1) {
             allowance.recordRequest("mutu");
         }
-        expect([takeAll(allowance, 2), takeAll(allowance, 0)]).deep.equals([6, 4]);
+        const taken = [
+            takeAll(allowance, 2),
+            takeAll(allowance, 2, 2),
+            takeAll(allowance, 2, 9),
+            takeAll(allowance, 0),
+        ];
+        expect(taken).deep.equals([3, 4, 1, 2]);
     });
 
     it("counts the calls of a repeated run as repeats", () => {
@@ -160,7 +168,7 @@
 describe("runs in progress", () => {
     it("tell that a call met a crowded service, whatever else its calls met", () => {
         const runs = new RunsInProgress();
-        const run = runs.start("a", { route: "page", priority: 2, isRepeated: false, depth: 0 });
+        const run = runs.start("a", { route: "page", priority: 2, isRepeated: false, depth: 0, servedBefore: 0 });
         runs.find("a")?.recordCall("failure", 10);
         runs.find("a")?.recordCall("crowd", 20);
         runs.find("a")?.recordCall("none", 5);
--- a/test/routed/linkMessage.test.ts
+++ b/test/routed/linkMessage.test.ts
@@ -20,7 +20,7 @@
         headers: ["Host", "katalog.example"],
         body: Buffer.from("body"),
         isIdempotent: true,
-        origin: { route: "r", priority: 2, isRepeated: true, depth: 3 },
+        origin: { route: "r", priority: 2, isRepeated: true, depth: 3, servedBefore: 2 },
         timeLeftMs: 812.5,
         targetLeftMs: -3,
         callerService: "ekspor",
