--- a/src/process/entryGate.ts
+++ b/src/process/entryGate.ts
@@ -16,7 +16,7 @@
 /** Part of the crowded share by which fewer requests are let in. */
 const lowerGain = 0.5;
 /** Factor by which more requests are let in after a window without crowding. */
-const raiseFactor = 1.15;
+const raiseFactor = 1.25;
 /** Smallest share that is let in, so that the end of the crowding is noticed. */
 const minShare = 0.05;
 
--- a/src/process/runsInProgress.ts
+++ b/src/process/runsInProgress.ts
@@ -23,7 +23,7 @@
 export type Behind = "none" | "crowd" | "failure";
 
 /** Part of a request's time that waiting behind may take before the services behind count as crowded. */
-export const crowdedWaitShare = 0.15;
+export const crowdedWaitShare = 0.3;
 
 /** One run in progress. */
 export class RunInProgress {
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -225,8 +225,7 @@
     const isLate = waitedMs > (call.deadline - entered.startedAt) * crowdedWaitShare;
     const hasFailed = outcome.kind !== "answer" || outcome.status >= 500;
     const isLostToCrowd = outcome.kind === "answer" && hasFailed && outcome.behind === "crowd";
-    // Long waits behind are reason enough to let in fewer of the less urgent requests; urgent ones only once they fail.
-    parts.gate.recordAnswer(call.route.name, isLostToCrowd || (isLate && (hasFailed || call.origin.priority > 0)));
+    parts.gate.recordAnswer(call.route.name, isLostToCrowd || (isLate && hasFailed));
 }
 
 function describeBehind(outcome: ForwardOutcome): Behind {
