--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -383,7 +383,6 @@
     }
 
     private applyConfiguration(): void {
-        this.draw.clear();
         this.callerListener.setIdleTimeout(this.holder.getTable()!.configuration.limits.idleTimeoutMs);
         this.news.spreadVersion();
     }
--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -42,6 +42,21 @@
     });
 });
 
+describe("shares of a split route over many nodes", () => {
+    it("are kept though each node has few requests", () => {
+        const random = createRandom(9);
+        const shares = [{ service: "new", weight: 10 }, { service: "old", weight: 90 }];
+        let taken = 0;
+        for (let node = 0; node < 300; node += 1) {
+            const draw = new ShareDraw(random);
+            for (let request = 0; request < 4; request += 1) {
+                taken += draw.choose(createRoute({ shares })) === "new" ? 1 : 0;
+            }
+        }
+        expect(taken / 1200).within(0.08, 0.12);
+    });
+});
+
 describe("allowance for repeats", () => {
     const limits = { ratio: 0.1, slack: 30, windowMs: 10_000 };
 
