--- a/src/connection/endpointPool.ts
+++ b/src/connection/endpointPool.ts
@@ -52,15 +52,6 @@
         return result;
     }
 
-    /** Whether the endpoint takes a new connection; it is kept for the next request. */
-    async isReachable(): Promise<boolean> {
-        const connection = await openEndpointConnection(this.host, this.port, this.dialect);
-        if (connection !== undefined) {
-            this.release(connection);
-        }
-        return connection !== undefined;
-    }
-
     /** Closes connections that have been idle for long, until the signal aborts. */
     async runPruning(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
--- a/src/process/crashWatch.ts
+++ b/src/process/crashWatch.ts
@@ -9,7 +9,7 @@
 import type { Quarantine } from "./quarantine.js";
 
 /** Time between losses of one crash, in milliseconds. */
-const crashSpreadMs = 300;
+const crashSpreadMs = 800;
 /** Most suspects of one crash. */
 const maxSuspects = 200;
 
@@ -20,8 +20,8 @@
     readonly quarantine: Quarantine;
     /** Name of this instance, to tell crashes apart. */
     readonly address: string;
-    /** Whether the endpoint takes a new connection. */
-    readonly isReachable: () => Promise<boolean>;
+    /** Whether the endpoint takes a new connection and holds it. */
+    readonly isRunning: () => Promise<boolean>;
     /** Tells the other nodes. */
     readonly spread: (fingerprints: readonly string[], incident: string) => void;
 }
@@ -46,8 +46,8 @@
     }
 
     private async check(): Promise<void> {
-        const { isReachable, quarantine, logger, spread, address } = this.parts;
-        if (await isReachable()) {
+        const { isRunning, quarantine, logger, spread, address } = this.parts;
+        if (await isRunning()) {
             return;
         }
         this.crashes += 1;
--- a/src/process/localEndpoint.ts
+++ b/src/process/localEndpoint.ts
@@ -1,5 +1,5 @@
 /** The endpoint in this node's slot: its announcements, and the requests that run there. */
-import { connect } from "node:net";
+import { isEndpointRunning } from "../connection/endpointLiveness.js";
 import type { HttpFailure } from "../connection/httpPool.js";
 import { findInList, HttpPool } from "../connection/httpPool.js";
 import type { Answer } from "../request/answer.js";
@@ -21,10 +21,6 @@
 const notReadyRetryMs = 500;
 /** Time after which a send of a suspect that has to wait for another one may be tried again, in milliseconds. */
 const suspectRetryMs = 1000;
-/** Time for a connection to an endpoint that is to show whether it still runs, in milliseconds. */
-const connectTimeoutMs = 500;
-/** Time for which an endpoint that runs keeps a new connection open, in milliseconds. */
-const holdOpenMs = 250;
 
 /** What an endpoint says of itself. */
 export interface Announcement {
@@ -194,7 +190,8 @@
             return createUnknown(failure.isTimeout ? "deadline" : "cancelled", undefined, this.findThreshold(call));
         }
         const boot = this.announcement?.boot ?? "";
-        if (!await isRunning(this.url) || this.announcement?.boot !== boot) {
+        const { hostname, port } = new URL(this.url);
+        if (!await isEndpointRunning(hostname, Number(port)) || this.announcement?.boot !== boot) {
             this.isGone = true;
             this.parts.logger.warn("endpointCrashed", { boot, fingerprint: call.fingerprint });
             // The caller may send again as soon as it has the answer, so the other instances are told first.
@@ -237,27 +234,3 @@
         run.token,
     ];
 }
-
-/**
- * Whether an endpoint still runs. A process that is just ending closes its connections before its listening socket, so that it
- * may still accept a connection; only one that stays open shows that the endpoint runs.
- */
-function isRunning(url: string): Promise<boolean> {
-    const { hostname, port } = new URL(url);
-    return new Promise(resolve => {
-        const socket = connect({ host: hostname, port: Number(port), timeout: connectTimeoutMs });
-        const finish = (isOpen: boolean): void => {
-            socket.destroy();
-            resolve(isOpen);
-        };
-        let isConnected = false;
-        socket.once("connect", () => {
-            isConnected = true;
-            socket.setTimeout(holdOpenMs);
-        });
-        socket.once("timeout", () => finish(isConnected));
-        socket.once("error", () => finish(false));
-        socket.once("close", () => finish(false));
-        socket.resume();
-    });
-}
--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -114,14 +114,10 @@
         this.getExperience(address).avoidedUntil = this.clock.readMonotonic() + avoidedMs;
     }
 
-    /** Forgets what an instance said of its load; called when the link to it is lost. */
-    forgetLoad(address: string): void {
+    /** Notes that the link to an instance is lost: what it said of its load is worth nothing now. */
+    recordLost(address: string): void {
         this.getExperience(address).load = undefined;
-    }
-
-    /** Forgets an instance. */
-    forget(address: string): void {
-        this.experiences.delete(address);
+        this.avoid(address);
     }
 
     /** Average run time of a route over all instances, in milliseconds; `undefined` before the first run. */
--- /dev/null
+++ b/src/process/routedListeners.ts
@@ -0,0 +1,73 @@
+/** The HTTP listeners of a routed node. */
+import type { RequestHandler } from "../connection/httpServer.js";
+import { HttpListener } from "../connection/httpServer.js";
+import type { RoutedEntryParts } from "../request/routedEntry.js";
+import { serveRouted } from "../request/routedEntry.js";
+import type { ReportHandlers } from "./endpointReports.js";
+import { serveEndpointReport } from "./endpointReports.js";
+import type { Logger } from "./logger.js";
+import type { RoutedMetrics } from "./routedMetrics.js";
+import type { RoutedSettings } from "./routedSettings.js";
+import type { WorkInProgress } from "./workInProgress.js";
+
+/** Longest header section of a request, in bytes. */
+const maxHeaderBytes = 65_536;
+
+/** What the listeners need from the rest of the node. */
+export interface RoutedListenersParts {
+    readonly settings: RoutedSettings;
+    readonly logger: Logger;
+    readonly metrics: RoutedMetrics;
+    readonly work: WorkInProgress;
+    readonly entry: RoutedEntryParts;
+    readonly reports: ReportHandlers;
+    /** Why the node is not ready for callers; `undefined` when it is. */
+    readonly findNotReadyCause: () => string | undefined;
+}
+
+/** Listeners for callers, readiness, reports of the endpoint, and metrics. */
+export class RoutedListeners {
+    private readonly caller: HttpListener;
+
+    constructor(private readonly parts: RoutedListenersParts) {
+        const { work, entry } = parts;
+        this.caller = this.createListener(work.track((request, response) => serveRouted(entry, request, response)));
+    }
+
+    /** Binds all listeners. */
+    async start(): Promise<void> {
+        const { address, listeners } = this.parts.settings;
+        const { caller, ready, report, metricsPort } = listeners;
+        await this.caller.start(caller.host, caller.port);
+        await this.createListener((_request, response) => this.serveReady(response)).start(ready.host, ready.port);
+        await this.createListener((request, response) => serveEndpointReport(this.parts.reports, request, response))
+            .start(report.host, report.port);
+        await this.createListener((_request, response) => this.serveMetrics(response)).start(address, metricsPort);
+    }
+
+    /** Sets the idle time of callers' connections, in milliseconds. */
+    setCallerIdleTimeout(milliseconds: number): void {
+        this.caller.setIdleTimeout(milliseconds);
+    }
+
+    private createListener(handler: RequestHandler): HttpListener {
+        return new HttpListener(handler, maxHeaderBytes, error => {
+            const cause = error instanceof Error ? error.stack : String(error);
+            this.parts.logger.error("handlerFailed", { cause });
+        });
+    }
+
+    private serveReady(response: Parameters<RequestHandler>[1]): Promise<void> {
+        const cause = this.parts.findNotReadyCause();
+        response.writeHead(cause === undefined ? 200 : 503, { "content-type": "text/plain" });
+        response.end(cause ?? "ready");
+        return Promise.resolve();
+    }
+
+    private async serveMetrics(response: Parameters<RequestHandler>[1]): Promise<void> {
+        const { registry } = this.parts.metrics;
+        const text = await registry.metrics();
+        response.writeHead(200, { "content-type": registry.contentType });
+        response.end(text);
+    }
+}
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -55,6 +55,16 @@
     | { readonly kind: "refused"; readonly cause: string; readonly retryAfterMs: number; }
     | { readonly kind: "failed"; readonly cause: string; };
 
+/** Final outcome, and how it came about. */
+export interface ForwardResult {
+    readonly outcome: ForwardOutcome;
+    /** Instance of the last send; `undefined` when there was none. */
+    readonly instance: string | undefined;
+    /** Sends to nodes, and those of them that reached an endpoint. */
+    readonly sends: number;
+    readonly runs: number;
+}
+
 /** What the forwarder needs from the rest of the node. */
 export interface ForwarderParts {
     readonly clock: Clock;
@@ -97,7 +107,7 @@
     constructor(private readonly parts: ForwarderParts) {}
 
     /** Forwards a request and returns its final outcome. Never rejects. */
-    async forward(call: RoutedCall): Promise<ForwardOutcome> {
+    async forward(call: RoutedCall): Promise<ForwardResult> {
         const { allowance, clock } = this.parts;
         allowance.recordRequest(call.service);
         if (call.origin.isRepeated) {
@@ -118,7 +128,8 @@
             }
             this.logAgain("placedAgain", call, ended.record, describeCause(ended.outcome), progress);
         }
-        return settle(last, progress);
+        const { sends, runs, tried } = progress;
+        return { outcome: settle(last, progress), instance: [...tried].pop(), sends, runs };
     }
 
     private choose(call: RoutedCall, progress: Progress): InstanceRecord | undefined {
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -11,7 +11,7 @@
 import type { ConfigurationHolder } from "../version/configurationHolder.js";
 import { readBody } from "./body.js";
 import type { Dialect, RequestFacts } from "./dialect.js";
-import type { Forwarder, ForwardOutcome, RoutedCall } from "./forwarder.js";
+import type { Forwarder, ForwardOutcome, ForwardResult, RoutedCall } from "./forwarder.js";
 
 /** Time for the other nodes to say how a request ended that was given up at its deadline, in milliseconds. */
 const lastWordMs = 40;
@@ -21,6 +21,8 @@
 const minRetryMs = 150;
 /** Part of the time that is left to the caller up to which a retry may be advised. */
 const maxRetryShare = 1 / 3;
+/** Status that stands in logs for a caller that left; nothing is sent. */
+const goneStatus = 499;
 /** Retry advice for what is turned away for a crowded service behind, in milliseconds. */
 const crowdedRetryMs = 900;
 
@@ -137,13 +139,15 @@
         signal: giveUp.signal,
     };
     const forwarded = parts.forwarder.forward(call);
-    const outcome = await Promise.race([forwarded, clientGone, endAtDeadline(parts, call, giveUp, forwarded)]);
+    const result = await Promise.race([forwarded, clientGone, endAtDeadline(parts, call, giveUp, forwarded)]);
     const elapsedMs = parts.clock.readMonotonic() - startedAt;
-    if (outcome !== "gone") {
-        noteBehind(parts, entered, call, outcome);
+    if (result === "gone") {
+        recordEnd(parts, entered, call, result, goneStatus, elapsedMs);
+        return;
     }
-    const status = outcome === "gone" ? 499 : sendOutcome(parts, response, entered, outcome);
-    recordEnd(parts, entered, call, outcome, status, elapsedMs);
+    noteBehind(parts, entered, call, result.outcome);
+    const status = sendOutcome(parts, response, entered, result.outcome);
+    recordEnd(parts, entered, call, result, status, elapsedMs);
 }
 
 /** Waits for the deadline, gives the request up, and takes the last word of who has it, if it comes at once. */
@@ -151,8 +155,8 @@
     parts: RoutedEntryParts,
     call: RoutedCall,
     giveUp: AbortController,
-    forwarded: Promise<ForwardOutcome>,
-): Promise<ForwardOutcome> {
+    forwarded: Promise<ForwardResult>,
+): Promise<ForwardResult> {
     const ended = new AbortController();
     void forwarded.then(() => ended.abort());
     await parts.clock.sleep(Math.max(0, call.deadline - parts.clock.readMonotonic()), ended.signal);
@@ -160,7 +164,12 @@
         return forwarded;
     }
     giveUp.abort();
-    const late: ForwardOutcome = { kind: "failed", cause: "timeout" };
+    const late: ForwardResult = {
+        outcome: { kind: "failed", cause: "timeout" },
+        instance: undefined,
+        sends: 0,
+        runs: 0,
+    };
     return Promise.race([forwarded, parts.clock.sleep(lastWordMs, ended.signal).then(() => late)]);
 }
 
@@ -243,12 +252,13 @@
     parts: RoutedEntryParts,
     entered: Entered,
     call: RoutedCall,
-    outcome: ForwardOutcome | "gone",
+    result: ForwardResult | "gone",
     status: number,
     elapsedMs: number,
 ): void {
-    const cause = outcome === "gone" ? "callerGone" : outcome.kind === "answer" ? undefined : outcome.cause;
-    const kind = outcome === "gone" ? "gone" : outcome.kind;
+    const outcome = result === "gone" ? { kind: "gone", cause: "callerGone" } as const : result.outcome;
+    const { kind } = outcome;
+    const cause = outcome.kind === "answer" ? undefined : outcome.cause;
     parts.metrics.recordEnd(call.route.name, kind, cause ?? "", elapsedMs);
     logEntry(parts, kind, {
         request: call.attemptId,
@@ -257,7 +267,7 @@
         version: entered.version,
         origin: call.origin.route,
         depth: call.origin.depth,
-        behind: outcome !== "gone" && outcome.kind === "answer" ? outcome.behind : undefined,
+        ...describeWay(result),
         status,
         cause,
         ms: Math.round(elapsedMs),
@@ -265,6 +275,17 @@
     });
 }
 
+/** Fields of the log line that tell which instances a request met, and what its calls did. */
+function describeWay(result: ForwardResult | "gone"): Record<string, string | number | undefined> {
+    if (result === "gone") {
+        return {};
+    }
+    const { outcome, instance, sends, runs } = result;
+    const behind = outcome.kind === "answer" ? outcome.behind : undefined;
+    const waitedMs = outcome.kind === "answer" ? Math.round(outcome.waitedMs) : undefined;
+    return { instance, sends, runs, behind, waitedMs };
+}
+
 function logEntry(
     parts: RoutedEntryParts,
     outcome: string,
--- /dev/null
+++ b/test/routed/crashWatch.test.ts
@@ -0,0 +1,33 @@
+/** Crashes of the endpoint beside a node, told from lost answers. */
+import { expect } from "chai";
+import { CrashWatch } from "../../src/process/crashWatch.js";
+import { Quarantine } from "../../src/process/quarantine.js";
+import { FakeClock, silentLogger } from "../fakes.js";
+
+describe("watch for crashes", () => {
+    const cases: readonly {
+        readonly name: string;
+        readonly isRunning: boolean;
+        readonly suspects: readonly string[];
+    }[] = [
+        { name: "suspects what was lost when the endpoint is gone", isRunning: false, suspects: ["a", "b"] },
+        { name: "suspects nothing when only connections were lost", isRunning: true, suspects: [] },
+    ];
+    for (const { name, isRunning, suspects } of cases) {
+        it(name, async () => {
+            const spread: string[] = [];
+            const watch = new CrashWatch({
+                clock: new FakeClock(),
+                logger: silentLogger,
+                quarantine: new Quarantine(new FakeClock()),
+                address: "10.0.0.1",
+                isRunning: () => Promise.resolve(isRunning),
+                spread: fingerprints => spread.push(...fingerprints),
+            });
+            watch.recordLost("a");
+            watch.recordLost("b");
+            await new Promise(resolve => setImmediate(resolve));
+            expect(spread).deep.equals(suspects);
+        });
+    }
+});
