--- a/src/process/endpointReports.ts
+++ b/src/process/endpointReports.ts
@@ -12,7 +12,6 @@
 const reportSchema = v.object({
     slots: createRange(0, 1_000_000),
     state: v.picklist(["ready", "draining"]),
-    warmupLeftMs: v.optional(v.pipe(v.number(), v.minValue(0)), 0),
     reportNumber: createRange(0, Number.MAX_SAFE_INTEGER),
 });
 
--- a/src/process/endpointRunner.ts
+++ b/src/process/endpointRunner.ts
@@ -20,8 +20,6 @@
 
 /** Part of the endpoint's slots that is used: near full, endpoints get slower. */
 const slotShare = 0.95;
-/** Part of the slots that is used while the endpoint is slow after its start. */
-const warmSlotShare = 0.6;
 /** Slots assumed while the endpoint has not told them. */
 const assumedSlots = 8;
 /** Time beyond its deadline after which a run without an answer is given up, in milliseconds. */
@@ -148,7 +146,7 @@
     private updateLimit(): number {
         const { endpoint } = this.parts;
         const slots = endpoint.getSlots() > 0 ? endpoint.getSlots() : assumedSlots;
-        this.line.setLimit(Math.floor(slots * (endpoint.isWarming() ? warmSlotShare : slotShare)));
+        this.line.setLimit(Math.floor(slots * slotShare));
         return this.line.getLimit();
     }
 
--- a/src/process/ownEndpoint.ts
+++ b/src/process/ownEndpoint.ts
@@ -11,8 +11,6 @@
     readonly id: string;
     readonly slots: number;
     readonly state: "ready" | "draining";
-    /** How much longer the endpoint is slow after its start, in milliseconds. */
-    readonly warmupLeftMs: number;
     /** Increases with each report of an incarnation. */
     readonly reportNumber: number;
 }
@@ -31,7 +29,6 @@
     reportNumber: number;
     slots: number;
     isLeaving: boolean;
-    warmUntil: number;
     /** Whether another incarnation has taken its place. */
     isReplaced: boolean;
 }
@@ -65,11 +62,6 @@
         return this.clock.readMonotonic() < this.awayUntil ? "away" : undefined;
     }
 
-    /** Whether the endpoint has started lately and is slow. */
-    isWarming(): boolean {
-        return this.clock.readMonotonic() < (this.current?.warmUntil ?? 0);
-    }
-
     /** Takes a report into account. */
     report(report: EndpointReport): ReportResult {
         const known = this.incarnations.get(report.id);
@@ -82,7 +74,6 @@
         incarnation.reportNumber = report.reportNumber;
         incarnation.slots = report.slots;
         incarnation.isLeaving ||= report.state === "draining";
-        incarnation.warmUntil = this.clock.readMonotonic() + report.warmupLeftMs;
         if (incarnation.isReplaced) {
             return "stale";
         }
@@ -138,7 +129,7 @@
     }
 
     private add(id: string): Incarnation {
-        const incarnation = { id, reportNumber: -1, slots: 0, isLeaving: false, warmUntil: 0, isReplaced: false };
+        const incarnation = { id, reportNumber: -1, slots: 0, isLeaving: false, isReplaced: false };
         this.incarnations.set(id, incarnation);
         if (this.incarnations.size > maxIncarnations) {
             const oldest = [...this.incarnations.values()].find(each => each !== this.current && each !== incarnation);
--- a/standin/platformUpstream.ts
+++ b/standin/platformUpstream.ts
@@ -92,7 +92,6 @@
         return this.post(`/rpc?call=instances.heartbeat&of=${this.id}`, {
             slots: this.plan.slots,
             state: this.state,
-            warmupLeftMs: 0,
             reportNumber: this.number,
         });
     }
--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -194,7 +194,7 @@
 });
 
 describe("state of the endpoint beside a node", () => {
-    const report = { id: "a", slots: 10, state: "ready", warmupLeftMs: 0, reportNumber: 1 } as const;
+    const report = { id: "a", slots: 10, state: "ready", reportNumber: 1 } as const;
     const cases: readonly {
         readonly name: string;
         readonly play: (endpoint: OwnEndpoint) => void;
