--- a/src/connection/httpServer.ts
+++ b/src/connection/httpServer.ts
@@ -4,6 +4,7 @@
 import type { Answer } from "../request/answer.js";
 import { reasonStatus, unknownStatus } from "../request/answer.js";
 import { headerNames } from "../request/headers.js";
+import { startListening } from "./listening.js";
 
 /** Idle time after which a connection is closed, in milliseconds; longer than the clients' own. */
 const keepAliveTimeoutMs = 65_000;
@@ -43,13 +44,7 @@
 
     /** Binds the listener. */
     start(address: string, port: number): Promise<void> {
-        return new Promise((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(port, address, () => {
-                this.server.removeListener("error", reject);
-                resolve();
-            });
-        });
+        return startListening(this.server, address, port);
     }
 
     /** Sets the idle time after which a connection is closed, in milliseconds; clients are told it in seconds. */
--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -5,29 +5,10 @@
  * so that the clocks of two machines need not agree.
  */
 import { Packr } from "msgpackr";
-import type { Behind, Origin } from "../process/runsInProgress.js";
+import type { AnsweredRun, FailedRun, RefusedRun } from "../process/runOutcome.js";
+import type { Origin } from "../process/runsInProgress.js";
 import type { HeaderList } from "../request/headers.js";
 
-/** Why the node beside an endpoint turned a request away before the endpoint got it. */
-export const refusals = [
-    "full",
-    "late",
-    "leaving",
-    "away",
-    "wrongService",
-    "shed",
-    "cancelled",
-    "quarantined",
-    "notKnown",
-] as const;
-/** One of {@link refusals}. */
-export type Refusal = (typeof refusals)[number];
-
-/** Why it isn't known whether a request ran to its end. */
-export const failures = ["reset", "closed", "garbled", "cutShort", "unsigned", "noAnswer", "linkLost"] as const;
-/** One of {@link failures}. */
-export type Failure = (typeof failures)[number];
-
 /** Load of the endpoint beside a node, carried by every answer. */
 export interface LoadReport {
     /** Requests that run. */
@@ -63,40 +44,18 @@
     readonly callerService: string;
 }
 
-/** The endpoint's whole answer. */
-export interface AnswerMessage {
-    readonly kind: "answer";
+/** What every message that ends a request carries besides its outcome. */
+interface EndFields {
     readonly id: number;
-    readonly status: number;
-    readonly headers: HeaderList;
-    readonly body: Buffer;
-    /** Time at the endpoint, in milliseconds. */
-    readonly runMs: number;
-    /** Time for which it and its calls waited for places, in milliseconds. */
-    readonly waitedMs: number;
-    /** What the calls of the run met. */
-    readonly behind: Behind;
     readonly load: LoadReport;
 }
 
-/** The request was not run and never will be by this send. */
-export interface RefusedMessage {
-    readonly kind: "refused";
-    readonly id: number;
-    readonly cause: Refusal;
-    /** When a free place is likely, in milliseconds. */
-    readonly retryAfterMs: number;
-    readonly load: LoadReport;
-}
-
-/** The request may have run. */
-export interface FailedMessage {
-    readonly kind: "failed";
-    readonly id: number;
-    readonly cause: Failure;
-    readonly ranMs: number;
-    readonly load: LoadReport;
-}
+/** Ends a request with the endpoint's answer. */
+export type AnswerMessage = AnsweredRun & EndFields;
+/** Ends a request that was not run. */
+export type RefusedMessage = RefusedRun & EndFields;
+/** Ends a request that may have run. */
+export type FailedMessage = FailedRun & EndFields;
 
 /** A message of either direction. */
 export type LinkMessage =
--- a/src/connection/linkServer.ts
+++ b/src/connection/linkServer.ts
@@ -4,6 +4,7 @@
 import type { HelloMessage } from "./link.js";
 import type { LinkMessage, RunMessage } from "./linkMessage.js";
 import { encodeMessage, MessageReader } from "./linkMessage.js";
+import { startListening } from "./listening.js";
 
 /** The answering end of one link. */
 export interface AcceptedLink {
@@ -38,13 +39,7 @@
 
     /** Binds the listener. */
     start(address: string, port: number): Promise<void> {
-        return new Promise((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(port, address, () => {
-                this.server.removeListener("error", reject);
-                resolve();
-            });
-        });
+        return startListening(this.server, address, port);
     }
 
     /** Sends a message on every open link. */
--- a/src/process/endpointRunner.ts
+++ b/src/process/endpointRunner.ts
@@ -4,7 +4,7 @@
  */
 import type { EndpointAnswer, LossCause } from "../connection/endpointConnection.js";
 import type { EndpointPool, SendResult } from "../connection/endpointPool.js";
-import type { Failure, LoadReport, Refusal } from "../connection/linkMessage.js";
+import type { LoadReport } from "../connection/linkMessage.js";
 import { computeFingerprint } from "../request/action.js";
 import type { Dialect } from "../request/dialect.js";
 import { copyEndToEndHeaders } from "../request/dialect.js";
@@ -14,7 +14,8 @@
 import type { Logger } from "./logger.js";
 import type { OwnEndpoint } from "./ownEndpoint.js";
 import type { Quarantine } from "./quarantine.js";
-import type { Behind, Origin, RunInProgress, RunsInProgress } from "./runsInProgress.js";
+import type { Failure, Refusal, RunOutcome } from "./runOutcome.js";
+import type { Origin, RunInProgress, RunsInProgress } from "./runsInProgress.js";
 import type { Candidate } from "./waitingLine.js";
 import { WaitingLine } from "./waitingLine.js";
 
@@ -48,22 +49,6 @@
     readonly origin: Origin;
 }
 
-/** How a run ended. Only `refused` proves that the request has not run. */
-export type RunOutcome =
-    | {
-        readonly kind: "answer";
-        readonly status: number;
-        readonly headers: HeaderList;
-        readonly body: Buffer;
-        readonly runMs: number;
-        /** Time for which it and its calls waited for places, in milliseconds. */
-        readonly waitedMs: number;
-        /** What the calls of the run met. */
-        readonly behind: Behind;
-    }
-    | { readonly kind: "refused"; readonly cause: Refusal; readonly retryAfterMs: number; }
-    | { readonly kind: "failed"; readonly cause: Failure; readonly ranMs: number; };
-
 /** What the runner needs. */
 export interface EndpointRunnerParts {
     readonly clock: Clock;
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -1,7 +1,8 @@
 /** Metrics of a node, in the Prometheus format. Labels hold only names from contracts and closed sets. */
-import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { Counter, Histogram, Registry } from "prom-client";
 import type { Action } from "../request/action.js";
 import type { Answer } from "../request/answer.js";
+import { addGauge } from "./gauge.js";
 
 /** Upper bounds of the buckets of request times, in seconds. */
 const secondsBuckets = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
@@ -47,13 +48,6 @@
 
     /** Adds a gauge that is read when the metrics are. */
     addGauge(name: string, help: string, read: () => number): void {
-        new Gauge({
-            name: `turmericspoke_${name}`,
-            help,
-            registers: [this.registry],
-            collect() {
-                this.set(read());
-            },
-        });
+        addGauge(this.registry, name, help, read);
     }
 }
--- a/src/process/remoteRuns.ts
+++ b/src/process/remoteRuns.ts
@@ -2,7 +2,8 @@
 import type { RunMessage } from "../connection/linkMessage.js";
 import type { AcceptedLink } from "../connection/linkServer.js";
 import type { Clock } from "./clock.js";
-import type { EndpointRunner, RunOutcome, RunRequest } from "./endpointRunner.js";
+import type { EndpointRunner, RunRequest } from "./endpointRunner.js";
+import type { RunOutcome } from "./runOutcome.js";
 import { SendMemory } from "./sendMemory.js";
 
 /** Time in which a sender that lost its link may ask again before its run is given up, in milliseconds. */
--- a/src/process/routedMetrics.ts
+++ b/src/process/routedMetrics.ts
@@ -1,5 +1,6 @@
 /** Metrics of a routed node, in the Prometheus format. Labels hold only names from the configuration and closed sets. */
-import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { Counter, Histogram, Registry } from "prom-client";
+import { addGauge } from "./gauge.js";
 
 /** Upper bounds of the buckets of request times, in seconds. */
 const secondsBuckets = [0.005, 0.025, 0.1, 0.25, 0.5, 1, 2.5, 5];
@@ -29,13 +30,6 @@
 
     /** Adds a gauge that is read when the metrics are. */
     addGauge(name: string, help: string, read: () => number): void {
-        new Gauge({
-            name: `turmericspoke_${name}`,
-            help,
-            registers: [this.registry],
-            collect() {
-                this.set(read());
-            },
-        });
+        addGauge(this.registry, name, help, read);
     }
 }
--- a/src/process/sendMemory.ts
+++ b/src/process/sendMemory.ts
@@ -5,7 +5,7 @@
  * given its outcome; if it did not, the second runs. The memory lasts as long as the process: a sender compares incarnations.
  */
 import type { Clock } from "./clock.js";
-import type { RunOutcome } from "./endpointRunner.js";
+import type { RunOutcome } from "./runOutcome.js";
 
 /** Time for which an outcome is kept for a sender that lost its link, in milliseconds. */
 const outcomeKeptMs = 2500;
--- a/src/request/dialect.ts
+++ b/src/request/dialect.ts
@@ -5,6 +5,7 @@
  * unchanged but for the headers of one connection.
  */
 import type { HeaderList } from "./headers.js";
+import { connectionHeaders } from "./headers.js";
 
 /** What a caller says of its request. */
 export interface RequestFacts {
@@ -67,28 +68,13 @@
     return undefined;
 }
 
-/** Headers of one connection, and those that each hop writes anew. */
-const hopHeaders: ReadonlySet<string> = new Set([
-    "connection",
-    "content-length",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-]);
-
 /** Copies the headers that concern more than one connection, but for the named ones (in lower case). */
 export function copyEndToEndHeaders(headers: HeaderList, dropped: ReadonlySet<string>): string[] {
     const named = listConnectionHeaders(headers);
     const copied: string[] = [];
     for (let index = 0; index + 1 < headers.length; index += 2) {
         const name = headers[index]!.toLowerCase();
-        if (!hopHeaders.has(name) && !dropped.has(name) && !named.includes(name)) {
+        if (!connectionHeaders.has(name) && !dropped.has(name) && !named.includes(name)) {
             copied.push(headers[index]!, headers[index + 1]!);
         }
     }
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -6,11 +6,12 @@
  */
 import type { PeerLinks } from "../connection/peerLinks.js";
 import type { Clock } from "../process/clock.js";
-import type { EndpointRunner, RunOutcome } from "../process/endpointRunner.js";
+import type { EndpointRunner } from "../process/endpointRunner.js";
 import type { InstanceRegister } from "../process/instanceRegister.js";
 import type { Logger } from "../process/logger.js";
 import type { Placement } from "../process/placement.js";
 import type { RetryAllowance } from "../process/retryAllowance.js";
+import type { RunOutcome } from "../process/runOutcome.js";
 import type { Behind, Origin } from "../process/runsInProgress.js";
 import type { RouteContract } from "../version/configuration.js";
 import type { InstanceRecord } from "../version/instanceRecord.js";
--- a/src/request/headers.ts
+++ b/src/request/headers.ts
@@ -23,13 +23,11 @@
 
 /** Headers of the system itself, which it never passes on from one side to the other. */
 const ownHeaders: ReadonlySet<string> = new Set(Object.values(headerNames));
-/** Headers that belong to one connection or are set anew for each hop. */
-const hopHeaders: ReadonlySet<string> = new Set([
+/** Headers of one connection, and those that each hop writes anew. */
+export const connectionHeaders: ReadonlySet<string> = new Set([
     "connection",
     "content-length",
-    "date",
     "expect",
-    "host",
     "keep-alive",
     "proxy-authenticate",
     "proxy-authorization",
@@ -39,6 +37,8 @@
     "transfer-encoding",
     "upgrade",
 ]);
+/** Headers that the product's own legs set anew, besides those of the connection. */
+const hopHeaders: ReadonlySet<string> = new Set([...connectionHeaders, "date", "host"]);
 
 /** Header names and values as flat pairs, the form that undici takes. */
 export type HeaderList = readonly string[];
