--- a/src/connection/peerLinks.ts
+++ b/src/connection/peerLinks.ts
@@ -53,6 +53,8 @@
 /** Links by address. */
 export class PeerLinks {
     private readonly peers = new Map<string, Peer>();
+    /** Wakes the task of each node when the link to it is lost. */
+    private readonly lossListeners = new Map<string, () => void>();
 
     constructor(private readonly parts: PeerLinksParts, private readonly signal: AbortSignal) {}
 
@@ -153,8 +155,6 @@
         this.peers.delete(peer.address);
     }
 
-    private readonly lossListeners = new Map<string, () => void>();
-
     /** Opens a link; callers at the same time share one try. */
     private open(peer: Peer): Promise<Link | undefined> {
         peer.opening ??= this.connect(peer).finally(() => peer.opening = undefined);
