--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -1,4 +1,5 @@
 /** Puts a routed node together: routes by host and path, the endpoint beside it, links to the other nodes, the keyed log. */
+import { setMaxListeners } from "node:events";
 import { isEndpointRunning } from "../connection/endpointLiveness.js";
 import { EndpointPool } from "../connection/endpointPool.js";
 import type { KeyedLog } from "../connection/keyedLog.js";
@@ -75,6 +76,8 @@
     ) {
         const { address, dataCentre, bounds, endpoint } = settings;
         this.graceMs = bounds.graceSeconds * 1000;
+        // One task for each peer waits on it.
+        setMaxListeners(0, this.stopping.signal);
         this.incarnation = Math.floor(clock.readDate().getTime() * 1000 + Math.random() * 1000);
         this.work = new WorkInProgress(clock);
         this.quarantine = new Quarantine(clock);
