--- a/src/process/remoteRuns.ts
+++ b/src/process/remoteRuns.ts
@@ -22,7 +22,7 @@
     private readonly runs = new Map<string, RemoteRun>();
     private readonly keysByLink = new WeakMap<AcceptedLink, Map<number, string>>();
 
-    constructor(private readonly clock: Clock, private readonly runner: EndpointRunner) {
+    constructor(private readonly clock: Clock, private readonly runner: Pick<EndpointRunner, "run" | "getLoad">) {
         this.memory = new SendMemory(clock);
     }
 
--- a/standin/platformCluster.ts
+++ b/standin/platformCluster.ts
@@ -43,6 +43,8 @@
 /** One machine: an upstream and its node. */
 export class Machine {
     node: ChildProcess | undefined;
+    /** Whether callers use this machine. */
+    isInUse = true;
     /** Lines that the node printed. */
     log = "";
 
--- /dev/null
+++ b/test/routed/links.test.ts
@@ -0,0 +1,180 @@
+/** Links between nodes that are lost while a request runs: it runs once, and its outcome is told truthfully. */
+import { expect } from "chai";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { connect, createServer } from "node:net";
+import type { HelloMessage } from "../../src/connection/link.js";
+import type { AcceptedLink } from "../../src/connection/linkServer.js";
+import { LinkServer } from "../../src/connection/linkServer.js";
+import type { PeerRun } from "../../src/connection/peerLinks.js";
+import { PeerLinks } from "../../src/connection/peerLinks.js";
+import { SystemClock } from "../../src/process/clock.js";
+import { RemoteRuns } from "../../src/process/remoteRuns.js";
+import type { RunOutcome } from "../../src/process/runOutcome.js";
+import { sleep } from "../../standin/processes.js";
+import { silentLogger } from "../fakes.js";
+import { createRecord } from "./samples.js";
+
+const clock = new SystemClock();
+const load = { running: 0, waiting: 0, limit: 5, failureShare: 0 };
+const address = "127.0.0.1";
+
+function createHello(incarnation: number): HelloMessage {
+    return { kind: "hello", address, incarnation, version: 1, record: "{}" };
+}
+
+/** A node that answers links, with runs that take a while. */
+class AnsweringNode {
+    runs = 0;
+    cancelled = 0;
+    incarnation = 1;
+    private readonly remoteRuns: RemoteRuns;
+    readonly server: LinkServer;
+
+    constructor(runMs: number) {
+        const run = async (_request: unknown, signal: AbortSignal): Promise<RunOutcome> => {
+            this.runs += 1;
+            signal.addEventListener("abort", () => this.cancelled += 1);
+            await sleep(runMs);
+            const body = Buffer.from("done");
+            return { kind: "answer", status: 200, headers: [], body, runMs, waitedMs: 0, behind: "none" };
+        };
+        this.remoteRuns = new RemoteRuns(clock, { run, getLoad: () => load });
+        this.server = new LinkServer({
+            createHello: () => createHello(this.incarnation),
+            greet: () => undefined,
+            run: (message, link) => this.remoteRuns.start(message, link),
+            cancel: (id, link) => this.remoteRuns.cancel(id, link),
+            receive: (message, link: AcceptedLink) => {
+                if (message.kind === "ping") {
+                    link.post({ kind: "pong", version: 1, load });
+                }
+            },
+            reportFailure: () => undefined,
+        });
+    }
+}
+
+/** Forwards connections, and can reset them, silence them, or refuse new ones. */
+class Proxy {
+    isSilent = false;
+    isClosed = false;
+    private readonly sockets = new Set<Socket>();
+    private readonly server: Server;
+
+    constructor(targetPort: number) {
+        this.server = createServer(near => {
+            if (this.isClosed) {
+                near.resetAndDestroy();
+                return;
+            }
+            const wasSilent = this.isSilent;
+            const far = connect(targetPort, address);
+            for (const [from, to] of [[near, far], [far, near]] as const) {
+                this.sockets.add(from);
+                from.on("error", () => undefined);
+                from.on("close", () => to.destroy());
+                // Only connections that were open when the silence began are silent.
+                from.on("data", chunk => this.isSilent && !wasSilent || to.write(chunk));
+            }
+        });
+    }
+
+    async start(): Promise<number> {
+        await new Promise<void>(resolve => this.server.listen(0, address, resolve));
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    endAll(): void {
+        this.sockets.forEach(socket => socket.resetAndDestroy());
+        this.sockets.clear();
+    }
+
+    stop(): void {
+        this.server.close();
+        this.endAll();
+    }
+}
+
+describe("links between nodes", () => {
+    const cases: readonly {
+        readonly name: string;
+        readonly disturb: (proxy: Proxy, node: AnsweringNode) => void;
+        readonly outcome: string;
+    }[] = [
+        { name: "carry a request and its answer", disturb: () => undefined, outcome: "answer" },
+        {
+            name: "that are reset while a request runs lose neither it nor its answer",
+            disturb: proxy => proxy.endAll(),
+            outcome: "answer",
+        },
+        {
+            name: "that fall silent while a request runs lose neither it nor its answer",
+            disturb: proxy => proxy.isSilent = true,
+            outcome: "answer",
+        },
+        {
+            name: "leave the outcome open when another process answers",
+            disturb: (proxy, node) => {
+                node.incarnation = 2;
+                proxy.endAll();
+            },
+            outcome: "lost",
+        },
+        {
+            name: "leave the outcome open when the other node can't be reached any more",
+            disturb: proxy => {
+                proxy.isClosed = true;
+                proxy.endAll();
+            },
+            outcome: "lost",
+        },
+    ];
+    for (const { name, disturb, outcome } of cases) {
+        it(name, async () => {
+            const node = new AnsweringNode(600);
+            const port = 10_000 + process.pid % 20_000;
+            await node.server.start(address, port);
+            const proxy = new Proxy(port);
+            const stopping = new AbortController();
+            const links = new PeerLinks({
+                clock,
+                random: Math.random,
+                logger: silentLogger,
+                createHello: () => createHello(9),
+                greet: () => undefined,
+                receive: () => undefined,
+                recordLoad: () => undefined,
+                recordLost: () => undefined,
+                isWanted: () => true,
+            }, stopping.signal);
+            links.add(createRecord(address, { port: await proxy.start() }));
+            void links.runChecks();
+            const now = clock.readMonotonic();
+            const run: PeerRun = {
+                attemptId: "a",
+                sendNumber: 1,
+                service: "katalog",
+                route: "r",
+                method: "POST",
+                path: "/",
+                headers: [],
+                body: Buffer.alloc(0),
+                isIdempotent: false,
+                origin: { route: "r", priority: 0, isRepeated: false, depth: 0, servedBefore: 0 },
+                deadline: now + 4000,
+                target: now + 4000,
+                callerService: "ekspor",
+            };
+            const running = links.run(address, run, new AbortController().signal);
+            await sleep(200);
+            disturb(proxy, node);
+            const ended = await running;
+            stopping.abort();
+            links.close();
+            proxy.stop();
+            node.server.stop();
+            expect(ended.kind).equals(outcome);
+            expect(node.runs).equals(1);
+        });
+    }
+});
