Split sending from deciding, and never call a hedged request unrun when one of its sends failed

Found in reading: of two sends at a time, the first that failed was forgotten when the other was then refused, so the caller of an idempotent request could be told 503 though it may have run. A table of 12 ways in which sends end now tests the decisions; the case failed in reading only, its mend and its test came together.

--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -9,6 +9,7 @@
 import type { Dialect } from "../request/dialect.js";
 import { Forwarder } from "../request/forwarder.js";
 import type { RoutedEntryParts } from "../request/routedEntry.js";
+import { Sender } from "../request/sender.js";
 import type { InstanceRecord } from "../version/instanceRecord.js";
 import type { Clock } from "./clock.js";
 import { CrashWatch } from "./crashWatch.js";
@@ -215,13 +216,10 @@
             forwarder: new Forwarder({
                 clock,
                 logger,
-                address,
-                service,
                 register,
                 placement,
                 allowance,
-                links,
-                runner,
+                sender: new Sender({ clock, address, service, placement, links, runner }),
             }),
             runs,
             gate: new EntryGate(clock, Math.random),
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -11,7 +11,8 @@
 import type { ConfigurationHolder } from "../version/configurationHolder.js";
 import { readBody } from "./body.js";
 import type { Dialect, RequestFacts } from "./dialect.js";
-import type { Forwarder, ForwardOutcome, ForwardResult, RoutedCall } from "./forwarder.js";
+import type { Forwarder, ForwardOutcome, ForwardResult } from "./forwarder.js";
+import type { RoutedCall } from "./routedCall.js";
 
 /** Time for the other nodes to say how a request ended that was given up at its deadline, in milliseconds. */
 const lastWordMs = 40;
--- /dev/null
+++ b/test/routed/forwarder.test.ts
@@ -0,0 +1,163 @@
+/** What becomes of a request whose sends end in each way, in the order in which they end. */
+import { expect } from "chai";
+import { InstanceRegister } from "../../src/process/instanceRegister.js";
+import { Placement } from "../../src/process/placement.js";
+import { RetryAllowance } from "../../src/process/retryAllowance.js";
+import type { RunOutcome } from "../../src/process/runOutcome.js";
+import type { ForwardOutcome } from "../../src/request/forwarder.js";
+import { Forwarder } from "../../src/request/forwarder.js";
+import type { RoutedCall } from "../../src/request/routedCall.js";
+import type { Ended } from "../../src/request/sender.js";
+import { createRandom } from "../../standin/random.js";
+import { FakeClock, silentLogger } from "../fakes.js";
+import { createRecord, createRoute } from "./samples.js";
+
+const answered = (status: number, behind: "none" | "crowd" = "none"): RunOutcome => ({
+    kind: "answer",
+    status,
+    headers: [],
+    body: Buffer.alloc(0),
+    runMs: 10,
+    waitedMs: 0,
+    behind,
+});
+const refused = (cause: "full" | "shed" | "leaving" | "away" | "cancelled"): RunOutcome => ({
+    kind: "refused",
+    cause,
+    retryAfterMs: 100,
+});
+const failed: RunOutcome = { kind: "failed", cause: "reset", ranMs: 5 };
+
+/** Forwards a request whose sends end as listed; more than one end in a list are those of one hedged send. */
+async function forward(
+    repetition: "idempotent" | "atMostOnce",
+    sends: readonly (readonly RunOutcome[])[],
+): Promise<{ outcome: ForwardOutcome; sends: number; }> {
+    const clock = new FakeClock();
+    const register = new InstanceRegister();
+    [1, 2, 3, 4, 5].forEach(host => register.put(createRecord(`10.0.0.${host}`), "log"));
+    const placement = new Placement(clock, createRandom(1), "klaten", () => true);
+    const limits = { ratio: 0, slack: 100, windowMs: 10_000 };
+    let count = 0;
+    const forwarder = new Forwarder({
+        clock,
+        logger: silentLogger,
+        register,
+        placement,
+        allowance: new RetryAllowance(clock, limits, () => 1),
+        sender: {
+            send: (record, _call, progress) => {
+                progress.tried.add(record.address);
+                const ends: Ended[] = (sends[count] ?? [refused("cancelled")]).map(outcome => ({ record, outcome }));
+                count += 1;
+                progress.runs += ends.length - 1;
+                return Promise.resolve(ends);
+            },
+        },
+    });
+    const now = clock.readMonotonic();
+    const call: RoutedCall = {
+        attemptId: "a",
+        route: createRoute({ repetition }),
+        service: "katalog",
+        method: "GET",
+        path: "/loom/1",
+        headers: [],
+        body: Buffer.alloc(0),
+        origin: { route: "r", priority: 0, isRepeated: false, depth: 0, servedBefore: 0 },
+        deadline: now + 1000,
+        target: now + 500,
+        signal: new AbortController().signal,
+    };
+    return { outcome: (await forwarder.forward(call)).outcome, sends: count };
+}
+
+describe("forwarding", () => {
+    const cases: readonly {
+        readonly name: string;
+        readonly repetition?: "idempotent" | "atMostOnce";
+        readonly sends: readonly (readonly RunOutcome[])[];
+        readonly outcome: string;
+        readonly count: number;
+    }[] = [
+        { name: "returns an answer", sends: [[answered(200)]], outcome: "answer 200", count: 1 },
+        {
+            name: "offers what was refused for want of room to three instances",
+            sends: [[refused("full")], [refused("full")], [refused("full")], [answered(200)]],
+            outcome: "refused full",
+            count: 3,
+        },
+        {
+            name: "passes instances over that leave or are away, whatever the kind",
+            repetition: "atMostOnce",
+            sends: [[refused("leaving")], [refused("away")], [answered(200)]],
+            outcome: "answer 200",
+            count: 3,
+        },
+        {
+            name: "sends what an endpoint did not run to another one, whatever the kind",
+            repetition: "atMostOnce",
+            sends: [[refused("shed")], [answered(200)]],
+            outcome: "answer 200",
+            count: 2,
+        },
+        {
+            name: "repeats an idempotent request that was lost",
+            sends: [[failed], [answered(200)]],
+            outcome: "answer 200",
+            count: 2,
+        },
+        {
+            name: "never repeats a lost request that must not run twice",
+            repetition: "atMostOnce",
+            sends: [[failed], [answered(200)]],
+            outcome: "failed reset",
+            count: 1,
+        },
+        {
+            name: "never repeats an endpoint's failure of such a request",
+            repetition: "atMostOnce",
+            sends: [[answered(500)], [answered(200)]],
+            outcome: "answer 500",
+            count: 1,
+        },
+        {
+            name: "stays within the route's runs",
+            sends: [[failed], [failed], [answered(200)]],
+            outcome: "failed reset",
+            count: 2,
+        },
+        {
+            name: "does not repeat what failed for a service behind",
+            sends: [[answered(500, "crowd")], [answered(200)]],
+            outcome: "answer 500",
+            count: 1,
+        },
+        {
+            name: "says of a request that may have run never that it did not",
+            sends: [[failed], [refused("full")], [refused("full")], [refused("full")]],
+            outcome: "failed reset",
+            count: 4,
+        },
+        {
+            name: "says so of two sends at a time as well",
+            sends: [[failed, refused("full")], [refused("full")], [refused("full")]],
+            outcome: "failed reset",
+            count: 3,
+        },
+        {
+            name: "prefers an endpoint's own failure to ours",
+            sends: [[answered(500)], [failed]],
+            outcome: "answer 500",
+            count: 2,
+        },
+    ];
+    for (const { name, repetition = "idempotent", sends, outcome, count } of cases) {
+        it(name, async () => {
+            const result = await forward(repetition, sends);
+            const described = result.outcome.kind === "answer" ? String(result.outcome.status) : result.outcome.cause;
+            expect(`${result.outcome.kind} ${described}`).equals(outcome);
+            expect(result.sends).equals(count);
+        });
+    }
+});
