End the import circles of the node and of the stand-ins' cluster

admin.ts and gauges.ts read a NodeView instead of the node that puts them together; an instance of the stand-ins names what it needs of its cluster, and the plan of a service is a file of its own. No behaviour changes.

--- a/src/process/admin.ts
+++ b/src/process/admin.ts
@@ -4,7 +4,7 @@
 import { sendJson } from "../connection/httpServer.js";
 import { readBody } from "../request/body.js";
 import { createRange, parseJson, parseWith, shortTextSchema } from "../version/schema.js";
-import type { Node } from "./node.js";
+import type { NodeView } from "./nodeView.js";
 import { getOffsets } from "./streams.js";
 
 /** Largest body on this listener, in bytes. */
@@ -20,7 +20,7 @@
 const openPages: readonly string[] = ["GET /healthz", "GET /readyz"];
 
 /** Serves one request on the admin listener. */
-export async function serveAdmin(node: Node, request: IncomingMessage, response: ServerResponse): Promise<void> {
+export async function serveAdmin(node: NodeView, request: IncomingMessage, response: ServerResponse): Promise<void> {
     const page = `${request.method} ${request.url}`;
     const isAllowed = node.keys.admin?.isBearer(request.headers.authorization) ?? true;
     if (!isAllowed && !openPages.includes(page)) {
@@ -55,7 +55,7 @@
     }
 }
 
-async function serveAnnouncement(node: Node, request: IncomingMessage, response: ServerResponse): Promise<void> {
+async function serveAnnouncement(node: NodeView, request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await readBody(request, maxBodyBytes);
     const announcement = Buffer.isBuffer(body)
         ? parseWith(announcementSchema, parseJson(body.toString("utf8")))
@@ -69,7 +69,7 @@
 }
 
 /** State of a node as the command-line tool shows it. */
-function createStatus(node: Node) {
+function createStatus(node: NodeView) {
     const contracts = node.streams.contracts.get()?.state.contracts ?? {};
     const versions = Object.fromEntries(
         Object.entries(contracts).map(([customer, entry]) => [customer, entry.version]),
--- a/src/process/gauges.ts
+++ b/src/process/gauges.ts
@@ -1,8 +1,8 @@
 /** Gauges that are read off a node when its metrics are. */
-import type { Node } from "./node.js";
+import type { NodeView } from "./nodeView.js";
 
 /** Name, help and value of each gauge. */
-const gauges: readonly (readonly [name: string, help: string, read: (node: Node) => number])[] = [
+const gauges: readonly (readonly [name: string, help: string, read: (node: NodeView) => number])[] = [
     ["runs_in_progress", "Requests running at the local endpoint.", node => node.admission.getState().running],
     ["runs_queued", "Requests waiting for the local endpoint.", node => node.admission.getState().queued],
     ["concurrency_limit", "Requests that may run at the same time.", node => node.admission.getState().limit],
@@ -18,7 +18,7 @@
 ];
 
 /** Adds the gauges to a node's metrics. */
-export function addGauges(node: Node): void {
+export function addGauges(node: NodeView): void {
     for (const [name, help, read] of gauges) {
         node.metrics.addGauge(name, help, () => read(node));
     }
--- /dev/null
+++ b/src/process/nodeView.ts
@@ -0,0 +1,31 @@
+/** What the admin pages and the gauges read of a node. */
+import type { Follower } from "../connection/follower.js";
+import type { Member } from "../version/member.js";
+import type { Admission } from "./admission.js";
+import type { Claims } from "./claims.js";
+import type { Directory } from "./directory.js";
+import type { Keys } from "./keys.js";
+import type { LocalEndpoint } from "./localEndpoint.js";
+import type { Metrics } from "./metrics.js";
+import type { Ownership } from "./ownership.js";
+import type { Quarantine } from "./quarantine.js";
+import type { Streams } from "./streams.js";
+
+/** The parts of a node that are shown, and what it says of itself. */
+export interface NodeView {
+    readonly self: Member;
+    readonly keys: Keys;
+    readonly streams: Streams;
+    readonly directory: Directory;
+    readonly localEndpoint: LocalEndpoint;
+    readonly admission: Admission;
+    readonly claims: Claims;
+    readonly ownership: Ownership;
+    readonly quarantine: Quarantine;
+    readonly metrics: Metrics;
+    readonly follower: Follower;
+    /** Why the node is not ready for requests; `undefined` when it is. */
+    findNotReadyCause(): string | undefined;
+    /** Whether the node is announced on the log in this incarnation. */
+    isAnnounced(): boolean;
+}
--- a/standin/cluster.ts
+++ b/standin/cluster.ts
@@ -11,20 +11,14 @@
 import { request } from "undici";
 import type { KeyName } from "../src/process/keys.js";
 import type { Contract } from "../src/version/contract.js";
-import type { EndpointBehaviour, RunRecord } from "./endpoint.js";
+import type { RunRecord } from "./endpoint.js";
 import { Instance, ports, readyTimeoutMs } from "./instance.js";
 import type { LogFaults } from "./logServer.js";
 import { formatContract } from "./plans.js";
 import { postJson, waitFor, waitForLine } from "./processes.js";
+import type { ServicePlan } from "./servicePlan.js";
 
 const root = fileURLToPath(new URL("../", import.meta.url));
-/** One service of a cluster. */
-export interface ServicePlan extends EndpointBehaviour {
-    readonly name: string;
-    readonly slots: number;
-    readonly dataCentres: readonly string[];
-}
-
 /** A cluster to start. */
 export interface ClusterPlan {
     readonly services: readonly ServicePlan[];
--- a/standin/instance.ts
+++ b/standin/instance.ts
@@ -3,9 +3,9 @@
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { request } from "undici";
-import type { Cluster, ServicePlan } from "./cluster.js";
 import type { EndpointBehaviour, EndpointConfig } from "./endpoint.js";
 import { postJson, waitFor, waitForExit, waitForLine } from "./processes.js";
+import type { ServicePlan } from "./servicePlan.js";
 
 /** Ports of all instances; each has an address of its own. */
 export const ports = {
@@ -43,13 +43,30 @@
     }[];
 }
 
+/** What an instance needs from the cluster that it belongs to. */
+export interface InstanceHost {
+    /** Folder for files of the cluster. */
+    readonly directory: string;
+    /** Folder with the build of the daemon. */
+    readonly daemonRoot: string;
+    readonly adminHeaders: Record<string, string>;
+    readonly spawn: (name: string, words: string[], from?: string) => ChildProcess;
+    /** URL of the log service. */
+    readonly log: string;
+    readonly logRetentionMs: number | undefined;
+    readonly seeds: readonly string[];
+    /** Lines of the settings that all nodes share. */
+    readonly keySettings: string;
+    readonly nodeSettings: string;
+}
+
 /** One instance: an endpoint and its node. */
 export class Instance {
     node: ChildProcess | undefined;
     endpoint: ChildProcess | undefined;
 
     constructor(
-        private readonly cluster: Cluster,
+        private readonly cluster: InstanceHost,
         readonly plan: ServicePlan,
         readonly dataCentre: string,
         readonly address: string,
--- a/standin/plans.ts
+++ b/standin/plans.ts
@@ -1,6 +1,6 @@
 /** Services and contracts that tests, torture and benchmarks share. */
 import type { Contract } from "../src/version/contract.js";
-import type { ServicePlan } from "./cluster.js";
+import type { ServicePlan } from "./servicePlan.js";
 
 /** Creates a contract with the classes of all customers of the stand-ins. */
 export function createContract(
