Take out what nothing reads: contact of a follower, whole pages, arrival times, a status

Found in reading the change: KeyedFollower.isInTouch and hasRead had no caller and isWhole no reader, SendMemory kept a time that it never used, and the dialect was handed a status that it ignored. No behaviour changes. Types, lint, format and 73 tests of the modules touched and of links, forwarding and decisions pass; the cluster tests follow.

--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -173,7 +173,7 @@
         if (partial === undefined || partial.status < 200 || this.hasFailed) {
             return;
         }
-        const facts = this.dialect.readAnswer(partial.status, partial.headers);
+        const facts = this.dialect.readAnswer(partial.headers);
         if (exchange === undefined) {
             this.hasFailed = true;
             return;
--- a/src/connection/keyedFollower.ts
+++ b/src/connection/keyedFollower.ts
@@ -28,28 +28,17 @@
     readonly topic: string;
     /** Time to let more records come in after a read, in milliseconds. */
     readonly restMs: number;
-    /** Takes the records of each read in their order. `isWhole` marks the newest record of every key. */
-    readonly applyPage: (page: KeyedPage, isWhole: boolean) => void;
+    /** Takes the records of each read in their order. */
+    readonly applyPage: (page: KeyedPage) => void;
 }
 
 /** Reads one topic for as long as the process runs. */
 export class KeyedFollower {
     private next: number | undefined;
     private failures = 0;
-    private lastSuccess: number | undefined;
 
     constructor(private readonly parts: KeyedFollowerParts) {}
 
-    /** Whether the last call succeeded. */
-    isInTouch(): boolean {
-        return this.failures === 0 && this.lastSuccess !== undefined;
-    }
-
-    /** Whether the topic was read at least once. */
-    hasRead(): boolean {
-        return this.lastSuccess !== undefined;
-    }
-
     /** Follows the topic until the signal aborts. */
     async run(signal: AbortSignal): Promise<void> {
         const { clock, log, topic, random, restMs } = this.parts;
@@ -67,7 +56,7 @@
             }
             this.recordSuccess();
             this.next = result.value.next;
-            this.parts.applyPage(result.value, from === undefined);
+            this.parts.applyPage(result.value);
             if (result.value.records.length > 0 && restMs > 0) {
                 await clock.sleep(restMs * (0.5 + random()), signal);
             }
@@ -75,12 +64,11 @@
     }
 
     private recordSuccess(): void {
-        const { clock, logger, topic } = this.parts;
+        const { logger, topic } = this.parts;
         if (this.failures > 0) {
             logger.info("logRegained", { topic, failures: this.failures });
         }
         this.failures = 0;
-        this.lastSuccess = clock.readMonotonic();
     }
 
     private async waitAfterFailure(error: KeyedLogError, signal: AbortSignal): Promise<void> {
--- a/src/process/sendMemory.ts
+++ b/src/process/sendMemory.ts
@@ -14,7 +14,6 @@
 
 /** What is known of one send. */
 interface Entry {
-    readonly arrivedAt: number;
     finishedAt: number | undefined;
     outcome: Promise<RunOutcome> | undefined;
 }
@@ -32,7 +31,7 @@
             return known.outcome ?? Promise.resolve({ kind: "failed", cause: "linkLost", ranMs: 0 });
         }
         const outcome = start();
-        const entry: Entry = { arrivedAt: this.clock.readMonotonic(), finishedAt: undefined, outcome };
+        const entry: Entry = { finishedAt: undefined, outcome };
         this.entries.set(key, entry);
         void outcome.then(() => {
             entry.finishedAt = this.clock.readMonotonic();
--- a/src/request/dialect.ts
+++ b/src/request/dialect.ts
@@ -54,7 +54,7 @@
     /** Headers that pass to the endpoint, without what the system sets itself. */
     copyRequestHeaders(headers: HeaderList): string[];
     createRunHeaders(facts: RunFacts): string[];
-    readAnswer(status: number, headers: HeaderList): AnswerFacts;
+    readAnswer(headers: HeaderList): AnswerFacts;
 }
 
 /** Finds the value of a header by its name in lower case. */
