Take abort controllers and copied messages out of the way of a request

Change: a small Cancellation and timers of the clock in their place, one PeerRun that is encoded as it is, no reading of bodies that are not there, no keep-alive option on accepted connections.

--- a/src/connection/endpointPool.ts
+++ b/src/connection/endpointPool.ts
@@ -1,4 +1,5 @@
 /** Keep-alive connections to the local endpoint, the most recently used first. */
+import type { Cancellation } from "../process/cancellation.js";
 import type { Clock } from "../process/clock.js";
 import type { Dialect } from "../request/dialect.js";
 import type { EndpointConnection, EndpointRequest, ExchangeResult } from "./endpointConnection.js";
@@ -31,22 +32,22 @@
         private readonly dialect: Dialect,
     ) {}
 
-    /** Sends a request. `signal` closes its connection. Never rejects. */
-    async send(request: EndpointRequest, isIdempotent: boolean, signal: AbortSignal): Promise<SendResult> {
+    /** Sends a request. A cancellation closes its connection. Never rejects. */
+    async send(request: EndpointRequest, isIdempotent: boolean, cancellation: Cancellation): Promise<SendResult> {
         const connection = this.takeIdle(isIdempotent)
             ?? await openEndpointConnection(this.host, this.port, this.dialect);
         if (connection === undefined) {
             return { kind: "unsent", cause: "unreachable" };
         }
-        if (signal.aborted) {
+        if (cancellation.isCancelled()) {
             this.release(connection);
             return { kind: "unsent", cause: "aborted" };
         }
         this.busy.add(connection);
         const abort = (): void => connection.destroy();
-        signal.addEventListener("abort", abort);
+        cancellation.listen(abort);
         const result = await connection.send(request);
-        signal.removeEventListener("abort", abort);
+        cancellation.forget(abort);
         this.busy.delete(connection);
         this.release(connection);
         return result;
--- a/src/connection/httpServer.ts
+++ b/src/connection/httpServer.ts
@@ -25,7 +25,7 @@
 
     constructor(handler: RequestHandler, maxHeaderBytes: number, onError: (error: unknown) => void) {
         this.server = createServer(
-            { maxHeaderSize: maxHeaderBytes, keepAlive: true, noDelay: true },
+            { maxHeaderSize: maxHeaderBytes, noDelay: true },
             (request, response) => {
                 if (this.isStopping) {
                     response.setHeader("connection", "close");
--- a/src/connection/link.ts
+++ b/src/connection/link.ts
@@ -6,7 +6,9 @@
  */
 import type { Socket } from "node:net";
 import { connect } from "node:net";
+import type { Cancellation } from "../process/cancellation.js";
 import type { Clock } from "../process/clock.js";
+import type { PeerRun } from "../request/runRequest.js";
 import type {
     AnswerMessage,
     FailedMessage,
@@ -71,8 +73,8 @@
         }
     }
 
-    /** Sends a request and waits for its end. `signal` tells the other node to give it up. Never rejects. */
-    run(message: Omit<RunMessage, "kind" | "id">, signal: AbortSignal): Promise<LinkOutcome> {
+    /** Sends a request and waits for its end. `isResent` says that another link was lost with it. A cancellation is passed on to the other node. Never rejects. */
+    run(run: PeerRun, isResent: boolean, cancellation: Cancellation): Promise<LinkOutcome> {
         if (!this.isOpen) {
             return Promise.resolve({ kind: "lost" });
         }
@@ -81,11 +83,11 @@
             const id = this.lastId;
             const cancel = (): void => this.post({ kind: "cancel", id });
             this.pending.set(id, outcome => {
-                signal.removeEventListener("abort", cancel);
+                cancellation.forget(cancel);
                 resolve(outcome);
             });
-            signal.addEventListener("abort", cancel, { once: true });
-            this.post({ kind: "run", id, ...message });
+            this.post(createRunMessage(id, run, isResent, this.clock.readMonotonic()));
+            cancellation.listen(cancel);
         });
     }
 
@@ -151,6 +153,27 @@
     }
 }
 
+function createRunMessage(id: number, run: PeerRun, isResent: boolean, now: number): RunMessage {
+    return {
+        kind: "run",
+        id,
+        attemptId: run.attemptId,
+        sendNumber: run.sendNumber,
+        isResent,
+        service: run.service,
+        route: run.route,
+        method: run.method,
+        path: run.path,
+        headers: run.headers,
+        body: run.body,
+        isIdempotent: run.isIdempotent,
+        origin: run.origin,
+        timeLeftMs: run.deadline - now,
+        targetLeftMs: run.target - now,
+        callerService: run.callerService,
+    };
+}
+
 /** The other node's greeting. */
 export type HelloMessage = Extract<LinkMessage, { kind: "hello"; }>;
 
--- a/src/connection/peerLinks.ts
+++ b/src/connection/peerLinks.ts
@@ -3,12 +3,14 @@
  * other node recognises it.
  */
 import type { Random } from "../process/balancer.js";
+import type { Cancellation } from "../process/cancellation.js";
 import type { Clock } from "../process/clock.js";
 import type { Logger } from "../process/logger.js";
+import type { PeerRun } from "../request/runRequest.js";
 import type { InstanceRecord } from "../version/instanceRecord.js";
 import type { HelloMessage, LinkOutcome } from "./link.js";
 import { Link, openLinkSocket } from "./link.js";
-import type { LinkMessage, LoadReport, RunMessage } from "./linkMessage.js";
+import type { LinkMessage, LoadReport } from "./linkMessage.js";
 
 /** Time between looks at silent links, in milliseconds. */
 const checkIntervalMs = 150;
@@ -20,13 +22,6 @@
 /** How a request to another node ended. After `unsent` it never left; after `lost` it may have been passed on. */
 export type PeerOutcome = LinkOutcome | { readonly kind: "unsent"; };
 
-/** A request whose times are still absolute, since it may be sent later than it was made. */
-export interface PeerRun extends Omit<RunMessage, "kind" | "id" | "timeLeftMs" | "targetLeftMs" | "isResent"> {
-    /** On the monotonic clock. */
-    readonly deadline: number;
-    readonly target: number;
-}
-
 /** What the links need from the rest of the node. */
 export interface PeerLinksParts {
     readonly clock: Clock;
@@ -99,20 +94,17 @@
     }
 
     /** Sends a request to another node and waits for its end. Never rejects. */
-    async run(address: string, run: PeerRun, signal: AbortSignal): Promise<PeerOutcome> {
+    async run(address: string, run: PeerRun, cancellation: Cancellation): Promise<PeerOutcome> {
         const { clock } = this.parts;
         const peer = this.peers.get(address);
         let incarnation: number | undefined;
-        while (peer !== undefined && !signal.aborted && clock.readMonotonic() < run.deadline) {
+        while (peer !== undefined && !cancellation.isCancelled() && clock.readMonotonic() < run.deadline) {
             const link = peer.link ?? await this.open(peer);
             const isOther = incarnation !== undefined && link !== undefined && link.incarnation !== incarnation;
-            if (link === undefined || isOther || signal.aborted) {
+            if (link === undefined || isOther || cancellation.isCancelled()) {
                 break;
             }
-            const now = clock.readMonotonic();
-            const { deadline, target, ...message } = run;
-            const times = { timeLeftMs: deadline - now, targetLeftMs: target - now };
-            const outcome = await link.run({ ...message, ...times, isResent: incarnation !== undefined }, signal);
+            const outcome = await link.run(run, incarnation !== undefined, cancellation);
             if (outcome.kind !== "lost") {
                 return outcome;
             }
--- a/src/process/clock.ts
+++ b/src/process/clock.ts
@@ -1,9 +1,17 @@
+/** A timer that runs. */
+export interface Timer {
+    /** Keeps the timer from expiring; does nothing once it has. */
+    readonly stop: () => void;
+}
+
 /** Time source that is passed to everything that waits, measures or stamps. */
 export interface Clock {
     /** Milliseconds on a monotonic scale; only differences have a meaning. */
     readMonotonic(): number;
     /** Wall-clock time. */
     readDate(): Date;
+    /** Calls `expire` once after `milliseconds`, unless the timer is stopped before. */
+    startTimer(milliseconds: number, expire: () => void): Timer;
     /** Resolves after `milliseconds`, or early when `signal` aborts. Never rejects. */
     sleep(milliseconds: number, signal?: AbortSignal): Promise<void>;
 }
@@ -18,6 +26,11 @@
         return new Date();
     }
 
+    startTimer(milliseconds: number, expire: () => void): Timer {
+        const timer = setTimeout(expire, milliseconds);
+        return { stop: () => clearTimeout(timer) };
+    }
+
     sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
         return new Promise(resolve => {
             if (signal?.aborted === true) {
--- a/src/process/endpointProbe.ts
+++ b/src/process/endpointProbe.ts
@@ -1,5 +1,7 @@
 /** Health check of the endpoint beside this node, by which a node that restarts learns the endpoint's incarnation at once. */
 import type { EndpointPool } from "../connection/endpointPool.js";
+import { Cancellation } from "./cancellation.js";
+import type { Clock } from "./clock.js";
 
 /** Time for the answer, in milliseconds. */
 const probeTimeoutMs = 1500;
@@ -12,7 +14,7 @@
 }
 
 /** Asks the endpoint for its health. Never rejects. */
-export async function probeEndpoint(pool: EndpointPool, healthPath: string): Promise<ProbeResult> {
+export async function probeEndpoint(clock: Clock, pool: EndpointPool, healthPath: string): Promise<ProbeResult> {
     const request = {
         method: "GET",
         path: healthPath,
@@ -20,7 +22,10 @@
         body: Buffer.alloc(0),
         attemptId: undefined,
     };
-    const result = await pool.send(request, true, AbortSignal.timeout(probeTimeoutMs));
+    const cancellation = new Cancellation();
+    const timer = clock.startTimer(probeTimeoutMs, () => cancellation.cancel());
+    const result = await pool.send(request, true, cancellation);
+    timer.stop();
     if (result.kind !== "answered") {
         return { isHealthy: false, endpointId: undefined, slots: undefined };
     }
--- a/src/process/endpointRunner.ts
+++ b/src/process/endpointRunner.ts
@@ -8,14 +8,15 @@
 import { computeFingerprint } from "../request/action.js";
 import type { Dialect } from "../request/dialect.js";
 import { copyEndToEndHeaders } from "../request/dialect.js";
-import type { HeaderList } from "../request/headers.js";
+import type { RunRequest } from "../request/runRequest.js";
+import { Cancellation } from "./cancellation.js";
 import type { Clock } from "./clock.js";
 import type { CrashWatch } from "./crashWatch.js";
 import type { Logger } from "./logger.js";
 import type { OwnEndpoint } from "./ownEndpoint.js";
 import type { Quarantine } from "./quarantine.js";
 import type { Failure, Refusal, RunOutcome } from "./runOutcome.js";
-import type { Origin, RunInProgress, RunsInProgress } from "./runsInProgress.js";
+import type { RunInProgress, RunsInProgress } from "./runsInProgress.js";
 import type { Candidate } from "./waitingLine.js";
 import { WaitingLine } from "./waitingLine.js";
 
@@ -36,19 +37,6 @@
 /** Retry advice while the endpoint takes no work, in milliseconds. */
 const closedRetryMs = 300;
 
-/** A request for the endpoint beside this node. Times are on the monotonic clock. */
-export interface RunRequest extends Omit<Candidate, "depth" | "priority"> {
-    readonly attemptId: string;
-    readonly service: string;
-    readonly method: string;
-    readonly path: string;
-    readonly headers: HeaderList;
-    readonly body: Buffer;
-    readonly isIdempotent: boolean;
-    readonly callerService: string;
-    readonly origin: Origin;
-}
-
 /** What the runner needs. */
 export interface EndpointRunnerParts {
     readonly clock: Clock;
@@ -88,8 +76,8 @@
         };
     }
 
-    /** Runs a request or refuses it. `signal` gives it up. Never rejects. */
-    async run(request: RunRequest, signal: AbortSignal): Promise<RunOutcome> {
+    /** Runs a request or refuses it. Gives it up when it is cancelled. Never rejects. */
+    async run(request: RunRequest, cancellation: Cancellation): Promise<RunOutcome> {
         const { clock } = this.parts;
         const arrivedAt = clock.readMonotonic();
         const closed = request.service === this.parts.service ? this.findClosedCause() : "wrongService";
@@ -100,12 +88,12 @@
             return this.refuse(request, "quarantined", quarantineRetryMs);
         }
         this.updateLimit();
-        const refusal = await this.waitForPlace(request, arrivedAt, signal);
+        const refusal = await this.waitForPlace(request, arrivedAt, cancellation);
         if (refusal !== undefined) {
             return refusal;
         }
         const startedAt = clock.readMonotonic();
-        const outcome = await this.runInPlace(request, startedAt, signal);
+        const outcome = await this.runInPlace(request, startedAt, cancellation);
         this.endRun(request, outcome, clock.readMonotonic() - startedAt);
         return outcome.kind === "answer"
             ? { ...outcome, waitedMs: outcome.waitedMs + startedAt - arrivedAt }
@@ -139,15 +127,15 @@
     private async waitForPlace(
         request: RunRequest,
         now: number,
-        signal: AbortSignal,
+        cancellation: Cancellation,
     ): Promise<RunOutcome | undefined> {
         if (request.deadline - now < minRunMs) {
             return this.refuse(request, "late", 0);
         }
         let settle: (refusal: Refusal | undefined) => void = () => undefined;
-        const decided = new Promise<Refusal | undefined>(resolve => settle = resolve);
         const { origin, route, deadline, target } = request;
-        const waiting: Waiting = { depth: origin.depth, priority: origin.priority, route, deadline, target, settle };
+        const { depth, priority } = origin;
+        const waiting: Waiting = { depth, priority, route, deadline, target, settle: refusal => settle(refusal) };
         const decision = this.line.offer(waiting, now);
         if (decision.kind === "run") {
             return undefined;
@@ -155,20 +143,25 @@
         if (decision.kind === "refuse") {
             return this.refuse(request, "full", decision.waitMs);
         }
+        const decided = new Promise<Refusal | undefined>(resolve => settle = resolve);
         this.refuseHopeless(now);
         const cancel = (): void => {
             if (this.line.remove(waiting)) {
                 settle("cancelled");
             }
         };
-        signal.addEventListener("abort", cancel, { once: true });
+        cancellation.listen(cancel);
         const refusal = await decided;
-        signal.removeEventListener("abort", cancel);
+        cancellation.forget(cancel);
         return refusal === undefined ? undefined : this.refuse(request, refusal, this.estimateRetryMs());
     }
 
-    private async runInPlace(request: RunRequest, startedAt: number, signal: AbortSignal): Promise<RunOutcome> {
-        if (signal.aborted) {
+    private async runInPlace(
+        request: RunRequest,
+        startedAt: number,
+        cancellation: Cancellation,
+    ): Promise<RunOutcome> {
+        if (cancellation.isCancelled()) {
             return this.refuse(request, "cancelled", 0);
         }
         const closed = this.findClosedCause();
@@ -176,30 +169,30 @@
             return this.refuse(request, closed, closedRetryMs);
         }
         const leftMs = request.deadline - startedAt;
-        const giveUp = new AbortController();
-        const timer = setTimeout(() => giveUp.abort(), leftMs + answerGraceMs);
-        const abort = (): void => giveUp.abort();
+        const giveUp = new Cancellation();
+        const cancel = (): void => giveUp.cancel();
+        const timer = this.parts.clock.startTimer(leftMs + answerGraceMs, cancel);
         if (request.isIdempotent) {
-            signal.addEventListener("abort", abort, { once: true });
+            cancellation.listen(cancel);
         }
         const run = this.parts.runs.start(request.attemptId, request.origin);
-        let result = await this.send(request, leftMs, giveUp.signal);
+        let result = await this.send(request, leftMs, giveUp);
         if (this.isForAnother(result)) {
-            result = await this.send(request, leftMs, giveUp.signal);
+            result = await this.send(request, leftMs, giveUp);
         }
         this.parts.runs.end(request.attemptId, run);
-        clearTimeout(timer);
-        signal.removeEventListener("abort", abort);
+        timer.stop();
+        cancellation.forget(cancel);
         return this.readResult(request, result, startedAt, run);
     }
 
-    private send(request: RunRequest, timeLeftMs: number, signal: AbortSignal): Promise<SendResult> {
+    private send(request: RunRequest, timeLeftMs: number, cancellation: Cancellation): Promise<SendResult> {
         const { dialect, pool, endpoint } = this.parts;
         const { method, path, body, attemptId, callerService } = request;
         const endpointId = endpoint.getId();
         const own = dialect.createRunHeaders({ attemptId, timeLeftMs, callerService, endpointId });
         const headers = [...request.headers, ...own];
-        return pool.send({ method, path, headers, body, attemptId }, request.isIdempotent, signal);
+        return pool.send({ method, path, headers, body, attemptId }, request.isIdempotent, cancellation);
     }
 
     /** Whether the endpoint refused since it is another incarnation than expected, which is known from now on. */
--- a/src/process/remoteRuns.ts
+++ b/src/process/remoteRuns.ts
@@ -1,8 +1,10 @@
 /** Runs that other nodes ask for over links: each once, whatever happens to the link, and cancelled when nobody waits. */
 import type { RunMessage } from "../connection/linkMessage.js";
 import type { AcceptedLink } from "../connection/linkServer.js";
+import type { RunRequest } from "../request/runRequest.js";
+import { Cancellation } from "./cancellation.js";
 import type { Clock } from "./clock.js";
-import type { EndpointRunner, RunRequest } from "./endpointRunner.js";
+import type { EndpointRunner } from "./endpointRunner.js";
 import type { RunOutcome } from "./runOutcome.js";
 import { SendMemory } from "./sendMemory.js";
 
@@ -11,7 +13,7 @@
 
 /** A run in progress and those who wait for it. */
 interface RemoteRun {
-    readonly giveUp: AbortController;
+    readonly cancellation: Cancellation;
     /** Links that wait for the outcome, with the number of the request on each. */
     readonly waiters: Map<AcceptedLink, number>;
 }
@@ -29,12 +31,12 @@
     /** Starts a run, or joins the one that the same send began over another link. */
     start(message: RunMessage, link: AcceptedLink): void {
         const key = `${message.attemptId}/${message.sendNumber}`;
-        const run = this.runs.get(key) ?? { giveUp: new AbortController(), waiters: new Map() };
+        const run = this.runs.get(key) ?? { cancellation: new Cancellation(), waiters: new Map() };
         run.waiters.set(link, message.id);
         this.getKeys(link).set(message.id, key);
         const isKnown = this.runs.has(key);
         this.runs.set(key, run);
-        const outcome = this.memory.run(key, () => this.runner.run(this.createRequest(message), run.giveUp.signal));
+        const outcome = this.memory.run(key, () => this.runner.run(this.createRequest(message), run.cancellation));
         void outcome.then(ended => {
             if (!isKnown) {
                 this.runs.delete(key);
@@ -47,7 +49,7 @@
     cancel(id: number, link: AcceptedLink): void {
         const key = this.getKeys(link).get(id);
         if (key !== undefined) {
-            this.runs.get(key)?.giveUp.abort();
+            this.runs.get(key)?.cancellation.cancel();
         }
     }
 
@@ -84,7 +86,7 @@
         for (const key of left) {
             const run = this.runs.get(key);
             if (run !== undefined && run.waiters.size === 0) {
-                run.giveUp.abort();
+                run.cancellation.cancel();
             }
         }
     }
--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -317,7 +317,7 @@
         if (facts === undefined || this.endpoint.getId() !== undefined) {
             return;
         }
-        const found = await probeEndpoint(this.pool, facts.healthPath);
+        const found = await probeEndpoint(this.clock, this.pool, facts.healthPath);
         this.logger.info("endpointProbed", { ...found });
         if (found.isHealthy && found.endpointId !== undefined && this.endpoint.getId() === undefined) {
             this.endpoint.learn(found.endpointId, found.slots);
--- a/src/request/body.ts
+++ b/src/request/body.ts
@@ -4,8 +4,19 @@
 /** What can go wrong while a body is read. */
 export type BodyError = "tooLarge" | "cut";
 
+const emptyBody = Buffer.alloc(0);
+
+/** A request has a body if it says its length or that it comes in chunks. */
+function hasBody(message: IncomingMessage): boolean {
+    const { "content-length": length, "transfer-encoding": coding } = message.headers;
+    return coding !== undefined || (length !== undefined && length !== "0");
+}
+
 /** Reads the whole body of a request. */
 export function readBody(message: IncomingMessage, maxBytes: number): Promise<Buffer | BodyError> {
+    if (!hasBody(message)) {
+        return Promise.resolve(emptyBody);
+    }
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
         let bytes = 0;
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -76,7 +76,7 @@
         }
         const progress: Progress = { tried: new Set(), sends: 0, offers: 0, runs: 0, failure: undefined };
         let last: ForwardOutcome = { kind: "refused", cause: "noInstance", retryAfterMs: noInstanceRetryMs };
-        while (!call.signal.aborted && clock.readMonotonic() < call.deadline) {
+        while (!call.cancellation.isCancelled() && clock.readMonotonic() < call.deadline) {
             const record = this.choose(call, progress);
             if (record === undefined) {
                 break;
@@ -142,7 +142,7 @@
         noteFailure(outcome, progress);
         // Another instance would meet the same trouble behind it, and its calls would add to that.
         const isLostBehind = outcome.kind === "answer" && outcome.behind !== "none";
-        if (call.route.repetition !== "idempotent" || call.signal.aborted || isLostBehind) {
+        if (call.route.repetition !== "idempotent" || call.cancellation.isCancelled() || isLostBehind) {
             return "final";
         }
         return this.takeRepeat(call, progress.runs) ? "again" : "final";
--- a/src/request/routedCall.ts
+++ b/src/request/routedCall.ts
@@ -1,4 +1,5 @@
 /** A request on its way from the node where it entered to an instance. */
+import type { Cancellation } from "../process/cancellation.js";
 import type { Origin } from "../process/runsInProgress.js";
 import type { RouteContract } from "../version/configuration.js";
 import type { HeaderList } from "./headers.js";
@@ -15,6 +16,6 @@
     readonly origin: Origin;
     readonly deadline: number;
     readonly target: number;
-    /** Aborts when nobody waits for the answer any more. */
-    readonly signal: AbortSignal;
+    /** Says when nobody waits for the answer any more. */
+    readonly cancellation: Cancellation;
 }
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -1,5 +1,6 @@
 /** Requests of callers and of the endpoint beside this node: finds the route, forwards, and answers in time. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { Cancellation } from "../process/cancellation.js";
 import type { Clock } from "../process/clock.js";
 import type { EntryGate } from "../process/entryGate.js";
 import type { Logger } from "../process/logger.js";
@@ -27,6 +28,14 @@
 /** Retry advice for what is turned away for a crowded service behind, in milliseconds. */
 const crowdedRetryMs = 900;
 
+/** End of a request on which no word came in time. */
+const endLate: ForwardResult = {
+    outcome: { kind: "failed", cause: "timeout" },
+    instance: undefined,
+    sends: 0,
+    runs: 0,
+};
+
 /** What the entry needs from the rest of the node. */
 export interface RoutedEntryParts {
     readonly clock: Clock;
@@ -116,15 +125,6 @@
 
 async function forwardEntered(parts: RoutedEntryParts, entered: Entered, attemptId: string): Promise<void> {
     const { request, response, route, startedAt, body } = entered;
-    const giveUp = new AbortController();
-    const clientGone = new Promise<"gone">(resolve => {
-        response.once("close", () => {
-            if (!response.writableFinished) {
-                giveUp.abort();
-                resolve("gone");
-            }
-        });
-    });
     const waitMs = Math.min(entered.facts.deadlineMs ?? Infinity, route.timeoutMs);
     const call: RoutedCall = {
         attemptId,
@@ -137,10 +137,9 @@
         origin: createOrigin(entered),
         deadline: startedAt + waitMs,
         target: startedAt + route.targetLatencyMs,
-        signal: giveUp.signal,
+        cancellation: new Cancellation(),
     };
-    const forwarded = parts.forwarder.forward(call);
-    const result = await Promise.race([forwarded, clientGone, endAtDeadline(parts, call, giveUp, forwarded)]);
+    const result = await forwardInTime(parts, call, response);
     const elapsedMs = parts.clock.readMonotonic() - startedAt;
     if (result === "gone") {
         recordEnd(parts, entered, call, result, goneStatus, elapsedMs);
@@ -151,27 +150,33 @@
     recordEnd(parts, entered, call, result, status, elapsedMs);
 }
 
-/** Waits for the deadline, gives the request up, and takes the last word of who has it, if it comes at once. */
-async function endAtDeadline(
+/**
+ * Forwards a request until it ends, its caller leaves or its deadline is there. At the deadline it is given up, and the last word
+ * of who has it counts, if it comes at once.
+ */
+function forwardInTime(
     parts: RoutedEntryParts,
     call: RoutedCall,
-    giveUp: AbortController,
-    forwarded: Promise<ForwardResult>,
-): Promise<ForwardResult> {
-    const ended = new AbortController();
-    void forwarded.then(() => ended.abort());
-    await parts.clock.sleep(Math.max(0, call.deadline - parts.clock.readMonotonic()), ended.signal);
-    if (ended.signal.aborted) {
-        return forwarded;
-    }
-    giveUp.abort();
-    const late: ForwardResult = {
-        outcome: { kind: "failed", cause: "timeout" },
-        instance: undefined,
-        sends: 0,
-        runs: 0,
-    };
-    return Promise.race([forwarded, parts.clock.sleep(lastWordMs, ended.signal).then(() => late)]);
+    response: ServerResponse,
+): Promise<ForwardResult | "gone"> {
+    const { clock, forwarder } = parts;
+    return new Promise(resolve => {
+        let timer = clock.startTimer(Math.max(0, call.deadline - clock.readMonotonic()), () => {
+            call.cancellation.cancel();
+            timer = clock.startTimer(lastWordMs, () => resolve(endLate));
+        });
+        response.once("close", () => {
+            if (!response.writableFinished) {
+                timer.stop();
+                call.cancellation.cancel();
+                resolve("gone");
+            }
+        });
+        void forwarder.forward(call).then(result => {
+            timer.stop();
+            resolve(result);
+        });
+    });
 }
 
 /** Sends the final answer and returns its status. */
--- a/src/request/sender.ts
+++ b/src/request/sender.ts
@@ -5,12 +5,14 @@
  * deadline fails every run above it.
  */
 import type { PeerLinks } from "../connection/peerLinks.js";
+import { Cancellation } from "../process/cancellation.js";
 import type { Clock } from "../process/clock.js";
 import type { EndpointRunner } from "../process/endpointRunner.js";
 import type { Placement } from "../process/placement.js";
 import type { RunOutcome } from "../process/runOutcome.js";
 import type { InstanceRecord } from "../version/instanceRecord.js";
 import type { RoutedCall } from "./routedCall.js";
+import type { PeerRun } from "./runRequest.js";
 
 /** Multiple of a route's usual run time after which an answer is taken for lost. */
 const silenceFactor = 3.5;
@@ -70,7 +72,7 @@
     ): Promise<readonly Ended[]> {
         const first = this.startSend(record, call, count);
         const silenceMs = this.computeSilenceMs(call);
-        if (silenceMs === undefined || !await this.isSilent(first, silenceMs) || call.signal.aborted) {
+        if (silenceMs === undefined || !await this.isSilent(first, silenceMs) || call.cancellation.isCancelled()) {
             return [await first.ended];
         }
         const other = chooseSecond(record);
@@ -100,59 +102,58 @@
         return silenceMs + usualMs > leftMs ? undefined : silenceMs;
     }
 
-    private async isSilent(send: Send, milliseconds: number): Promise<boolean> {
-        const hasEnded = new AbortController();
-        void send.ended.then(() => hasEnded.abort());
-        await this.parts.clock.sleep(milliseconds, hasEnded.signal);
-        return !hasEnded.signal.aborted;
+    private isSilent(send: Send, milliseconds: number): Promise<boolean> {
+        return new Promise(resolve => {
+            const timer = this.parts.clock.startTimer(milliseconds, () => resolve(true));
+            void send.ended.then(() => {
+                timer.stop();
+                resolve(false);
+            });
+        });
     }
 
     private startSend(record: InstanceRecord, call: RoutedCall, count: SendCount): Send {
         count.tried.add(record.address);
         count.sends += 1;
-        const controller = new AbortController();
-        const cancel = (): void => controller.abort();
-        call.signal.addEventListener("abort", cancel, { once: true });
-        const ended = this.sendTo(record, { ...call, signal: controller.signal }, count).then(outcome => {
-            call.signal.removeEventListener("abort", cancel);
+        const cancellation = new Cancellation();
+        const cancel = (): void => cancellation.cancel();
+        call.cancellation.listen(cancel);
+        const ended = this.sendTo(record, call, cancellation, count).then(outcome => {
+            call.cancellation.forget(cancel);
             return { record, outcome };
         });
         return { ended, cancel };
     }
 
-    private async sendTo(record: InstanceRecord, call: RoutedCall, count: SendCount): Promise<RunOutcome> {
+    private async sendTo(
+        record: InstanceRecord,
+        call: RoutedCall,
+        cancellation: Cancellation,
+        count: SendCount,
+    ): Promise<RunOutcome> {
         const { placement, address } = this.parts;
         placement.startRun(record.address);
         const outcome = record.address === address
-            ? await this.runHere(call, count)
-            : await this.runThere(record, call, count);
+            ? await this.runHere(call, cancellation, count)
+            : await this.runThere(record, call, cancellation, count);
         placement.endRun(record.address);
         return outcome;
     }
 
-    private async runHere(call: RoutedCall, count: SendCount): Promise<RunOutcome> {
+    private async runHere(call: RoutedCall, cancellation: Cancellation, count: SendCount): Promise<RunOutcome> {
         const { runner, placement, address } = this.parts;
-        const outcome = await runner.run(
-            {
-                ...this.describeRun(call, count),
-                route: call.route.name,
-            },
-            call.signal,
-        );
+        const outcome = await runner.run(this.createRun(call, count), cancellation);
         placement.recordLoad(address, runner.getLoad());
         return outcome;
     }
 
-    private async runThere(record: InstanceRecord, call: RoutedCall, count: SendCount): Promise<RunOutcome> {
-        const outcome = await this.parts.links.run(
-            record.address,
-            {
-                ...this.describeRun(call, count),
-                route: call.route.name,
-                sendNumber: count.sends,
-            },
-            call.signal,
-        );
+    private async runThere(
+        record: InstanceRecord,
+        call: RoutedCall,
+        cancellation: Cancellation,
+        count: SendCount,
+    ): Promise<RunOutcome> {
+        const outcome = await this.parts.links.run(record.address, this.createRun(call, count), cancellation);
         switch (outcome.kind) {
             case "unsent":
                 return { kind: "refused", cause: "away", retryAfterMs: unreachableRetryMs };
@@ -163,20 +164,22 @@
         }
     }
 
-    private describeRun(call: RoutedCall, count: SendCount) {
-        const { attemptId, service, method, path, headers, body, deadline, target, route } = call;
+    private createRun(call: RoutedCall, count: SendCount): PeerRun {
+        const { origin, route } = call;
         return {
-            attemptId,
-            service,
-            method,
-            path,
-            headers,
-            body,
-            deadline,
-            target,
+            attemptId: call.attemptId,
+            sendNumber: count.sends,
+            service: call.service,
+            route: route.name,
+            method: call.method,
+            path: call.path,
+            headers: call.headers,
+            body: call.body,
             isIdempotent: route.repetition === "idempotent",
             callerService: this.parts.service,
-            origin: { ...call.origin, isRepeated: call.origin.isRepeated || count.runs > 0 },
+            origin: count.runs > 0 ? { ...origin, isRepeated: true } : origin,
+            deadline: call.deadline,
+            target: call.target,
         };
     }
 }
--- a/standin/platformCluster.ts
+++ b/standin/platformCluster.ts
@@ -53,11 +53,13 @@
         readonly service: string,
         readonly upstream: PlatformUpstream,
         private readonly settingsFile: string,
+        /** Flags of Node.js for the node's process. */
+        private readonly nodeFlags: readonly string[],
     ) {}
 
     /** Starts the node's process. */
     startNode(): void {
-        const node = spawn(process.execPath, ["dist/platform/main.js"], {
+        const node = spawn(process.execPath, [...this.nodeFlags, "dist/platform/main.js"], {
             env: { ...process.env, TURMERICSPOKE_SETTINGS: this.settingsFile },
             stdio: ["ignore", "pipe", "inherit"],
         });
@@ -106,7 +108,11 @@
     /** Third number of the addresses, so that clusters of two test runs don't meet. */
     private readonly network = 1 + process.pid % 250;
 
-    constructor(services: readonly PlatformServicePlan[], private readonly graceSeconds = 4) {
+    constructor(
+        services: readonly PlatformServicePlan[],
+        private readonly graceSeconds = 4,
+        private readonly nodeFlags: readonly string[] = [],
+    ) {
         this.store = new PlatformStore(this.createAddress(1), ports.store);
         for (const service of services) {
             for (let index = 0; index < service.instances; index += 1) {
@@ -169,7 +175,7 @@
             outboundPort: ports.caller,
             controlPort: ports.report,
         });
-        return new Machine(address, service.name, upstream, file);
+        return new Machine(address, service.name, upstream, file, this.nodeFlags);
     }
 
     private formatSettings(address: string, service: string): string {
--- a/test/fakes.ts
+++ b/test/fakes.ts
@@ -1,6 +1,6 @@
 /** Small fakes at the interfaces of the product. */
 import type { LogError, LogPage, LogService } from "../src/connection/logService.js";
-import type { Clock } from "../src/process/clock.js";
+import type { Clock, Timer } from "../src/process/clock.js";
 import { Directory, unknownOffsets } from "../src/process/directory.js";
 import type { Logger } from "../src/process/logger.js";
 import type { Result } from "../src/process/result.js";
@@ -13,6 +13,7 @@
 /** Clock that stands still until a test moves it. */
 export class FakeClock implements Clock {
     private now = 1_000_000;
+    private timers: { readonly at: number; readonly expire: () => void; }[] = [];
 
     readMonotonic(): number {
         return this.now;
@@ -22,14 +23,30 @@
         return new Date(this.now);
     }
 
+    startTimer(milliseconds: number, expire: () => void): Timer {
+        const timer = { at: this.now + milliseconds, expire };
+        this.timers.push(timer);
+        return { stop: () => this.timers = this.timers.filter(each => each !== timer) };
+    }
+
     async sleep(milliseconds: number): Promise<void> {
-        this.now += milliseconds;
+        this.addTime(milliseconds);
         await Promise.resolve();
     }
 
-    /** Moves the time forward. */
+    /** Moves the time forward; timers that are due expire in their order. */
     addTime(milliseconds: number): void {
-        this.now += milliseconds;
+        const end = this.now + milliseconds;
+        for (;;) {
+            const [next] = this.timers.filter(timer => timer.at <= end).sort((a, b) => a.at - b.at);
+            if (next === undefined) {
+                break;
+            }
+            this.timers = this.timers.filter(timer => timer !== next);
+            this.now = Math.max(this.now, next.at);
+            next.expire();
+        }
+        this.now = end;
     }
 }
 
--- a/test/routed/endpointConnection.test.ts
+++ b/test/routed/endpointConnection.test.ts
@@ -4,8 +4,16 @@
 import { createServer } from "node:net";
 import { PlatformDialect } from "../../platform/headers.js";
 import { EndpointPool } from "../../src/connection/endpointPool.js";
+import { Cancellation } from "../../src/process/cancellation.js";
 import { SystemClock } from "../../src/process/clock.js";
 
+/** Creates a cancellation that comes after a time, in milliseconds. */
+function cancelAfter(milliseconds: number): Cancellation {
+    const cancellation = new Cancellation();
+    setTimeout(() => cancellation.cancel(), milliseconds).unref();
+    return cancellation;
+}
+
 const dialect = new PlatformDialect();
 
 /** Text of an answer. */
@@ -67,7 +75,7 @@
             body: Buffer.alloc(0),
             attemptId,
         };
-        const result = await pool.send(request, isIdempotent, AbortSignal.timeout(400));
+        const result = await pool.send(request, isIdempotent, cancelAfter(400));
         endings.push(
             result.kind === "answered"
                 ? `${result.answer.status} ${result.answer.body.toString()}`
@@ -209,7 +217,7 @@
         endpoint.stop();
         const pool = new EndpointPool(new SystemClock(), "127.0.0.1", port, dialect);
         const request = { method: "GET", path: "/", headers: [], body: Buffer.alloc(0), attemptId: "a" };
-        const result = await pool.send(request, true, AbortSignal.timeout(400));
+        const result = await pool.send(request, true, cancelAfter(400));
         expect(result).deep.equals({ kind: "unsent", cause: "unreachable" });
     });
 
@@ -226,8 +234,8 @@
             body: Buffer.alloc(bytes),
             attemptId,
         });
-        const first = await pool.send(request("a", 30_000_000), true, AbortSignal.timeout(2000));
-        const second = await pool.send(request("b", 0), true, AbortSignal.timeout(2000));
+        const first = await pool.send(request("a", 30_000_000), true, cancelAfter(2000));
+        const second = await pool.send(request("b", 0), true, cancelAfter(2000));
         expect([first.kind, second.kind]).deep.equals(["answered", "answered"]);
         expect(endpoint.connections).equals(2);
         pool.destroy();
--- a/test/routed/forwarder.test.ts
+++ b/test/routed/forwarder.test.ts
@@ -1,5 +1,6 @@
 /** What becomes of a request whose sends end in each way, in the order in which they end. */
 import { expect } from "chai";
+import { Cancellation } from "../../src/process/cancellation.js";
 import { InstanceRegister } from "../../src/process/instanceRegister.js";
 import { Placement } from "../../src/process/placement.js";
 import { RetryAllowance } from "../../src/process/retryAllowance.js";
@@ -67,7 +68,7 @@
         origin: { route: "r", priority: 0, isRepeated: false, depth: 0, servedBefore: 0 },
         deadline: now + 1000,
         target: now + 500,
-        signal: new AbortController().signal,
+        cancellation: new Cancellation(),
     };
     return { outcome: (await forwarder.forward(call)).outcome, sends: count };
 }
--- a/test/routed/links.test.ts
+++ b/test/routed/links.test.ts
@@ -5,11 +5,12 @@
 import type { HelloMessage } from "../../src/connection/link.js";
 import type { AcceptedLink } from "../../src/connection/linkServer.js";
 import { LinkServer } from "../../src/connection/linkServer.js";
-import type { PeerRun } from "../../src/connection/peerLinks.js";
 import { PeerLinks } from "../../src/connection/peerLinks.js";
+import { Cancellation } from "../../src/process/cancellation.js";
 import { SystemClock } from "../../src/process/clock.js";
 import { RemoteRuns } from "../../src/process/remoteRuns.js";
 import type { RunOutcome } from "../../src/process/runOutcome.js";
+import type { PeerRun } from "../../src/request/runRequest.js";
 import { sleep } from "../../standin/processes.js";
 import { silentLogger } from "../fakes.js";
 import { createRecord } from "./samples.js";
@@ -31,9 +32,9 @@
     readonly server: LinkServer;
 
     constructor(runMs: number) {
-        const run = async (_request: unknown, signal: AbortSignal): Promise<RunOutcome> => {
+        const run = async (_request: unknown, cancellation: Cancellation): Promise<RunOutcome> => {
             this.runs += 1;
-            signal.addEventListener("abort", () => this.cancelled += 1);
+            cancellation.listen(() => this.cancelled += 1);
             await sleep(runMs);
             const body = Buffer.from("done");
             return { kind: "answer", status: 200, headers: [], body, runMs, waitedMs: 0, behind: "none" };
@@ -165,7 +166,7 @@
                 target: now + 4000,
                 callerService: "ekspor",
             };
-            const running = links.run(address, run, new AbortController().signal);
+            const running = links.run(address, run, new Cancellation());
             await sleep(200);
             disturb(proxy, node);
             const ended = await running;
