Prefer instances whose nodes stay to those whose nodes stop or have just been started again

Change: a load report says whether its node has run for 3.5 s since a restart and is not stopping; placement prefers others while they have room. It is of use in itself: what such an instance runs is lost more often than elsewhere.

--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -19,6 +19,8 @@
     readonly limit: number;
     /** Part of the recent runs that failed, 0 to 1. */
     readonly failureShare: number;
+    /** Whether the node has run for a while and is not about to stop. */
+    readonly isSettled: boolean;
 }
 
 /** Asks for a run. */
@@ -258,15 +260,16 @@
 }
 
 function encodeLoad(load: LoadReport): number[] {
-    return [load.running, load.waiting, load.limit, Math.round(load.failureShare * 100)];
+    return [load.running, load.waiting, load.limit, Math.round(load.failureShare * 100), load.isSettled ? 1 : 0];
 }
 
 function decodeLoad(value: unknown): LoadReport {
-    const [running, waiting, limit, percent] = Array.isArray(value) ? value as number[] : [];
+    const [running, waiting, limit, percent, settled] = Array.isArray(value) ? value as number[] : [];
     return {
         running: running ?? 0,
         waiting: waiting ?? 0,
         limit: limit ?? 0,
         failureShare: (percent ?? 0) / 100,
+        isSettled: settled !== 0,
     };
 }
--- a/src/process/endpointRunner.ts
+++ b/src/process/endpointRunner.ts
@@ -50,6 +50,8 @@
     readonly crashes: Pick<CrashWatch, "recordLost">;
     /** Whether this node gives the endpoint no more work, since it stops. */
     readonly isClosed: () => boolean;
+    /** Whether this node has run for a while and is not about to stop. */
+    readonly isSettled: () => boolean;
 }
 
 /** A request with the call-back that tells what became of its wait. */
@@ -73,6 +75,7 @@
             waiting: this.line.getWaiting(),
             limit: isClosed ? 0 : this.updateLimit(),
             failureShare: this.computeFailureShare(),
+            isSettled: this.parts.isSettled(),
         };
     }
 
--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -4,7 +4,7 @@
  * Load patterns that it answers: calm (the own data centre serves, since bytes between data centres cost); a data centre with
  * too few instances for its callers (what does not fit goes to others before it waits); an instance that slows or fails part
  * of its requests while it says that it is well (own observations lower its rank); a fresh instance (its slots fill slowly
- * while its run times are long).
+ * while its run times are long); nodes that are stopped and started in turn (instances whose nodes stay go first).
  */
 import type { LoadReport } from "../connection/linkMessage.js";
 import type { InstanceRecord } from "../version/instanceRecord.js";
@@ -27,6 +27,11 @@
 const unlinkedCost = 5;
 /** Cost of a failing instance, in parts of an instance's capacity for each part of its runs that fails. */
 const failureCost = 2;
+/**
+ * Cost of an instance whose node has just been started again or is stopping, in parts of an instance's capacity: what such an
+ * instance runs is lost more often than elsewhere.
+ */
+const unsettledCost = 0.7;
 /** Half-life of a bad experience with an instance, in milliseconds. */
 const forgetMs = 3000;
 
@@ -154,7 +159,8 @@
         const use = occupied / Math.max(1, limit);
         const slowness = this.computeSlowness(experience, now);
         const failureShare = isLoadKnown ? experience.load!.failureShare : 0;
-        return use * slowness + Math.max(0, slowness - 1.5) * 0.5 + failureShare * failureCost + distance;
+        const settling = isLoadKnown && !experience.load!.isSettled ? unsettledCost : 0;
+        return use * slowness + Math.max(0, slowness - 1.5) * 0.5 + failureShare * failureCost + settling + distance;
     }
 
     private computeSlowness(experience: Experience, now: number): number {
--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -35,6 +35,8 @@
 
 /** Time between looks at what a waiting task waits for, in milliseconds. */
 const checkMs = 50;
+/** Time after a restart for which callers prefer other instances, in milliseconds. */
+const settlingMs = 3500;
 /** Time between removals of what has expired, in milliseconds. */
 const housekeepingMs = 1000;
 /**
@@ -67,6 +69,8 @@
     private readonly work: WorkInProgress;
     private readonly listeners: RoutedListeners;
     private readonly incarnation: number;
+    /** On the monotonic clock, in milliseconds. */
+    private readonly startedAt: number;
     private graceMs: number;
     private isStopping = false;
     /** Whether the endpoint gets no more work, since this process ends soon. */
@@ -80,6 +84,7 @@
     ) {
         const { address, dataCentre, bounds, endpoint } = settings;
         this.graceMs = bounds.graceSeconds * 1000;
+        this.startedAt = clock.readMonotonic();
         // One task for each peer waits on it.
         setMaxListeners(0, this.stopping.signal);
         this.incarnation = Math.floor(clock.readDate().getTime() * 1000 + Math.random() * 1000);
@@ -152,6 +157,7 @@
     async stop(): Promise<void> {
         const startedAt = this.clock.readMonotonic();
         this.isStopping = true;
+        this.spreadLoad();
         this.logger.info("stopping", { requests: this.work.getCount(), running: this.runner.getLoad().running });
         for (;;) {
             const step = decideStopStep({
@@ -206,9 +212,16 @@
                 spread: (fingerprints, incident) => this.links.postToAll({ kind: "crashes", fingerprints, incident }),
             }),
             isClosed: () => this.isClosed,
+            isSettled: () => this.isSettled(),
         });
     }
 
+    /** Whether this process is likely to stay: it is not stopping, and has run for a while since a restart. */
+    private isSettled(): boolean {
+        const isFresh = this.clock.readMonotonic() - this.startedAt < settlingMs;
+        return !this.isStopping && (this.settings.isFirstStart || !isFresh);
+    }
+
     private createEntry(): RoutedEntryParts {
         const { clock, logger, settings, runs, runner, placement, links, allowance } = this;
         const { address, service } = settings;
--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -213,7 +213,7 @@
     const near = createRecord("10.0.0.1", { dataCentre: "klaten" });
     const near2 = createRecord("10.0.0.2", { dataCentre: "klaten" });
     const far = createRecord("10.0.0.3", { dataCentre: "jepara" });
-    const idle: LoadReport = { running: 0, waiting: 0, limit: 10, failureShare: 0 };
+    const idle: LoadReport = { running: 0, waiting: 0, limit: 10, failureShare: 0, isSettled: true };
     const cases: readonly {
         readonly name: string;
         readonly play: (placement: Placement, clock: FakeClock) => void;
@@ -249,6 +249,23 @@
             },
             chosen: "10.0.0.2",
         },
+        {
+            name: "prefers instances whose nodes stay to one whose node stops or has just been started again",
+            play: placement => {
+                placement.recordLoad("10.0.0.1", { ...idle, isSettled: false });
+                placement.recordLoad("10.0.0.2", { ...idle, running: 5 });
+            },
+            chosen: "10.0.0.2",
+        },
+        {
+            name: "uses an instance whose node has just been started again when the others are full",
+            play: placement => {
+                placement.recordLoad("10.0.0.1", { ...idle, isSettled: false });
+                placement.recordLoad("10.0.0.2", { ...idle, running: 10 });
+                placement.recordLoad("10.0.0.3", { ...idle, running: 10 });
+            },
+            chosen: "10.0.0.1",
+        },
         {
             name: "comes back to an instance that was passed over, after a while",
             play: (placement, clock) => {
