Judge the gate by fresh answers and by how full the service behind is, and serve calls in order of progress

In a replay of the pattern (chain of 4 calls, 3 instances of 37 places) three things did it. Answers to requests let in before the share was last lowered lowered it again and again, so a peak of 2.5 s closed the gate for 8 s more. Calls of one rank were served in order of arrival, so many runs got on a little and all ran out of time. With a few answers a second at each node, one answer decided a step.

Change: only answers to requests let in since the last change count; the calls of a run that was served most go first within a rank and depth; answers carry how full the fullest service behind is, and near full the share rises by 5% a window instead of by 25%.

--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -120,7 +120,7 @@
         "targetLeftMs",
         "callerService",
     ],
-    answer: ["id", "status", "headers", "body", "runMs", "waitedMs", "behind", "load"],
+    answer: ["id", "status", "headers", "body", "runMs", "waitedMs", "behind", "pressure", "load"],
     refused: ["id", "cause", "retryAfterMs", "load"],
     failed: ["id", "cause", "ranMs", "load"],
     cancel: ["id"],
@@ -228,6 +228,8 @@
             return encodeLoad(value as LoadReport);
         case "origin":
             return encodeOrigin(value as Origin);
+        case "pressure":
+            return Math.round(value as number * 100);
         default:
             return value;
     }
@@ -239,6 +241,8 @@
             return decodeLoad(value);
         case "origin":
             return decodeOrigin(value);
+        case "pressure":
+            return Number(value) / 100;
         default:
             return value;
     }
--- a/src/process/endpointRunner.ts
+++ b/src/process/endpointRunner.ts
@@ -137,8 +137,9 @@
         }
         let settle: (refusal: Refusal | undefined) => void = () => undefined;
         const { origin, route, deadline, target } = request;
-        const { depth, priority } = origin;
-        const waiting: Waiting = { depth, priority, route, deadline, target, settle: refusal => settle(refusal) };
+        const { depth, servedBefore, priority } = origin;
+        const settleWait = (refusal: Refusal | undefined): void => settle(refusal);
+        const waiting = { depth, servedBefore, priority, route, deadline, target, settle: settleWait };
         const decision = this.line.offer(waiting, now);
         if (decision.kind === "run") {
             return undefined;
@@ -251,6 +252,7 @@
             runMs,
             waitedMs: run.getWaitedMs(),
             behind: run.getBehind(),
+            pressure: run.getPressure(),
         };
     }
 
--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -125,6 +125,21 @@
         this.avoid(address);
     }
 
+    /** Part of the places of these instances that is taken, by what they say of their load; 0 when nothing is known. */
+    computePressure(records: readonly InstanceRecord[]): number {
+        const now = this.clock.readMonotonic();
+        let taken = 0;
+        let places = 0;
+        for (const { address } of records) {
+            const experience = this.experiences.get(address);
+            if (experience?.load !== undefined && now - experience.loadAt < loadValidMs) {
+                taken += experience.load.running + experience.load.waiting;
+                places += experience.load.limit;
+            }
+        }
+        return places === 0 ? 0 : taken / places;
+    }
+
     /** Average run time of a route over all instances, in milliseconds; `undefined` before the first run. */
     getRouteMs(route: string): number | undefined {
         return this.routeMs.get(route);
--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -244,6 +244,7 @@
             }),
             runs,
             gate: new EntryGate(clock, Math.random),
+            findPressure: each => placement.computePressure(register.listOfService(each)),
             isStopping: () => this.isStopping,
         };
     }
--- a/src/process/runOutcome.ts
+++ b/src/process/runOutcome.ts
@@ -29,6 +29,8 @@
     readonly waitedMs: number;
     /** What the calls of the run met. */
     readonly behind: Behind;
+    /** Part of the places that is taken at the fullest service behind; above 1 requests wait there. */
+    readonly pressure: number;
 }
 
 /** The request was not run and never will be by this send. */
--- a/src/process/runsInProgress.ts
+++ b/src/process/runsInProgress.ts
@@ -30,6 +30,7 @@
     private behind: Behind = "none";
     private waitedMs = 0;
     private servedCalls = 0;
+    private pressure = 0;
 
     constructor(readonly origin: Origin) {}
 
@@ -48,9 +49,15 @@
         return this.waitedMs;
     }
 
+    /** Part of the places that was taken at the fullest service that calls of the run led to. */
+    getPressure(): number {
+        return this.pressure;
+    }
+
     /** Notes how a call of the run ended. */
-    recordCall(behind: Behind, waitedMs: number): void {
+    recordCall(behind: Behind, waitedMs: number, pressure: number): void {
         this.waitedMs += waitedMs;
+        this.pressure = Math.max(this.pressure, pressure);
         this.servedCalls += behind === "none" ? 1 : 0;
         if (behind === "crowd" || this.behind === "none") {
             this.behind = behind;
--- a/src/process/waitingLine.ts
+++ b/src/process/waitingLine.ts
@@ -3,7 +3,8 @@
  *
  * Load patterns that it answers: a peak above the endpoint's slots (requests wait in order of urgency, and what can't be
  * served in time is turned away at once, not after a wait); a deep service whose callers already run (their calls go before
- * new work of the same rank, since a call turned away wastes the run that made it); an endpoint that slows (the estimated wait grows with the
+ * new work of the same rank, since a call turned away wastes the run that made it); runs that make several calls to a full service
+ * one after the other (who has been served most goes first, or many runs get on a little and all fail); an endpoint that slows (the estimated wait grows with the
  * measured run time, so the line gets shorter in requests).
  */
 
@@ -11,6 +12,8 @@
 export interface Candidate {
     /** Calls between the caller's request and this one; 0 for the request itself. */
     readonly depth: number;
+    /** Calls of the same run that were served before this one. */
+    readonly servedBefore: number;
     /** Rank of the caller's request; 0 is the most urgent. */
     readonly priority: number;
     /** Route, by whose run times the wait is estimated. */
@@ -173,5 +176,8 @@
 
 /** The rank of the caller's request decides, then the work that was spent on it already. */
 function isMoreUrgent(a: Candidate, b: Candidate): boolean {
-    return a.priority === b.priority ? a.depth > b.depth : a.priority < b.priority;
+    if (a.priority !== b.priority) {
+        return a.priority < b.priority;
+    }
+    return a.depth === b.depth ? a.servedBefore > b.servedBefore : a.depth > b.depth;
 }
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -30,6 +30,7 @@
         readonly body: Buffer;
         readonly waitedMs: number;
         readonly behind: Behind;
+        readonly pressure: number;
     }
     /** No send of the request has run or will run. */
     | { readonly kind: "refused"; readonly cause: string; readonly retryAfterMs: number; }
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -49,6 +49,8 @@
     /** Runs of the endpoint beside this node, whose calls enter here too. */
     readonly runs: RunsInProgress;
     readonly gate: EntryGate;
+    /** Part of the places of a service that is taken, as far as it is known here. */
+    readonly findPressure: (service: string) => number;
     readonly isStopping: () => boolean;
 }
 
@@ -232,15 +234,17 @@
 
 /** Tells the run that made the call, or the gate of the route, whether it met a service without room. */
 function noteBehind(parts: RoutedEntryParts, entered: Entered, call: RoutedCall, outcome: ForwardOutcome): void {
-    const waitedMs = outcome.kind === "answer" ? outcome.waitedMs : 0;
+    const { waitedMs, pressure } = outcome.kind === "answer" ? outcome : { waitedMs: 0, pressure: 0 };
     if (entered.parent !== undefined) {
-        entered.parent.recordCall(describeBehind(outcome), waitedMs);
+        const known = Math.max(pressure, parts.findPressure(call.service));
+        entered.parent.recordCall(describeBehind(outcome), waitedMs, known);
         return;
     }
     const isLate = waitedMs > (call.deadline - entered.startedAt) * crowdedWaitShare;
     const hasFailed = outcome.kind !== "answer" || outcome.status >= 500;
     const isLostToCrowd = outcome.kind === "answer" && hasFailed && outcome.behind === "crowd";
-    parts.gate.recordAnswer(call.route.name, isLostToCrowd || (isLate && hasFailed));
+    const isCrowded = isLostToCrowd || (isLate && hasFailed);
+    parts.gate.recordAnswer(call.route.name, { isCrowded, pressure }, entered.startedAt);
 }
 
 function describeBehind(outcome: ForwardOutcome): Behind {
--- a/test/routed/forwarder.test.ts
+++ b/test/routed/forwarder.test.ts
@@ -21,6 +21,7 @@
     runMs: 10,
     waitedMs: 0,
     behind,
+    pressure: 0,
 });
 const refused = (cause: "full" | "shed" | "leaving" | "away" | "cancelled"): RunOutcome => ({
     kind: "refused",
--- a/test/routed/linkMessage.test.ts
+++ b/test/routed/linkMessage.test.ts
@@ -34,6 +34,7 @@
         runMs: 5,
         waitedMs: 0,
         behind: "crowd",
+        pressure: 1.25,
         load,
     },
     { kind: "refused", id: 2, cause: "full", retryAfterMs: 12, load },
