Serve configurations with unknown kinds, and follow a store that comes back older

Offsets were believed across a restore of the store: a record that the store had lost was never written again, and a follower whose next offset was the end of the older copy would not have noticed for up to 16 s. Change: uploads run at most once; an unknown kind counts as not idempotent, with a log line, a gauge and a warning of 'check configuration'. The era that all answers carry is read; on a rise the newest of every key is read again and the own record appended again if it is gone; after a failed read the next one doesn't wait.

--- a/src/cli.ts
+++ b/src/cli.ts
@@ -155,9 +155,10 @@
         "check a routed node's settings or an operator's configuration",
         command =>
             command.positional("kind", { choices: ["settings", "configuration"] as const, demandOption: true })
-                .positional("file", { type: "string", demandOption: true }),
+                .positional("file", { type: "string", demandOption: true })
+                .option("strict", { type: "boolean", default: false, describe: "exit with 1 on warnings too" }),
         args => {
-            process.exitCode = checkFile(args.kind, args.file);
+            process.exitCode = checkFile(args.kind, args.file, args.strict);
         },
     )
     .command(
--- a/src/connection/keyedLog.ts
+++ b/src/connection/keyedLog.ts
@@ -19,6 +19,20 @@
     readonly records: readonly KeyedRecord[];
     /** Offset at which the next read starts. */
     readonly next: number;
+    /** Era of the log that answered. */
+    readonly era: LogEra;
+}
+
+/**
+ * Number of times that the log was restored from an older copy. In a restored log, records appended after the copy was
+ * taken are gone and their offsets are given to other records, so an offset means nothing in another era.
+ */
+export type LogEra = number;
+
+/** Where an appended record lies. */
+export interface AppendedRecord {
+    readonly offset: number;
+    readonly era: LogEra;
 }
 
 /**
@@ -47,8 +61,8 @@
         waitMs: number,
         signal: AbortSignal,
     ): Promise<Result<KeyedPage, KeyedLogError>>;
-    /** Appends a record and returns its offset. */
-    append(topic: string, key: string, value: string): Promise<Result<number, KeyedLogError>>;
+    /** Appends a record. */
+    append(topic: string, key: string, value: string): Promise<Result<AppendedRecord, KeyedLogError>>;
 }
 
 /** Describes an error as fields of a log event. */
--- a/src/connection/keyedLogFollower.ts
+++ b/src/connection/keyedLogFollower.ts
@@ -1,5 +1,6 @@
 /**
  * Follows one topic of the keyed log: it reads the newest record of each key, then the records appended after them.
+ * When the log was restored from an older copy, the newest record of each key is read again.
  *
  * While calls to the log fail, they are retried with exponential backoff and jitter, so that many nodes don't retry at
  * the same time. The first failure and the recovery are logged once each.
@@ -7,7 +8,7 @@
 import type { Random } from "../process/balancer.js";
 import type { Clock } from "../process/clock.js";
 import type { Logger } from "../process/logger.js";
-import type { KeyedLog, KeyedLogError, KeyedPage } from "./keyedLog.js";
+import type { KeyedLog, KeyedLogError, KeyedPage, LogEra } from "./keyedLog.js";
 import { describeKeyedLogError } from "./keyedLog.js";
 
 /** Minimum backoff after a failure, in milliseconds; it doubles with each further failure. */
@@ -30,13 +31,17 @@
      * Average delay after a read that returned records, so that the next one returns several at once; in milliseconds.
      */
     readonly batchDelayMs: number;
-    /** Called with the records of each read, in the order of their offsets. */
+    /** Called with the newest record of each key, before the first {@link applyPage} and whenever they are read again. */
+    readonly applySnapshot: (page: KeyedPage) => void;
+    /** Called with the records of each later read, in the order of their offsets. */
     readonly applyPage: (page: KeyedPage) => void;
 }
 
 /** Follower of one topic. */
 export class KeyedLogFollower {
+    /** `undefined` until the newest records have been read. */
     private nextOffset: number | undefined;
+    private era: LogEra | undefined;
     private consecutiveFailures = 0;
 
     constructor(private readonly dependencies: KeyedLogFollowerDependencies) {}
@@ -48,7 +53,7 @@
             const from = this.nextOffset;
             const result = from === undefined
                 ? await log.readNewest(topic)
-                : await log.follow(topic, from, minWaitMs + random() * maxWaitJitterMs, signal);
+                : await log.follow(topic, from, this.chooseWaitMs(random), signal);
             if (signal.aborted) {
                 return;
             }
@@ -57,14 +62,39 @@
                 continue;
             }
             this.recordSuccess();
+            if (from !== undefined && result.value.era !== this.era) {
+                // The page may begin with other records than those that follow what was read before.
+                this.dependencies.logger.warn("logRestored", { topic, era: result.value.era, before: this.era, from });
+                this.nextOffset = undefined;
+                continue;
+            }
+            this.era = result.value.era;
             this.nextOffset = result.value.next;
-            this.dependencies.applyPage(result.value);
+            if (from === undefined) {
+                this.dependencies.applySnapshot(result.value);
+            }
+            else {
+                this.dependencies.applyPage(result.value);
+            }
             if (result.value.records.length > 0 && batchDelayMs > 0) {
                 await clock.sleep(batchDelayMs * (0.5 + random()), signal);
             }
         }
     }
 
+    /**
+     * Time that the next long poll waits, in milliseconds. After a failure it doesn't wait: the log may be back from an
+     * older copy that ends just at this offset, which only an answer shows.
+     */
+    private chooseWaitMs(random: Random): number {
+        return this.consecutiveFailures > 0 ? 0 : minWaitMs + random() * maxWaitJitterMs;
+    }
+
+    /** Era of the log as of the last read; `undefined` before the first. */
+    getEra(): LogEra | undefined {
+        return this.era;
+    }
+
     private recordSuccess(): void {
         const { logger, topic } = this.dependencies;
         if (this.consecutiveFailures > 0) {
--- a/src/process/clusterState.ts
+++ b/src/process/clusterState.ts
@@ -3,7 +3,7 @@
  * nodes. A routed node works by the operator's configuration; a node that is not routed works by the contracts and
  * members on the shared log.
  */
-import type { KeyedLog, KeyedPage } from "../connection/keyedLog.js";
+import type { KeyedLog, KeyedPage, LogEra } from "../connection/keyedLog.js";
 import { KeyedLogFollower } from "../connection/keyedLogFollower.js";
 import type { LinkMessage } from "../connection/linkMessage.js";
 import type { AdoptionResult } from "../version/configurationHolder.js";
@@ -52,6 +52,7 @@
     readonly registry = new InstanceRegistry();
     readonly gossip: PeerGossip;
     private readonly publisher: InstancePublisher;
+    private configurationFollower: KeyedLogFollower | undefined;
 
     constructor(private readonly dependencies: ClusterStateDependencies) {
         const { clock, random, logger, log, address, post } = dependencies;
@@ -73,13 +74,14 @@
     /** Starts to follow the keyed log and to publish the record of this node's instance, until the signal aborts. */
     run(signal: AbortSignal): void {
         const { clock, random, logger, log } = this.dependencies;
-        const configurationFollower = new KeyedLogFollower({
+        this.configurationFollower = new KeyedLogFollower({
             clock,
             random,
             logger,
             log,
             topic: topics.configuration,
             batchDelayMs: 0,
+            applySnapshot: page => this.applyConfigurations(page),
             applyPage: page => this.applyConfigurations(page),
         });
         const instanceFollower = new KeyedLogFollower({
@@ -89,13 +91,22 @@
             log,
             topic: topics.instances,
             batchDelayMs: instanceBatchDelayMs,
+            applySnapshot: page => {
+                this.publisher.applySnapshot(page);
+                this.applyInstances(page);
+            },
             applyPage: page => this.applyInstances(page),
         });
-        void configurationFollower.run(signal);
+        void this.configurationFollower.run(signal);
         void instanceFollower.run(signal);
         void this.publisher.run(signal);
     }
 
+    /** Era of the keyed log as of the last read; -1 before the first. */
+    getLogEra(): LogEra {
+        return this.configurationFollower?.getEra() ?? -1;
+    }
+
     /** Updates the record of this node's instance in the registry and on the keyed log. */
     publishOwnRecord(): void {
         this.putOwnRecord();
@@ -154,6 +165,9 @@
         const result = this.configurationHolder.adoptIfNewer(text);
         if (result.kind === "adopted") {
             this.dependencies.logger.info("configurationAdopted", { version: result.version, source });
+            for (const warning of this.configurationHolder.getTable()!.configuration.warnings) {
+                this.dependencies.logger.warn("configurationWarning", { version: result.version, ...warning });
+            }
         }
         if (result.kind === "invalid") {
             this.dependencies.logger.warn("configurationSkipped", { cause: result.cause, source });
--- a/src/process/instancePublisher.ts
+++ b/src/process/instancePublisher.ts
@@ -1,5 +1,5 @@
 /** Publishes the record of this instance on the keyed log. */
-import type { KeyedLog } from "../connection/keyedLog.js";
+import type { AppendedRecord, KeyedLog, KeyedPage } from "../connection/keyedLog.js";
 import { describeKeyedLogError } from "../connection/keyedLog.js";
 import type { Random } from "./balancer.js";
 import type { Clock } from "./clock.js";
@@ -10,10 +10,15 @@
 /** Longest delay of a retry after failed appends, in milliseconds. */
 const maxBackoffMs = 4000;
 
+/** Where an append that was confirmed before any snapshot lies. */
+const nowhere: AppendedRecord = { offset: -1, era: -1 };
+
 /** Appends the record whenever it differs from the one on the log; retries with exponential backoff and jitter. */
 export class InstancePublisher {
     private desiredRecord: string | undefined;
     private publishedRecord: string | undefined;
+    /** Where the last append of this process lies. */
+    private lastAppended = nowhere;
     /** Resumes {@link run} when it waits for a change of either record. */
     private wake: () => void = () => undefined;
 
@@ -38,6 +43,19 @@
         this.wake();
     }
 
+    /**
+     * Compares with the newest records of all keys. If the log lost this node's record, it is appended again. A snapshot
+     * that was taken before the last append, in the same era, says nothing about it.
+     */
+    applySnapshot(snapshot: KeyedPage): void {
+        const isOutdated = snapshot.era === this.lastAppended.era && snapshot.next <= this.lastAppended.offset;
+        if (isOutdated || snapshot.era < this.lastAppended.era) {
+            return;
+        }
+        this.publishedRecord = snapshot.records.find(record => record.key === this.key)?.value;
+        this.wake();
+    }
+
     /** Publishes each new record until the signal aborts. */
     async run(signal: AbortSignal): Promise<void> {
         let failures = 0;
@@ -52,7 +70,8 @@
             if (result.ok) {
                 failures = 0;
                 this.publishedRecord = desiredRecord;
-                this.logger.info("instancePublished", { offset: result.value, record: desiredRecord });
+                this.lastAppended = result.value;
+                this.logger.info("instancePublished", { ...result.value, record: desiredRecord });
                 continue;
             }
             failures += 1;
--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -417,6 +417,16 @@
             "Version in force.",
             () => clusterState.configurationHolder.getVersion(),
         );
+        metrics.addGauge(
+            "configuration_warnings",
+            "Words of the configuration in force that this build does not know.",
+            () => clusterState.configurationHolder.getTable()?.configuration.warnings.length ?? 0,
+        );
+        metrics.addGauge(
+            "log_era",
+            "Number of times that the log was restored from an older copy; -1 before the first read.",
+            () => clusterState.getLogEra(),
+        );
         metrics.addGauge("instances_known", "Known instances.", () => clusterState.registry.count());
         metrics.addGauge("links_open", "Open links to other nodes.", () => links.countOpenLinks());
         metrics.addGauge("endpoint_running", "Requests at the endpoint.", () => runner.getLoad().running);
--- a/src/version/configuration.ts
+++ b/src/version/configuration.ts
@@ -10,9 +10,14 @@
 import { createIntegerSchema, formatAllowed, parseJson } from "./schema.js";
 
 /** Whether a request of a route may run more than once. */
-export const repetitions = ["idempotent", "atMostOnce"] as const;
-/** One of {@link repetitions}. */
-export type Repetition = (typeof repetitions)[number];
+export type Repetition = "idempotent" | "atMostOnce";
+
+/** Words for {@link Repetition} in a configuration. Uploads have large bodies; they too run at most once. */
+const repetitionsByWord: ReadonlyMap<string, Repetition> = new Map([
+    ["idempotent", "idempotent"],
+    ["atMostOnce", "atMostOnce"],
+    ["atMostOnceUpload", "atMostOnce"],
+]);
 
 /** One service of a route and its share of the route's requests. */
 export interface ServiceShare {
@@ -62,6 +67,18 @@
     readonly routes: readonly RouteContract[];
     readonly services: ReadonlyMap<string, ServiceConfiguration>;
     readonly limits: CallerLimits;
+    /** Words that this build does not know, and what is assumed in their place. The configuration is in force. */
+    readonly warnings: readonly ConfigurationWarning[];
+}
+
+/** A word in a route that this build does not know. */
+export interface ConfigurationWarning {
+    /** Name of the route. */
+    readonly route: string;
+    readonly key: string;
+    readonly word: string;
+    /** What is assumed instead. */
+    readonly assumed: string;
 }
 
 /** Why a text is not a valid configuration. `key` is the dotted path of the invalid value. */
@@ -76,7 +93,7 @@
     name: nameSchema,
     host: nameSchema,
     pathPrefix: v.pipe(v.string(), v.regex(/^\/(.*\/)?$/, "a path that begins and ends with a slash")),
-    repetition: v.picklist(repetitions),
+    repetition: v.pipe(v.string(), v.maxLength(256)),
     timeoutMs: v.optional(millisecondsSchema, 60_000),
     targetLatencyMs: v.optional(millisecondsSchema, 60_000),
     maxRuns: v.optional(createIntegerSchema(1, 1000), 1),
@@ -119,7 +136,8 @@
     const { version, limits } = parsed.output;
     const services = new Map(parsed.output.services.map(service => [service.name, service]));
     const routes: RouteContract[] = [];
-    for (const { service, shares, ...route } of parsed.output.routes) {
+    const warnings: ConfigurationWarning[] = [];
+    for (const { service, shares, repetition: word, ...route } of parsed.output.routes) {
         const routeShares = shares ?? (service === undefined || service === null ? [] : [{ service, weight: 1 }]);
         const hasOnlyKnownServices = routeShares.every(share => services.has(share.service));
         if (!hasOnlyKnownServices || routeShares.reduce((sum, share) => sum + share.weight, 0) <= 0) {
@@ -129,9 +147,19 @@
                 allowed: "known services with a positive sum of weights",
             });
         }
-        routes.push({ ...route, host: route.host.toLowerCase(), shares: routeShares });
+        // Treating an unknown kind as not idempotent can cost a retry, but never a second run.
+        const repetition = repetitionsByWord.get(word) ?? "atMostOnce";
+        if (!repetitionsByWord.has(word)) {
+            warnings.push({ route: route.name, key: "repetition", word, assumed: repetition });
+        }
+        routes.push({ ...route, repetition, host: route.host.toLowerCase(), shares: routeShares });
     }
-    return createSuccess({ version, routes, services, limits });
+    return createSuccess({ version, routes, services, limits, warnings });
+}
+
+/** Formats a warning as one line. */
+export function formatConfigurationWarning({ route, key, word, assumed }: ConfigurationWarning): string {
+    return `routes.${route}.${key}: unknown word ${JSON.stringify(word)}, treated as ${assumed}`;
 }
 
 /** Formats a configuration error as one line. */
--- a/standin/platformUpstream.ts
+++ b/standin/platformUpstream.ts
@@ -42,6 +42,8 @@
     /** Changes how runs end: lose the connection after the run, never answer, refuse unrun, or fail. */
     fault: "none" | "reset" | "silent" | "shed" | "fail" = "none";
     runMs: number;
+    /** Slots that it reports. */
+    slots: number;
     id: string;
     private state: "ready" | "draining" = "ready";
     private number = 0;
@@ -51,6 +53,7 @@
 
     constructor(readonly plan: UpstreamPlan) {
         this.runMs = plan.runMs;
+        this.slots = plan.slots;
         this.id = this.createId();
     }
 
@@ -90,7 +93,7 @@
     async sendHeartbeat(): Promise<boolean> {
         this.number += 1;
         return this.post(`/rpc?call=instances.heartbeat&of=${this.id}`, {
-            slots: this.plan.slots,
+            slots: this.slots,
             state: this.state,
             reportNumber: this.number,
         });
@@ -110,7 +113,7 @@
         if (request.url === "/healthz") {
             response.writeHead(this.state === "ready" ? 200 : 503, {
                 "Upstream-Instance": this.id,
-                "Upstream-Load": `${this.running},0,${this.plan.slots}`,
+                "Upstream-Load": `${this.running},0,${this.slots}`,
             }).end();
             return;
         }
--- a/test/routed/cluster.test.ts
+++ b/test/routed/cluster.test.ts
@@ -222,6 +222,27 @@
         expect((await getPage(kas1!, "after-history")).status).equals(200);
     });
 
+    it("read again, write their records again and keep the version when the store comes back from an older copy", async () => {
+        const copy = cluster.store.copy();
+        publish([...routes, createRoute({ name: "newest", pathPrefix: "/newest/" })]);
+        await Promise.all(cluster.machines.map(waitForVersion));
+        const { upstream } = kas1!;
+        upstream.slots = 9;
+        await upstream.sendHeartbeat();
+        const holdsNewRecord = (): boolean =>
+            (cluster.store.listNewest("keyed.instances").get(kas1!.address) ?? "").includes("\"slots\":9");
+        await waitFor(async () => holdsNewRecord(), 3000, "record of the changed endpoint");
+        cluster.store.restore(copy);
+        expect(holdsNewRecord()).equals(false);
+        await waitFor(async () => holdsNewRecord(), 5000, "record written again");
+        await Promise.all(cluster.machines.map(waitForVersion));
+        publish(routes);
+        await Promise.all(cluster.machines.map(waitForVersion));
+        upstream.slots = 10;
+        await upstream.sendHeartbeat();
+        await waitFor(async () => !holdsNewRecord(), 3000, "record of the endpoint as before");
+    });
+
     it("give an upstream that leaves no new work, finish what runs, and take its successor in", async () => {
         const { upstream } = kas1!;
         upstream.runMs = 400;
--- a/test/routed/deploy.test.ts
+++ b/test/routed/deploy.test.ts
@@ -112,6 +112,7 @@
         expect(parsed.ok ? "" : formatConfigurationError(parsed.error)).equals("");
         const value = parsed.ok ? parsed.value : expect.fail();
         expect(value.routes[0]).deep.include({ repetition: "atMostOnce", timeoutMs: 1200, maxRuns: 2 });
+        expect(words["upload"]).equals("atMostOnceUpload");
         expect(value.limits).deep.include({ maxBodyBytes: 9, idleTimeoutMs: 15_000 });
     });
 
