--- a/src/connection/link.ts
+++ b/src/connection/link.ts
@@ -23,8 +23,6 @@
 const connectTimeoutMs = 700;
 /** Time without received data after which a link with requests in flight is pinged, in milliseconds. */
 const busyPingAfterMs = 300;
-/** Time without received data after which an idle link is pinged, in milliseconds. */
-const idlePingAfterMs = 1500;
 /** Timeout for receiving data after a ping, in milliseconds. */
 const pingTimeoutMs = 450;
 
@@ -45,7 +43,10 @@
 export class Link {
     /** Callbacks that settle the requests in flight. */
     private readonly callbacksByRequestId = new Map<number, (outcome: LinkOutcome) => void>();
-    private readonly reader = new MessageReader();
+    private readonly socket: Socket;
+    private readonly reader: MessageReader;
+    /** Start time of the other node's process. */
+    readonly incarnation: number;
     private lastRequestId = 0;
     private isOpen = true;
     private lastReceivedAt: number;
@@ -53,15 +54,19 @@
 
     constructor(
         private readonly clock: Clock,
-        private readonly socket: Socket,
-        readonly incarnation: number,
+        opened: LinkSocket,
         private readonly callbacks: LinkCallbacks,
         private readonly getConfigurationVersion: () => number,
     ) {
+        const { socket, reader, hello } = opened;
+        this.socket = socket;
+        this.reader = reader;
+        this.incarnation = hello.incarnation;
         this.lastReceivedAt = clock.readMonotonic();
         socket.on("data", chunk => this.readChunk(chunk));
         socket.on("error", () => this.close("reset"));
         socket.on("close", () => this.close("closed"));
+        socket.resume();
     }
 
     /** Whether messages can be sent, which is the case while the link is open. */
@@ -97,8 +102,19 @@
         });
     }
 
-    /** Sends a ping if nothing has arrived for too long; closes the link if a ping timed out. Called periodically. */
-    checkLiveness(): void {
+    /** Asks for the load and the version of the other node, unless an earlier ping is unanswered. */
+    ping(): void {
+        if (this.pingedAt === undefined) {
+            this.pingedAt = this.clock.readMonotonic();
+            this.post({ kind: "ping", version: this.getConfigurationVersion() });
+        }
+    }
+
+    /**
+     * Sends a ping if nothing has arrived for too long, which is `idlePingAfterMs` milliseconds without a request in
+     * flight; closes the link if a ping timed out. Called periodically.
+     */
+    checkLiveness(idlePingAfterMs: number): void {
         const now = this.clock.readMonotonic();
         if (this.pingedAt !== undefined) {
             if (now - this.pingedAt > pingTimeoutMs) {
@@ -108,8 +124,7 @@
             return;
         }
         if (now - this.lastReceivedAt > (this.callbacksByRequestId.size > 0 ? busyPingAfterMs : idlePingAfterMs)) {
-            this.pingedAt = now;
-            this.post({ kind: "ping", version: this.getConfigurationVersion() });
+            this.ping();
         }
     }
 
@@ -128,6 +143,13 @@
         }
     }
 
+    /** Receives the messages that arrived right behind the hello message. */
+    receiveEarly(messages: readonly LinkMessage[]): void {
+        for (const message of messages) {
+            this.receive(message);
+        }
+    }
+
     private readChunk(chunk: Buffer): void {
         this.lastReceivedAt = this.clock.readMonotonic();
         this.pingedAt = undefined;
@@ -188,7 +210,11 @@
 /** An open connection and the hello message that the other node sent on it. */
 export interface LinkSocket {
     readonly socket: Socket;
+    /** Reader of the socket's bytes, which may hold the beginning of a message. */
+    readonly reader: MessageReader;
     readonly hello: HelloMessage;
+    /** Messages that arrived together with the hello message. */
+    readonly early: readonly LinkMessage[];
 }
 
 /** Connects to another node and exchanges hello messages; resolves to `undefined` if that fails. Never rejects. */
@@ -206,15 +232,21 @@
             resolve(undefined);
         };
         const readChunk = (chunk: Buffer): void => {
-            const hello = reader.read(chunk)?.find((message): message is HelloMessage => message.kind === "hello");
-            if (hello === undefined) {
+            const messages = reader.read(chunk);
+            if (messages?.length === 0) {
+                return;
+            }
+            const [hello, ...early] = messages ?? [];
+            if (hello?.kind !== "hello") {
                 socket.destroy();
                 return;
             }
             clearTimeout(timer);
             socket.removeListener("data", readChunk);
             socket.removeListener("close", fail);
-            resolve({ socket, hello });
+            // Bytes that arrive before the link reads them wait in the socket.
+            socket.pause();
+            resolve({ socket, reader, hello, early });
         };
         socket.on("error", () => undefined);
         socket.once("close", fail);
--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -23,6 +23,8 @@
     readonly failureShare: number;
     /** Whether the node is stable: neither just restarted nor about to stop. */
     readonly isSettled: boolean;
+    /** Recent average time of a run at the endpoint, in milliseconds; 0 when there was none. */
+    readonly runMs: number;
 }
 
 /** Asks a node for a run, which is one execution of a request at the node's local endpoint. */
@@ -280,16 +282,18 @@
 
 /** Encodes a load report as an array; the failure share is rounded to whole percent. */
 function encodeLoad(load: LoadReport): number[] {
-    return [load.running, load.waiting, load.limit, Math.round(load.failureShare * 100), load.isSettled ? 1 : 0];
+    const { running, waiting, limit, failureShare, isSettled, runMs } = load;
+    return [running, waiting, limit, Math.round(failureShare * 100), isSettled ? 1 : 0, Math.round(runMs)];
 }
 
 function decodeLoad(value: unknown): LoadReport {
-    const [running, waiting, limit, percent, settled] = Array.isArray(value) ? value as number[] : [];
+    const [running, waiting, limit, percent, settled, runMs] = Array.isArray(value) ? value as number[] : [];
     return {
         running: running ?? 0,
         waiting: waiting ?? 0,
         limit: limit ?? 0,
         failureShare: (percent ?? 0) / 100,
         isSettled: settled !== 0,
+        runMs: runMs ?? 0,
     };
 }
--- a/src/connection/linkServer.ts
+++ b/src/connection/linkServer.ts
@@ -20,7 +20,7 @@
 /** Handlers of received messages. A handler that throws closes the link. */
 export interface LinkHandlers {
     readonly createHello: () => HelloMessage;
-    readonly handleHello: (hello: HelloMessage) => void;
+    readonly handleHello: (hello: HelloMessage, link: AcceptedLink) => void;
     readonly run: (message: RunMessage, link: AcceptedLink) => void;
     readonly cancel: (id: number, link: AcceptedLink) => void;
     /** Called with each message of another kind. */
@@ -108,7 +108,7 @@
         try {
             switch (message.kind) {
                 case "hello":
-                    handlers.handleHello(message);
+                    handlers.handleHello(message, link);
                     return;
                 case "run":
                     handlers.run(message, link);
--- a/src/connection/peerLinks.ts
+++ b/src/connection/peerLinks.ts
@@ -1,6 +1,7 @@
 /**
- * Links to all other nodes. Each link is reopened when it is lost. Requests that were in flight on a lost link are sent
- * again over the new one; the other node recognises them and doesn't run them twice.
+ * Links to other nodes. A link is opened when it is kept or when a request needs it. Kept links are reopened when they
+ * are lost. Requests that were in flight on a lost link are sent again over the new one; the other node recognises them
+ * and doesn't run them twice.
  */
 import type { Random } from "../process/balancer.js";
 import type { Cancellation } from "../process/cancellation.js";
@@ -14,6 +15,12 @@
 
 /** Interval at which links are checked for nodes that no longer respond, in milliseconds. */
 const livenessCheckIntervalMs = 150;
+/** Shortest time without received data after which an idle link is pinged, in milliseconds. */
+const minIdlePingMs = 1500;
+/** Time by which that is longer for each open link, in milliseconds, so that a node sends at most 8 such pings a second. */
+const idlePingMsPerLink = 125;
+/** Time after which the loss of a link that isn't kept is disregarded, in milliseconds. */
+const lossValidMs = 5000;
 /** Minimum backoff between attempts to connect to a node, in milliseconds; it doubles with each failed attempt. */
 const minBackoffMs = 300;
 /** Maximum backoff between attempts to connect to a node, in milliseconds. */
@@ -43,6 +50,15 @@
 interface Peer {
     readonly address: string;
     port: number;
+    /** Whether the link is to be open also while no request needs it. */
+    isKept: boolean;
+    /** Whether a task reopens the link when it is lost. */
+    isReconnecting: boolean;
+    /**
+     * Time on the monotonic clock at which the last link was lost or the last attempt to connect failed; `undefined`
+     * after a successful one.
+     */
+    lostAt: number | undefined;
     link: Link | undefined;
     /** The attempt to connect that is in progress. */
     opening: Promise<Link | undefined> | undefined;
@@ -58,7 +74,7 @@
 
     constructor(private readonly dependencies: PeerLinksDependencies, private readonly signal: AbortSignal) {}
 
-    /** Starts to keep a link to an instance open. If its address is known already, only its port is updated. */
+    /** Adds an instance that links can be opened to. If its address is known already, only its port is updated. */
     add(record: InstanceRecord): void {
         const known = this.peers.get(record.address);
         if (known !== undefined) {
@@ -68,22 +84,52 @@
         const peer: Peer = {
             address: record.address,
             port: record.port,
+            isKept: false,
+            isReconnecting: false,
+            lostAt: undefined,
             link: undefined,
             opening: undefined,
             consecutiveFailures: 0,
         };
         this.peers.set(record.address, peer);
-        void this.runReconnection(peer);
     }
 
-    /** Whether there is an open link to an address. */
-    isLinked(address: string): boolean {
-        return this.peers.get(address)?.link !== undefined;
+    /** Keeps the links to these addresses open from now on, and no others. */
+    keep(addresses: ReadonlySet<string>): void {
+        for (const peer of this.peers.values()) {
+            peer.isKept = addresses.has(peer.address);
+            if (peer.isKept && !peer.isReconnecting) {
+                peer.isReconnecting = true;
+                void this.runReconnection(peer).finally(() => peer.isReconnecting = false);
+            }
+        }
+    }
+
+    /** Whether a request can be expected to reach an address: no link to it was lost and is not open again. */
+    isReachable(address: string): boolean {
+        const peer = this.peers.get(address);
+        if (peer?.lostAt === undefined) {
+            return true;
+        }
+        // Nobody tries to reopen a link that isn't kept, so its loss says less and less.
+        return !peer.isKept && this.dependencies.clock.readMonotonic() - peer.lostAt > lossValidMs;
+    }
+
+    /** Addresses to which a link is open. */
+    listLinked(): string[] {
+        return [...this.peers.values()].filter(peer => peer.link !== undefined).map(peer => peer.address);
+    }
+
+    /** Asks a node for its load and version; false if there is no open link to it. */
+    ping(address: string): boolean {
+        const link = this.peers.get(address)?.link;
+        link?.ping();
+        return link !== undefined;
     }
 
     /** Number of open links. */
     countOpenLinks(): number {
-        return [...this.peers.values()].filter(peer => peer.link !== undefined).length;
+        return this.listLinked().length;
     }
 
     /** Sends a message to one node. Does nothing if there is no open link to it. */
@@ -91,13 +137,6 @@
         this.peers.get(address)?.link?.post(message);
     }
 
-    /** Sends a message on every open link. */
-    postToAll(message: LinkMessage): void {
-        for (const peer of this.peers.values()) {
-            peer.link?.post(message);
-        }
-    }
-
     /**
      * Sends a request to another node and waits for its outcome. If the link is lost, the request is sent again over a
      * new one, but only to the same process: a restarted one doesn't know whether the request ran. Never rejects.
@@ -127,8 +166,9 @@
         const { clock } = this.dependencies;
         while (!this.signal.aborted) {
             await clock.sleep(livenessCheckIntervalMs, this.signal);
+            const idlePingAfterMs = Math.max(minIdlePingMs, this.countOpenLinks() * idlePingMsPerLink);
             for (const peer of this.peers.values()) {
-                peer.link?.checkLiveness();
+                peer.link?.checkLiveness(idlePingAfterMs);
             }
         }
     }
@@ -140,10 +180,10 @@
         }
     }
 
-    /** Reopens the link to one node whenever it is lost, for as long as the instance is known. */
+    /** Reopens the link to one node whenever it is lost, for as long as it is kept and the instance is known. */
     private async runReconnection(peer: Peer): Promise<void> {
         const { clock, random, isKnownInstance } = this.dependencies;
-        while (!this.signal.aborted && isKnownInstance(peer.address)) {
+        while (!this.signal.aborted && peer.isKept && isKnownInstance(peer.address)) {
             const link = peer.link ?? await this.open(peer);
             if (link !== undefined) {
                 await new Promise<void>(resolve => this.lossListeners.set(peer.address, resolve));
@@ -152,9 +192,11 @@
             const maxDelayMs = Math.min(maxBackoffMs, minBackoffMs * 2 ** Math.min(10, peer.consecutiveFailures));
             await clock.sleep(maxDelayMs * (0.5 + random() / 2), this.signal);
         }
-        // The cause `not wanted` in the log means that the instance is no longer known.
-        peer.link?.close("not wanted");
-        this.peers.delete(peer.address);
+        if (!isKnownInstance(peer.address)) {
+            // The cause `not wanted` in the log means that the instance is no longer known.
+            peer.link?.close("not wanted");
+            this.peers.delete(peer.address);
+        }
     }
 
     /** Opens a link; concurrent callers share one attempt. */
@@ -169,11 +211,13 @@
         if (opened === undefined || this.signal.aborted) {
             opened?.socket.destroy();
             peer.consecutiveFailures += 1;
+            peer.lostAt = clock.readMonotonic();
             return undefined;
         }
         peer.consecutiveFailures = 0;
-        const { socket, hello } = opened;
-        const link = new Link(clock, socket, hello.incarnation, {
+        peer.lostAt = undefined;
+        const { hello } = opened;
+        const link = new Link(clock, opened, {
             receive: message => this.dependencies.handleMessage(peer.address, message),
             recordLoad: load => this.dependencies.recordLoad(peer.address, load),
             handleClose: cause => this.handleLinkClose(peer, cause),
@@ -181,12 +225,14 @@
         peer.link = link;
         logger.info("linkOpened", { peer: peer.address, incarnation: hello.incarnation });
         this.dependencies.handleHello(hello);
+        link.receiveEarly(opened.early);
         return link;
     }
 
     private handleLinkClose(peer: Peer, cause: string): void {
         this.dependencies.logger.info("linkLost", { peer: peer.address, cause });
         peer.link = undefined;
+        peer.lostAt = this.dependencies.clock.readMonotonic();
         this.dependencies.recordLostLink(peer.address);
         const listener = this.lossListeners.get(peer.address);
         this.lossListeners.delete(peer.address);
--- a/src/process/clusterState.ts
+++ b/src/process/clusterState.ts
@@ -5,7 +5,6 @@
  */
 import type { KeyedLog, KeyedPage, LogEra } from "../connection/keyedLog.js";
 import { KeyedLogFollower } from "../connection/keyedLogFollower.js";
-import type { LinkMessage } from "../connection/linkMessage.js";
 import type { AdoptionResult } from "../version/configurationHolder.js";
 import { ConfigurationHolder } from "../version/configurationHolder.js";
 import type { InstanceRecord } from "../version/instanceRecord.js";
@@ -40,8 +39,10 @@
     readonly address: string;
     /** Creates the current record of this node's instance. */
     readonly createOwnRecord: () => InstanceRecord;
-    /** Sends a message on the link to an address. */
-    readonly post: (address: string, message: LinkMessage) => void;
+    /** Addresses to which a link is open. */
+    readonly listLinked: () => readonly string[];
+    /** Sends the version in force to an address, which answers with its own. */
+    readonly ping: (address: string) => void;
     /** Called with each well-formed record of another instance, also when it changes nothing. */
     readonly handleInstanceRecord: (record: InstanceRecord) => void;
 }
@@ -55,7 +56,7 @@
     private configurationFollower: KeyedLogFollower | undefined;
 
     constructor(private readonly dependencies: ClusterStateDependencies) {
-        const { clock, random, logger, log, address, post } = dependencies;
+        const { clock, random, logger, log, address, listLinked, ping } = dependencies;
         this.publisher = new InstancePublisher(clock, random, logger, log, topics.instances, address);
         this.gossip = new PeerGossip({
             clock,
@@ -64,8 +65,8 @@
             registry: this.registry,
             adoptConfiguration: (text, source) => this.adoptConfiguration(text, source),
             putRecord: (text, source) => this.putRecord(text, source),
-            post,
-            address,
+            listLinked,
+            ping,
         });
         this.configurationHolder.addListener(() => this.gossip.announceVersion());
         this.putOwnRecord();
@@ -100,6 +101,7 @@
         void this.configurationFollower.run(signal);
         void instanceFollower.run(signal);
         void this.publisher.run(signal);
+        void this.gossip.runComparisons(signal);
     }
 
     /** Era of the keyed log as of the last read; -1 before the first. */
--- a/src/process/crashDetector.ts
+++ b/src/process/crashDetector.ts
@@ -19,8 +19,8 @@
     readonly clock: Clock;
     readonly logger: Logger;
     readonly quarantine: Quarantine;
-    /** Address of this instance, the first part of the identifier of each crash, `address/number`. */
-    readonly address: string;
+    /** Identifies this process among all nodes; first part of the identifier of each crash, `nodeId/number`. */
+    readonly nodeId: string;
     /** Checks whether the endpoint accepts a new connection and keeps it open. */
     readonly isEndpointRunning: () => Promise<boolean>;
     /** Sends the suspects of a crash to the other nodes. */
@@ -47,12 +47,12 @@
     }
 
     private async check(): Promise<void> {
-        const { isEndpointRunning, quarantine, logger, reportToPeers, address } = this.dependencies;
+        const { isEndpointRunning, quarantine, logger, reportToPeers, nodeId } = this.dependencies;
         if (await isEndpointRunning()) {
             return;
         }
         this.crashes += 1;
-        const incident = `${address}/${this.crashes}`;
+        const incident = `${nodeId}/${this.crashes}`;
         const fingerprints = this.lostRuns.splice(0).map(each => each.fingerprint);
         const newlyQuarantined = fingerprints.filter(each => quarantine.recordCrash(each, incident));
         logger.warn("endpointCrashed", {
--- a/src/process/endpointRunner.ts
+++ b/src/process/endpointRunner.ts
@@ -19,6 +19,7 @@
 import type { Candidate } from "./runQueue.js";
 import { RunQueue } from "./runQueue.js";
 import type { RunInProgress, RunsInProgress } from "./runsInProgress.js";
+import { RunTimeMonitor } from "./runTimeMonitor.js";
 
 /**
  * Share of the endpoint's slots that is used, since endpoints get slower when nearly full. The slots are the
@@ -65,10 +66,13 @@
 /** Runs requests at the local endpoint, at most as many at once as its slots allow. */
 export class EndpointRunner {
     private readonly queue = new RunQueue<WaitingRequest>();
+    private readonly runTimes: RunTimeMonitor;
     private failureShare = 0;
     private failureShareAt = 0;
 
-    constructor(private readonly dependencies: EndpointRunnerDependencies) {}
+    constructor(private readonly dependencies: EndpointRunnerDependencies) {
+        this.runTimes = new RunTimeMonitor(dependencies.clock);
+    }
 
     /** Load of the endpoint, as reported to the nodes that choose among instances. */
     getLoad(): LoadReport {
@@ -79,6 +83,7 @@
             limit: isUnavailable ? 0 : this.updateLimit(),
             failureShare: this.computeFailureShare(),
             isSettled: this.dependencies.isSettled(),
+            runMs: this.runTimes.getAverageMs(),
         };
     }
 
@@ -104,7 +109,9 @@
             return refusal;
         }
         const startedAt = clock.readMonotonic();
+        const recordRunEnd = this.runTimes.start();
         const outcome = await this.runInSlot(request, startedAt, cancellation);
+        recordRunEnd();
         this.endRun(request, outcome, clock.readMonotonic() - startedAt);
         return outcome.kind === "answer"
             ? { ...outcome, waitedMs: outcome.waitedMs + startedAt - arrivedAt }
--- a/src/process/peerGossip.ts
+++ b/src/process/peerGossip.ts
@@ -2,7 +2,8 @@
  * Gossip of the configuration and of instance records between nodes, for nodes that can't read the keyed log.
  *
  * Hello messages, pings and pongs carry the version in force. A node that sees a newer version requests it from the
- * sender, and a node that adopts a new version announces it to a few others at once.
+ * sender, and a node that adopts a new version announces it to a few others at once. Besides, each node compares its
+ * version with one other from time to time, so that a version reaches all in about log2 of their number of rounds.
  */
 import type { HelloMessage } from "../connection/link.js";
 import type { LinkMessage } from "../connection/linkMessage.js";
@@ -14,6 +15,8 @@
 
 /** Number of nodes to which a new version is announced at once. */
 const gossipFanout = 3;
+/** Average time between two comparisons of the version with another node, in milliseconds. */
+const comparisonIntervalMs = 500;
 /** Time after which an unanswered request for the configuration may be repeated, in milliseconds. */
 const requestTimeoutMs = 250;
 
@@ -30,10 +33,10 @@
     readonly adoptConfiguration: (text: string, source: string) => AdoptionResult;
     /** Parses an instance record and puts it into the registry. */
     readonly putRecord: (text: string, source: RecordSource) => void;
-    /** Sends a message on the link to an address. */
-    readonly post: (address: string, message: LinkMessage) => void;
-    /** Address of this node's instance. */
-    readonly address: string;
+    /** Addresses to which a link is open. */
+    readonly listLinked: () => readonly string[];
+    /** Sends the version in force to an address, which answers with its own. */
+    readonly ping: (address: string) => void;
 }
 
 /** Exchanges the configuration and instance records with other nodes. */
@@ -80,11 +83,24 @@
 
     /** Announces the version in force to a few randomly chosen nodes. */
     announceVersion(): void {
-        const { registry, random, post, configurationHolder, address } = this.dependencies;
-        const others = registry.list().filter(record => record.address !== address);
-        for (let notified = 0; notified < gossipFanout && others.length > 0; notified += 1) {
-            const [chosen] = others.splice(Math.floor(random() * others.length), 1);
-            post(chosen!.address, { kind: "ping", version: configurationHolder.getVersion() });
+        this.pingRandom(gossipFanout);
+    }
+
+    /** Compares the version with that of a randomly chosen node again and again, until the signal aborts. */
+    async runComparisons(signal: AbortSignal): Promise<void> {
+        const { clock, random } = this.dependencies;
+        while (!signal.aborted) {
+            await clock.sleep(comparisonIntervalMs * (0.5 + random()), signal);
+            this.pingRandom(1);
+        }
+    }
+
+    private pingRandom(count: number): void {
+        const { random, ping, listLinked } = this.dependencies;
+        const linked = [...listLinked()];
+        for (let pinged = 0; pinged < count && linked.length > 0; pinged += 1) {
+            const [chosen] = linked.splice(Math.floor(random() * linked.length), 1);
+            ping(chosen!);
         }
     }
 
--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -6,8 +6,11 @@
  *
  * - Normal load: the own data centre serves, since traffic between data centres costs.
  * - A data centre with too few instances for its callers: the excess goes to other data centres before it waits.
- * - An instance that slows down or fails part of its requests while it reports that it is healthy: this node's own
- *   measurements raise its cost.
+ * - An instance that slows down or fails part of its requests while it reports that it is healthy: the run times and
+ *   failures that its node measures raise its cost, and so do this node's own measurements, which show what is wrong
+ *   only on the way there.
+ * - Hundreds of nodes, each with few requests: instances with a recent load are preferred to those of which nothing is
+ *   known.
  * - A new instance: while its run times are long, its measured slowness raises its cost, so its slots fill slowly.
  * - Nodes that are stopped and started in turn: instances whose nodes stay up are preferred.
  */
@@ -28,8 +31,15 @@
 const avoidanceMs = 500;
 /** Cost of an instance in another data centre, as a multiple of an instance's capacity. */
 const remoteCost = 0.6;
-/** Cost of an instance without an open link, as a multiple of an instance's capacity. */
-const unlinkedCost = 5;
+/** Cost of an instance to which a link was lost, as a multiple of an instance's capacity. */
+const unreachableCost = 5;
+/** Cost of an instance without a recent load, as a multiple of an instance's capacity. */
+const unknownLoadCost = 0.2;
+/** Factor by which this node's own measurement of slowness must exceed the instance's to count instead. */
+const ownSlownessFactor = 1.5;
+/** Bounds of the slowness that follows from the run times that the nodes of instances measure. */
+const minReportedSlowness = 0.5;
+const maxReportedSlowness = 20;
 /**
  * Cost of an instance whose runs all fail, as a multiple of an instance's capacity; in proportion if only some fail.
  */
@@ -66,19 +76,20 @@
         private readonly clock: Clock,
         private readonly random: Random,
         private readonly dataCentre: string,
-        /** Whether requests can be sent to an address without opening a link first. */
-        private readonly isLinked: (address: string) => boolean,
+        /** Whether requests can be expected to reach an address. */
+        private readonly isReachable: (address: string) => boolean,
     ) {}
 
     /** Chooses an instance that takes work; `undefined` when there is none except those in `tried` (addresses). */
     choose(records: readonly InstanceRecord[], tried: ReadonlySet<string>): InstanceRecord | undefined {
         const now = this.clock.readMonotonic();
+        const usualRunMs = this.computeUsualRunMs(records, now);
         let best: InstanceRecord | undefined;
         let bestCost = Infinity;
         for (const record of records) {
             if (!tried.has(record.address) && this.isAcceptingWork(record, now)) {
                 // The random part, up to 0.02, decides between instances of about the same cost.
-                const cost = this.computeCost(record, now) + this.random() * 0.02;
+                const cost = this.computeCost(record, now, usualRunMs) + this.random() * 0.02;
                 if (cost < bestCost) {
                     best = record;
                     bestCost = cost;
@@ -88,6 +99,19 @@
         return best;
     }
 
+    /** Age of the last load that an instance reported, in milliseconds; infinite if there is none. */
+    getLoadAgeMs(address: string): number {
+        const stats = this.statsByAddress.get(address);
+        return stats?.load === undefined ? Infinity : this.clock.readMonotonic() - stats.loadReceivedAt;
+    }
+
+    /** Whether an instance has a concurrency slot free or nothing recent is known of it. */
+    hasRoom(address: string): boolean {
+        const stats = this.statsByAddress.get(address);
+        const load = stats === undefined ? undefined : this.findRecentLoad(stats, this.clock.readMonotonic());
+        return load === undefined || load.running + load.waiting + stats!.sentSinceLoad < load.limit;
+    }
+
     /** Records that a request was sent to an instance, which may run or refuse it. */
     startRequest(address: string): void {
         const stats = this.getStats(address);
@@ -144,9 +168,10 @@
         let capacity = 0;
         for (const { address } of records) {
             const stats = this.statsByAddress.get(address);
-            if (stats?.load !== undefined && now - stats.loadReceivedAt < loadValidMs) {
-                requests += stats.load.running + stats.load.waiting;
-                capacity += stats.load.limit;
+            const load = stats === undefined ? undefined : this.findRecentLoad(stats, now);
+            if (load !== undefined) {
+                requests += load.running + load.waiting;
+                capacity += load.limit;
             }
         }
         return capacity === 0 ? 0 : requests / capacity;
@@ -172,24 +197,57 @@
         return load.limit > 0;
     }
 
-    private computeCost(record: InstanceRecord, now: number): number {
+    private computeCost(record: InstanceRecord, now: number, usualRunMs: number): number {
         const stats = this.statsByAddress.get(record.address);
         const isLocal = record.dataCentre === this.dataCentre;
-        const distanceCost = (isLocal ? 0 : remoteCost) + (this.isLinked(record.address) ? 0 : unlinkedCost);
+        const distanceCost = (isLocal ? 0 : remoteCost) + (this.isReachable(record.address) ? 0 : unreachableCost);
         if (stats === undefined) {
-            return distanceCost;
+            return distanceCost + unknownLoadCost;
         }
-        const isLoadKnown = stats.load !== undefined && now - stats.loadReceivedAt < loadValidMs;
-        const reported = isLoadKnown ? stats.load!.running + stats.load!.waiting + stats.sentSinceLoad : 0;
-        const limit = isLoadKnown ? stats.load!.limit : record.slots;
+        const load = this.findRecentLoad(stats, now);
+        const reported = load === undefined ? 0 : load.running + load.waiting + stats.sentSinceLoad;
         const requests = Math.max(reported, stats.inFlight) + 1;
-        const utilisation = requests / Math.max(1, limit);
-        const slowness = this.computeSlowness(stats, now);
-        const failureShare = isLoadKnown ? stats.load!.failureShare : 0;
-        const unstablePenalty = isLoadKnown && !stats.load!.isSettled ? unstableCost : 0;
+        const utilisation = requests / Math.max(1, load?.limit ?? record.slots);
+        const slowness = this.chooseSlowness(stats, now, load, usualRunMs);
         // Slowness above 1.5 costs half of the excess in addition, whatever the utilisation.
-        return utilisation * slowness + Math.max(0, slowness - 1.5) * 0.5 + failureShare * failureCost + unstablePenalty
-            + distanceCost;
+        const slownessCost = utilisation * slowness + Math.max(0, slowness - 1.5) * 0.5;
+        const stateCost = load === undefined
+            ? unknownLoadCost
+            : load.failureShare * failureCost + (load.isSettled ? 0 : unstableCost);
+        return slownessCost + stateCost + distanceCost;
+    }
+
+    /** Slowness by the run times that the instance's node measures, or by this node's own if that is much higher. */
+    private chooseSlowness(
+        stats: InstanceStats,
+        now: number,
+        load: LoadReport | undefined,
+        usualRunMs: number,
+    ): number {
+        const own = this.computeSlowness(stats, now);
+        if (load === undefined || load.runMs === 0 || usualRunMs === 0) {
+            return own;
+        }
+        const reported = Math.min(maxReportedSlowness, Math.max(minReportedSlowness, load.runMs / usualRunMs));
+        return own > reported * ownSlownessFactor ? own : reported;
+    }
+
+    /** Median of the run times that the nodes of these instances report, in milliseconds; 0 if none does. */
+    private computeUsualRunMs(records: readonly InstanceRecord[], now: number): number {
+        const runTimes: number[] = [];
+        for (const { address } of records) {
+            const stats = this.statsByAddress.get(address);
+            const runMs = stats === undefined ? 0 : this.findRecentLoad(stats, now)?.runMs ?? 0;
+            if (runMs > 0) {
+                runTimes.push(runMs);
+            }
+        }
+        runTimes.sort((a, b) => a - b);
+        return runTimes[Math.floor((runTimes.length - 1) / 2)] ?? 0;
+    }
+
+    private findRecentLoad(stats: InstanceStats, now: number): LoadReport | undefined {
+        return now - stats.loadReceivedAt < loadValidMs ? stats.load : undefined;
     }
 
     private computeSlowness(stats: InstanceStats, now: number): number {
--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -17,6 +17,8 @@
 import type { Clock } from "./clock.js";
 import { ClusterState } from "./clusterState.js";
 import { CrashDetector } from "./crashDetector.js";
+import type { CrashReport } from "./crashFlood.js";
+import { CrashFlood } from "./crashFlood.js";
 import { probeEndpoint } from "./endpointProbe.js";
 import { EndpointRunner } from "./endpointRunner.js";
 import type { EndpointReport, ReportResult } from "./endpointState.js";
@@ -24,6 +26,10 @@
 import { EntryThrottle } from "./entryThrottle.js";
 import { decideStopStep } from "./gracefulStop.js";
 import { InFlightRequests } from "./inFlightRequests.js";
+import { InstanceSelector } from "./instanceSelector.js";
+import { InstanceSubsets } from "./instanceSubset.js";
+import { LinkKeeper } from "./linkKeeper.js";
+import { LoadRefresher } from "./loadRefresher.js";
 import type { Logger } from "./logger.js";
 import { Placement } from "./placement.js";
 import { Quarantine } from "./quarantine.js";
@@ -64,10 +70,14 @@
     private readonly endpoint: EndpointState;
     private readonly pool: EndpointConnectionPool;
     private readonly quarantine: Quarantine;
+    private readonly crashFlood: CrashFlood;
     private readonly runs = new RunsInProgress();
     private readonly runner: EndpointRunner;
     private readonly remoteRuns: RemoteRuns;
     private readonly placement: Placement;
+    private readonly subsets: InstanceSubsets;
+    private readonly loadRefresher: LoadRefresher;
+    private readonly linkKeeper: LinkKeeper;
     private readonly links: PeerLinks;
     private readonly linkServer: LinkServer;
     private readonly retryBudget: ServiceRetryBudget;
@@ -99,12 +109,21 @@
         this.incarnation = Math.floor(clock.readDate().getTime() * 1000 + Math.random() * 1000);
         this.inFlightRequests = new InFlightRequests(clock);
         this.quarantine = new Quarantine(clock);
+        this.crashFlood = new CrashFlood(this.quarantine, report => this.postToOwnService(report));
         this.endpoint = new EndpointState(clock);
         this.pool = new EndpointConnectionPool(clock, endpoint.address.host, endpoint.address.port, platform.dialect);
         this.runner = this.createRunner();
         this.remoteRuns = new RemoteRuns(clock, this.runner);
-        const isLinked = (peerAddress: string): boolean => peerAddress === address || this.links.isLinked(peerAddress);
-        this.placement = new Placement(clock, Math.random, dataCentre, isLinked);
+        const isReachable = (peer: string): boolean => peer === address || this.links.isReachable(peer);
+        this.placement = new Placement(clock, Math.random, dataCentre, isReachable);
+        this.subsets = new InstanceSubsets(address, dataCentre);
+        this.loadRefresher = new LoadRefresher({
+            clock,
+            random: Math.random,
+            dataCentre,
+            getLoadAgeMs: peer => this.placement.getLoadAgeMs(peer),
+            ping: peer => this.links.ping(peer),
+        });
         this.links = this.createLinks();
         this.linkServer = this.createLinkServer();
         this.clusterState = new ClusterState({
@@ -114,10 +133,12 @@
             log: platform.log,
             address,
             createOwnRecord: () => this.createOwnRecord(),
-            post: (peer, message) => this.links.post(peer, message),
+            listLinked: () => this.links.listLinked(),
+            ping: peer => void this.links.ping(peer),
             handleInstanceRecord: record => this.links.add(record),
         });
         const { configurationHolder, registry } = this.clusterState;
+        this.linkKeeper = new LinkKeeper(clock, settings.service, registry, this.subsets);
         this.retryBudget = new ServiceRetryBudget(
             clock,
             createRetryLimits(bounds),
@@ -228,10 +249,9 @@
                 clock,
                 logger,
                 quarantine,
-                address,
+                nodeId: `${address}/${this.incarnation}`,
                 isEndpointRunning: () => isEndpointRunning(host, port),
-                reportToPeers: (fingerprints, incident) =>
-                    this.links.postToAll({ kind: "crashes", fingerprints, incident }),
+                reportToPeers: (fingerprints, incident) => this.crashFlood.report({ fingerprints, incident }),
             }),
             isEndpointClosed: () => this.isEndpointClosed,
             isSettled: () => this.isSettled(),
@@ -261,8 +281,8 @@
             forwarder: new Forwarder({
                 clock,
                 logger,
-                registry,
                 placement,
+                instanceSelector: this.createInstanceSelector(),
                 retryBudget,
                 sender: new Sender({ clock, address, service, placement, links, runner }),
             }),
@@ -273,16 +293,53 @@
         };
     }
 
+    private createInstanceSelector(): InstanceSelector {
+        const { settings, placement, runner, subsets, loadRefresher, linkKeeper } = this;
+        return new InstanceSelector({
+            random: Math.random,
+            registry: this.clusterState.registry,
+            subsets,
+            placement,
+            loadRefresher,
+            linkKeeper,
+            keepLinks: () => this.keepLinks(),
+            refreshOwnLoad: service => {
+                if (service === settings.service) {
+                    placement.recordLoad(settings.address, runner.getLoad());
+                }
+            },
+        });
+    }
+
+    /** Sends a report of a crash to this node's subset of its own service, whose nodes pass it on. */
+    private postToOwnService(report: CrashReport): void {
+        const { registry } = this.clusterState;
+        for (const { address } of this.subsets.choose(registry.listForService(this.settings.service))) {
+            this.links.post(address, { kind: "crashes", ...report });
+        }
+    }
+
+    private keepLinks(): void {
+        const { address } = this.settings;
+        const kept = new Set(this.linkKeeper.chooseInstances().map(record => record.address));
+        kept.delete(address);
+        this.links.keep(kept);
+    }
+
     private createLinks(): PeerLinks {
         return new PeerLinks({
             clock: this.clock,
             random: Math.random,
             logger: this.logger,
             createHello: () => this.createHello(),
-            handleHello: hello => this.handleHello(hello),
+            handleHello: hello =>
+                this.clusterState.gossip.handleHello(hello, message => this.links.post(hello.address, message)),
             handleMessage: (address, message) =>
                 this.clusterState.gossip.handleMessage(message, reply => this.links.post(address, reply)),
-            recordLoad: (address, load) => this.placement.recordLoad(address, load),
+            recordLoad: (address, load) => {
+                this.placement.recordLoad(address, load);
+                this.loadRefresher.recordLoad(address);
+            },
             recordLostLink: address => this.placement.recordLostLink(address),
             isKnownInstance: address => this.clusterState.registry.get(address) !== undefined,
         }, this.stopController.signal);
@@ -291,7 +348,7 @@
     private createLinkServer(): LinkServer {
         return new LinkServer({
             createHello: () => this.createHello(),
-            handleHello: hello => this.handleHello(hello),
+            handleHello: (hello, link) => this.clusterState.gossip.handleHello(hello, link.post),
             run: (message, link) => this.remoteRuns.start(message, link),
             cancel: (id, link) => this.remoteRuns.cancel(id, link),
             handleMessage: (message, link) => {
@@ -300,9 +357,7 @@
                     link.post({ kind: "pong", version, load: this.runner.getLoad() });
                 }
                 if (message.kind === "crashes") {
-                    message.fingerprints.forEach(fingerprint =>
-                        this.quarantine.recordCrash(fingerprint, message.incident)
-                    );
+                    this.crashFlood.receive(message);
                 }
                 this.clusterState.gossip.handleMessage(message, link.post);
             },
@@ -310,10 +365,6 @@
         });
     }
 
-    private handleHello(hello: HelloMessage): void {
-        this.clusterState.gossip.handleHello(hello, message => this.links.post(hello.address, message));
-    }
-
     private createHello(): HelloMessage {
         return {
             kind: "hello",
@@ -407,6 +458,7 @@
         while (!signal.aborted) {
             await this.clock.sleep(housekeepingIntervalMs, signal);
             this.remoteRuns.prune();
+            this.keepLinks();
         }
     }
 
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -6,7 +6,7 @@
  * service.
  */
 import type { Clock } from "../process/clock.js";
-import type { InstanceRegistry } from "../process/instanceRegistry.js";
+import type { InstanceSelector } from "../process/instanceSelector.js";
 import type { Logger } from "../process/logger.js";
 import type { Placement } from "../process/placement.js";
 import type { RunOutcome } from "../process/runOutcome.js";
@@ -55,9 +55,8 @@
 export interface ForwarderDependencies {
     readonly clock: Clock;
     readonly logger: Logger;
-    /** Instances known to this node. */
-    readonly registry: InstanceRegistry;
     readonly placement: Placement;
+    readonly instanceSelector: Pick<InstanceSelector, "select" | "selectAtOnce">;
     /** Retry budget of each service. */
     readonly retryBudget: ServiceRetryBudget;
     readonly sender: Pick<Sender, "send">;
@@ -91,8 +90,8 @@
         };
         let last: ForwardOutcome = { kind: "refused", cause: "noInstance", retryAfterMs: noInstanceRetryMs };
         while (!call.cancellation.isCancelled() && clock.readMonotonic() < call.deadline) {
-            const instance = this.chooseInstance(call, progress);
-            if (instance === undefined) {
+            const instance = await this.dependencies.instanceSelector.select(call.service, progress.tried);
+            if (instance === undefined || call.cancellation.isCancelled()) {
                 break;
             }
             const results = await this.dependencies.sender.send(
@@ -113,17 +112,12 @@
         return { outcome: chooseFinalOutcome(last, progress), instance: [...tried].pop(), sends, runs };
     }
 
-    private chooseInstance(call: RoutedCall, progress: ForwardProgress): InstanceRecord | undefined {
-        const { registry, placement } = this.dependencies;
-        return placement.choose(registry.listForService(call.service), progress.tried);
-    }
-
     private chooseHedgeInstance(
         unresponsive: InstanceRecord,
         call: RoutedCall,
         progress: ForwardProgress,
     ): InstanceRecord | undefined {
-        const other = this.chooseInstance(call, progress);
+        const other = this.dependencies.instanceSelector.selectAtOnce(call.service, progress.tried);
         if (other === undefined || !this.takeRetry(call, progress.runs + 1)) {
             return undefined;
         }
--- a/test/routed/crashDetector.test.ts
+++ b/test/routed/crashDetector.test.ts
@@ -20,7 +20,7 @@
                 clock: new FakeClock(),
                 logger: silentLogger,
                 quarantine: new Quarantine(new FakeClock()),
-                address: "10.0.0.1",
+                nodeId: "10.0.0.1",
                 isEndpointRunning: () => Promise.resolve(isRunning),
                 reportToPeers: fingerprints => reported.push(...fingerprints),
             });
--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -177,7 +177,7 @@
     const near = createRecord("10.0.0.1", { dataCentre: "klaten" });
     const near2 = createRecord("10.0.0.2", { dataCentre: "klaten" });
     const far = createRecord("10.0.0.3", { dataCentre: "jepara" });
-    const idle: LoadReport = { running: 0, waiting: 0, limit: 10, failureShare: 0, isSettled: true };
+    const idle: LoadReport = { running: 0, waiting: 0, limit: 10, failureShare: 0, isSettled: true, runMs: 0 };
     const cases: readonly {
         readonly name: string;
         readonly play: (placement: Placement, clock: FakeClock) => void;
@@ -216,7 +216,7 @@
         {
             name: "prefers instances whose nodes stay to one whose node stops or has just been started again",
             play: placement => {
-                placement.recordLoad("10.0.0.1", { ...idle, isSettled: false });
+                placement.recordLoad("10.0.0.1", { ...idle, isSettled: false, runMs: 0 });
                 placement.recordLoad("10.0.0.2", { ...idle, running: 5 });
             },
             chosen: "10.0.0.2",
@@ -224,7 +224,7 @@
         {
             name: "uses an instance whose node has just been started again when the others are full",
             play: placement => {
-                placement.recordLoad("10.0.0.1", { ...idle, isSettled: false });
+                placement.recordLoad("10.0.0.1", { ...idle, isSettled: false, runMs: 0 });
                 placement.recordLoad("10.0.0.2", { ...idle, running: 10 });
                 placement.recordLoad("10.0.0.3", { ...idle, running: 10 });
             },
--- a/test/routed/entryThrottle.test.ts
+++ b/test/routed/entryThrottle.test.ts
@@ -1,11 +1,10 @@
 /** The gate at the entry, alone and with the line of a deep service that is full, in virtual time. */
 import { expect } from "chai";
 import { EntryThrottle } from "../../src/process/entryThrottle.js";
-import type { Candidate } from "../../src/process/runQueue.js";
-import { RunQueue } from "../../src/process/runQueue.js";
-import type { Random } from "../../standin/random.js";
 import { createRandom } from "../../standin/random.js";
 import { FakeClock } from "../fakes.js";
+import type { RequestKind } from "./deepServiceReplay.js";
+import { Replay } from "./deepServiceReplay.js";
 
 const overloadedSample = { isOverloaded: true, utilisation: 1.5 };
 
@@ -63,160 +62,16 @@
     });
 });
 
-/** Nodes at which requests enter. */
-const nodes = 16;
-/** Instances of the deep service, and requests that each runs at once. */
-const instances = 3;
-const limit = 37;
-/** Average time of a run at the deep service and of the run that makes the calls, in milliseconds. */
-const deepMs = 56;
-const ownMs = 150;
-/** Calls that each request makes to the deep service, one after the other. */
-const callsEach = 4;
-/** Time after which a request is given up, and longest time of one call, in milliseconds. */
-const timeoutMs = 1000;
-const callTimeoutMs = 700;
-/** Length of a replay, and its part that is not counted, in milliseconds. */
-const lengthMs = 20_000;
-const warmUpMs = 3000;
-
-/** A kind of request. */
-interface RequestKind {
-    readonly name: string;
-    readonly priority: number;
-    readonly perSecond: number;
-}
-
-/** A call that waits at the deep service. */
-interface Call extends Candidate {
-    readonly finish: (isServed: boolean) => void;
-}
-
-/** What became of the requests of one kind. */
-interface Tally {
-    asked: number;
-    served: number;
-}
-
-/** Requests that run, and then make calls to a deep service that has too little room for all. */
-class Replay {
-    readonly tallies = new Map<string, Tally>();
-    /** Runs at the deep service for requests that were served in the end. */
-    usefulRuns = 0;
-    private readonly clock = new FakeClock();
-    private readonly startedAt = this.clock.readMonotonic();
-    private readonly throttles: readonly EntryThrottle[];
-    private readonly queues: readonly RunQueue<Call>[];
-
-    constructor(
-        private readonly random: Random,
-        /** Factor on the rate of arrivals at a time, in milliseconds from the start. */
-        private readonly getRateFactor: (at: number) => number,
-    ) {
-        this.throttles = Array.from({ length: nodes }, () => new EntryThrottle(this.clock, random));
-        this.queues = Array.from({ length: instances }, () => new RunQueue<Call>());
-        this.queues.forEach(queue => queue.setLimit(limit));
-    }
-
-    /** Plays the whole length. Returns the part of the deep service's time that went into requests that were served. */
-    play(kinds: readonly RequestKind[]): number {
-        for (const kind of kinds) {
-            this.tallies.set(kind.name, { asked: 0, served: 0 });
-            this.startNext(kind);
-        }
-        this.clock.addTime(lengthMs + 2 * timeoutMs);
-        const possible = instances * limit * (lengthMs - warmUpMs) / deepMs;
-        return this.usefulRuns / possible;
-    }
-
-    private startNext(kind: RequestKind): void {
-        const at = this.clock.readMonotonic() - this.startedAt;
-        if (at < lengthMs) {
-            this.send(kind, at >= warmUpMs);
-            const gapMs = -Math.log(1 - this.random() * 0.999) * 1000 / (kind.perSecond * this.getRateFactor(at));
-            this.clock.startTimer(gapMs, () => this.startNext(kind));
-        }
-    }
-
-    private send(kind: RequestKind, isCounted: boolean): void {
-        const tally = this.tallies.get(kind.name)!;
-        tally.asked += isCounted ? 1 : 0;
-        const throttle = this.throttles[Math.floor(this.random() * nodes)]!;
-        const enteredAt = this.clock.readMonotonic();
-        if (!throttle.admit(kind.name)) {
-            return;
-        }
-        let utilisation = 0;
-        const finish = (isServed: boolean): void => {
-            throttle.recordAnswer(kind.name, { isOverloaded: !isServed, utilisation }, enteredAt);
-            tally.served += isCounted && isServed ? 1 : 0;
-            this.usefulRuns += isCounted && isServed ? callsEach : 0;
-        };
-        const call = (served: number): void => {
-            const now = this.clock.readMonotonic();
-            if (served === callsEach || now > enteredAt + timeoutMs) {
-                finish(served === callsEach);
-                return;
-            }
-            this.offer({
-                depth: 2,
-                servedBefore: served,
-                priority: kind.priority,
-                route: "deep",
-                deadline: Math.min(enteredAt + timeoutMs, now + callTimeoutMs),
-                target: now + 300,
-                finish: isServed => {
-                    utilisation = Math.max(utilisation, this.computeUtilisation());
-                    if (!isServed) {
-                        finish(false);
-                        return;
-                    }
-                    call(served + 1);
-                },
-            });
-        };
-        this.clock.startTimer(ownMs * (0.5 + this.random()), () => call(0));
-    }
-
-    private computeUtilisation(): number {
-        const load = this.queues.reduce((sum, queue) => sum + queue.getRunning() + queue.getWaiting(), 0);
-        return load / (instances * limit);
-    }
-
-    /** Offers a call to the least loaded instances in turn. */
-    private offer(call: Call): void {
-        const load = (queue: RunQueue<Call>): number => queue.getRunning() + queue.getWaiting();
-        for (const queue of [...this.queues].sort((a, b) => load(a) - load(b))) {
-            const decision = queue.offer(call, this.clock.readMonotonic());
-            if (decision.kind === "run") {
-                this.run(queue, call);
-                return;
-            }
-            if (decision.kind === "wait") {
-                this.refuseLate(queue);
-                return;
-            }
-        }
-        call.finish(false);
-    }
-
-    private run(queue: RunQueue<Call>, call: Call): void {
-        this.clock.startTimer(deepMs * (0.6 + 0.8 * this.random()), () => {
-            queue.release(call.route, deepMs);
-            this.refuseLate(queue);
-            for (let next = queue.takeNext(); next !== undefined; next = queue.takeNext()) {
-                this.run(queue, next);
-            }
-            call.finish(true);
-        });
-    }
-
-    private refuseLate(queue: RunQueue<Call>): void {
-        queue.removeLate(this.clock.readMonotonic()).forEach(each => each.finish(false));
-    }
-}
-
 describe("a full service behind several others", () => {
+    const small = {
+        nodes: 16,
+        instances: 3,
+        limit: 37,
+        deepMs: 56,
+        ownMs: 150,
+        timeoutMs: 1000,
+        callTimeoutMs: 700,
+    };
     const urgent: RequestKind = { name: "advance", priority: 0, perSecond: 147 };
     const cases: readonly {
         readonly name: string;
@@ -247,7 +102,7 @@
     ];
     for (const { name, perSecond, getRateFactor: getRate, share } of cases) {
         it(name, () => {
-            const replay = new Replay(createRandom(1), getRate);
+            const replay = new Replay(small, createRandom(1), getRate);
             expect(replay.play([urgent, { name: "page", priority: 2, perSecond }])).at.least(share);
             const { asked, served } = replay.tallies.get("advance")!;
             expect(served / asked).at.least(0.99);
--- /dev/null
+++ b/test/routed/fleetPlacement.test.ts
@@ -0,0 +1,292 @@
+/** Choice among many instances by many nodes with few requests each, in virtual time. */
+import { expect } from "chai";
+import type { LoadReport } from "../../src/connection/linkMessage.js";
+import { CrashFlood } from "../../src/process/crashFlood.js";
+import { InstanceRegistry } from "../../src/process/instanceRegistry.js";
+import { InstanceSelector } from "../../src/process/instanceSelector.js";
+import { InstanceSubsets } from "../../src/process/instanceSubset.js";
+import { LinkKeeper } from "../../src/process/linkKeeper.js";
+import { LoadRefresher } from "../../src/process/loadRefresher.js";
+import { Placement } from "../../src/process/placement.js";
+import { RunTimeMonitor } from "../../src/process/runTimeMonitor.js";
+import type { InstanceRecord } from "../../src/version/instanceRecord.js";
+import { createRandom } from "../../standin/random.js";
+import { FakeClock } from "../fakes.js";
+import { createRecord } from "./samples.js";
+
+const dataCentres = ["klaten", "jepara", "solo", "troso", "pekalongan"];
+
+function createFleet(size: number, service: string): InstanceRecord[] {
+    return Array.from(
+        { length: size },
+        (_, index) =>
+            createRecord(`10.${service.length}.${Math.floor(index / 200)}.${index % 200}`, {
+                service,
+                slots: 38,
+                dataCentre: dataCentres[index % dataCentres.length]!,
+            }),
+    );
+}
+
+describe("subsets of the instances of a service", () => {
+    const fleet = createFleet(97, "katalog");
+    const subsetsOf = (record: InstanceRecord): InstanceSubsets =>
+        new InstanceSubsets(record.address, record.dataCentre);
+
+    it("hold a few instances, most of the own data centre, and each is in about as many", () => {
+        const degrees = new Map<string, number>();
+        const nodes = createFleet(195, "ekspor");
+        for (const node of nodes) {
+            const subset = subsetsOf(node).choose(fleet);
+            expect(subset.length).equals(12);
+            expect(subset.filter(each => each.dataCentre === node.dataCentre).length).equals(8);
+            subset.forEach(({ address }) => degrees.set(address, (degrees.get(address) ?? 0) + 1));
+        }
+        const average = nodes.length * 12 / fleet.length;
+        expect(degrees.size).equals(fleet.length);
+        expect(Math.max(...degrees.values())).below(average * 2);
+    });
+
+    it("change only where an instance that left was in them", () => {
+        const left = fleet.filter((_, index) => index !== 5);
+        for (const node of fleet.slice(10, 40)) {
+            const before = subsetsOf(node).choose(fleet).map(each => each.address);
+            const after = subsetsOf(node).choose(left).map(each => each.address);
+            const kept = before.filter(each => each !== fleet[5]!.address);
+            expect(after).to.include.members(kept);
+        }
+    });
+
+    it("leave out instances that take no work, and are the whole service when it is small", () => {
+        const draining = fleet.map(each => each.dataCentre === "solo" ? { ...each, isTaking: false } : each);
+        const subset = new InstanceSubsets("10.0.0.1", "solo").choose(draining);
+        expect(subset.length).equals(12);
+        expect(subset.some(each => each.dataCentre === "solo")).equals(false);
+        expect(subsetsOf(fleet[0]!).choose(fleet.slice(0, 16))).deep.equals(fleet.slice(0, 16));
+    });
+
+    it("keep the number of links of a node where it is when the number of nodes grows", () => {
+        const counts = [60, 195, 920].map(size => {
+            const registry = new InstanceRegistry();
+            for (const service of ["katalog", "kasbenang", "mutu"]) {
+                createFleet(size / 3, service).forEach(record => registry.put(record, "log"));
+            }
+            const keeper = new LinkKeeper(new FakeClock(), "mutu", registry, new InstanceSubsets("10.0.0.1", "solo"));
+            keeper.recordUse("katalog");
+            return new Set(keeper.chooseInstances()).size;
+        });
+        expect(Math.max(...counts)).at.most(30);
+        expect(Math.min(...counts)).at.least(24);
+    });
+});
+
+/** Nodes that choose among instances whose runs take a while; loads travel only by pings and answers. */
+class Fleet {
+    readonly arrivals = new Map<string, number>();
+    /** Pings sent. */
+    pings = 0;
+    /** Requests that were sent to an instance that is lost without a sign. */
+    lost = 0;
+    readonly clock = new FakeClock();
+    private readonly running = new Map<string, number>();
+    private readonly monitors = new Map<string, RunTimeMonitor>();
+    private readonly nodes: { readonly selector: InstanceSelector; readonly placement: Placement; }[];
+
+    constructor(
+        private readonly instances: readonly InstanceRecord[],
+        nodes: number,
+        private readonly getRunMs: (address: string) => number,
+        private readonly isLost: (address: string) => boolean,
+    ) {
+        const random = createRandom(7);
+        const registry = new InstanceRegistry();
+        instances.forEach(record => registry.put(record, "log"));
+        instances.forEach(({ address }) => this.monitors.set(address, new RunTimeMonitor(this.clock)));
+        this.nodes = createFleet(nodes, "ekspor").map(({ address, dataCentre }) => {
+            const subsets = new InstanceSubsets(address, dataCentre);
+            const placement = new Placement(this.clock, random, dataCentre, () => true);
+            const loadRefresher: LoadRefresher = new LoadRefresher({
+                clock: this.clock,
+                random,
+                dataCentre,
+                getLoadAgeMs: peer => placement.getLoadAgeMs(peer),
+                ping: peer => {
+                    this.pings += 1;
+                    if (!isLost(peer)) {
+                        this.clock.startTimer(2, () => {
+                            placement.recordLoad(peer, this.getLoad(peer));
+                            loadRefresher.recordLoad(peer);
+                        });
+                    }
+                    return true;
+                },
+            });
+            const selector = new InstanceSelector({
+                random,
+                registry,
+                subsets,
+                placement,
+                loadRefresher,
+                linkKeeper: { recordUse: () => false },
+                keepLinks: () => undefined,
+                refreshOwnLoad: () => undefined,
+            });
+            return { selector, placement };
+        });
+    }
+
+    /** Sends `perSecond` requests a second for a while, each from a random node. */
+    async play(perSecond: number, seconds: number): Promise<void> {
+        const random = createRandom(11);
+        for (let sent = 0; sent < perSecond * seconds; sent += 1) {
+            void this.send(this.nodes[Math.floor(random() * this.nodes.length)]!);
+            this.clock.addTime(1000 / perSecond);
+            // Lets requests go on whose loads have arrived.
+            await new Promise<void>(resolve => setImmediate(resolve));
+        }
+    }
+
+    /** Requests of the busiest instance, as a multiple of the average. */
+    computeImbalance(): number {
+        const counts = this.instances.map(({ address }) => this.arrivals.get(address) ?? 0);
+        return Math.max(...counts) * counts.length / counts.reduce((sum, count) => sum + count, 0);
+    }
+
+    private async send({ selector, placement }: typeof this.nodes[number]): Promise<void> {
+        const chosen = await selector.select("katalog", new Set());
+        const address = chosen?.address ?? expect.fail();
+        this.arrivals.set(address, (this.arrivals.get(address) ?? 0) + 1);
+        placement.startRequest(address);
+        if (this.isLost(address)) {
+            this.lost += 1;
+            return;
+        }
+        this.running.set(address, (this.running.get(address) ?? 0) + 1);
+        const recordEnd = this.monitors.get(address)!.start();
+        this.clock.startTimer(this.getRunMs(address), () => {
+            recordEnd();
+            this.running.set(address, this.running.get(address)! - 1);
+            placement.endRequest(address);
+            placement.recordLoad(address, this.getLoad(address));
+        });
+    }
+
+    private getLoad(address: string): LoadReport {
+        return {
+            running: this.running.get(address) ?? 0,
+            waiting: 0,
+            limit: 38,
+            failureShare: 0,
+            isSettled: true,
+            runMs: this.monitors.get(address)!.getAverageMs(),
+        };
+    }
+}
+
+describe("placement by many nodes with few requests each", () => {
+    const instances = createFleet(97, "katalog");
+    const slow = new Set(instances.filter((_, index) => index % 6 === 0).map(each => each.address));
+    const cases: readonly {
+        readonly name: string;
+        readonly runMs: (address: string) => number;
+        readonly isLost: (address: string) => boolean;
+        readonly check: (fleet: Fleet) => void;
+    }[] = [
+        {
+            name: "spreads the requests over the instances, at less than one ping a request",
+            runMs: () => 400,
+            isLost: () => false,
+            check: fleet => {
+                console.log(fleet.computeImbalance(), fleet.pings/497/8);
+                expect(fleet.computeImbalance()).below(2.2);
+                expect(fleet.pings).below(497 * 8 * 2.2);
+            },
+        },
+        {
+            name: "passes slow instances over, whatever each node has seen of them itself",
+            runMs: address => slow.has(address) ? 2000 : 400,
+            isLost: () => false,
+            check: fleet => {
+                const count = [...slow].reduce((sum, address) => sum + (fleet.arrivals.get(address) ?? 0), 0);
+                expect(count / (497 * 8)).below(0.06);
+            },
+        },
+        {
+            name: "sends almost nothing to instances that were lost without a sign",
+            runMs: () => 400,
+            isLost: address => slow.has(address),
+            check: fleet => expect(fleet.lost / (497 * 8)).below(0.01),
+        },
+    ];
+    for (const { name, runMs, isLost, check } of cases) {
+        it(name, async () => {
+            const fleet = new Fleet(instances, 195, runMs, isLost);
+            await fleet.play(497, 8);
+            check(fleet);
+        }).timeout(20_000);
+    }
+});
+
+describe("run times that a node measures at its endpoint", () => {
+    const cases: readonly {
+        readonly name: string;
+        readonly play: (monitor: RunTimeMonitor, clock: FakeClock) => void;
+        readonly averageMs: number;
+    }[] = [
+        { name: "are not known before the first run", play: () => undefined, averageMs: 0 },
+        {
+            name: "show that an endpoint turned slow before its runs end",
+            play: (monitor, clock) => {
+                Array.from({ length: 4 }, () => monitor.start());
+                clock.addTime(900);
+            },
+            averageMs: 1800,
+        },
+        {
+            name: "are forgotten when no run ended for a while, so that it is tried again",
+            play: (monitor, clock) => {
+                const end = monitor.start();
+                clock.addTime(900);
+                end();
+                clock.addTime(2500);
+            },
+            averageMs: 0,
+        },
+    ];
+    for (const { name, play, averageMs } of cases) {
+        it(name, () => {
+            const clock = new FakeClock();
+            const monitor = new RunTimeMonitor(clock);
+            play(monitor, clock);
+            expect(monitor.getAverageMs()).closeTo(averageMs, 1);
+        });
+    }
+});
+
+describe("reports of crashes among nodes with links to a few others", () => {
+    it("reach each node of the service, and each passes them on once", () => {
+        const instances = createFleet(97, "katalog");
+        const recorded = new Map<string, number>();
+        const floods = new Map<string, CrashFlood>();
+        let messages = 0;
+        for (const { address, dataCentre } of instances) {
+            const subset = new InstanceSubsets(address, dataCentre).choose(instances);
+            const recordCrash = (): boolean => {
+                recorded.set(address, (recorded.get(address) ?? 0) + 1);
+                return false;
+            };
+            floods.set(
+                address,
+                new CrashFlood({ recordCrash }, report => {
+                    messages += subset.length;
+                    subset.forEach(each => floods.get(each.address)!.receive(report));
+                }),
+            );
+        }
+        const [first] = floods.values();
+        first!.report({ incident: "i", fingerprints: ["f"] });
+        expect([...recorded.values()].every(count => count === 1)).equals(true);
+        expect(recorded.size).at.least(96);
+        expect(messages).at.most(97 * 12);
+    });
+});
--- a/test/routed/forwarder.test.ts
+++ b/test/routed/forwarder.test.ts
@@ -44,8 +44,11 @@
     const forwarder = new Forwarder({
         clock,
         logger: silentLogger,
-        registry,
         placement,
+        instanceSelector: {
+            select: (service, tried) => Promise.resolve(placement.choose(registry.listForService(service), tried)),
+            selectAtOnce: (service, tried) => placement.choose(registry.listForService(service), tried),
+        },
         retryBudget: new ServiceRetryBudget(clock, limits, () => 1, true),
         sender: {
             send: (record, _call, progress) => {
--- a/test/routed/linkMessage.test.ts
+++ b/test/routed/linkMessage.test.ts
@@ -5,7 +5,7 @@
 import { encodeMessage, MessageReader } from "../../src/connection/linkMessage.js";
 import { readPropertyOptions } from "../fakes.js";
 
-const load = { running: 3, waiting: 1, limit: 9, failureShare: 0.25, isSettled: false };
+const load = { running: 3, waiting: 1, limit: 9, failureShare: 0.25, isSettled: false, runMs: 42 };
 const samples: readonly LinkMessage[] = [
     {
         kind: "run",
--- a/test/routed/restoredLog.test.ts
+++ b/test/routed/restoredLog.test.ts
@@ -169,7 +169,8 @@
             log: this.log,
             address,
             createOwnRecord: () => createRecord(address, { slots: this.slots }),
-            post: () => undefined,
+            listLinked: () => [],
+            ping: () => undefined,
             handleInstanceRecord: () => undefined,
         });
         state.run(this.stopController.signal);
