Have a few nodes follow the log and pass on what they read

Change: the lowest-ranked reachable instance of each data centre follows the log; the others ask three readers in turn for their version, every 0.35 s on average, and follow the log by themselves when they hear of no reader for 1.2 s. Instance records have a revision that rises over restarts, so that the newest wins by whatever way records arrive (an older log record could replace a newer one); a node that hears of a record of its address that is not its own makes its own newer. New records are forwarded to four others. The era of the log travels with versions.

--- a/src/connection/keyedLogFollower.ts
+++ b/src/connection/keyedLogFollower.ts
@@ -46,42 +46,70 @@
 
     constructor(private readonly dependencies: KeyedLogFollowerDependencies) {}
 
-    /** Follows the topic until the signal aborts. Never rejects unless `applyPage` throws. */
+    /** Whether a read has succeeded. */
+    hasRead(): boolean {
+        return this.era !== undefined;
+    }
+
+    /** Whether the last read succeeded. */
+    isHealthy(): boolean {
+        return this.hasRead() && this.consecutiveFailures === 0;
+    }
+
+    /** Reads the newest record of each key once, with retries until that succeeds or the signal aborts. */
+    async readNewest(signal: AbortSignal): Promise<void> {
+        this.nextOffset = undefined;
+        while (!signal.aborted && this.nextOffset === undefined) {
+            await this.readNext(signal);
+        }
+    }
+
+    /**
+     * Follows the topic until the signal aborts. A later call goes on where an earlier one ended. Never rejects unless
+     * `applyPage` throws.
+     */
     async run(signal: AbortSignal): Promise<void> {
-        const { clock, log, topic, random, batchDelayMs } = this.dependencies;
+        const { clock, random, batchDelayMs } = this.dependencies;
         while (!signal.aborted) {
-            const from = this.nextOffset;
-            const result = from === undefined
-                ? await log.readNewest(topic)
-                : await log.follow(topic, from, this.chooseWaitMs(random), signal);
-            if (signal.aborted) {
-                return;
-            }
-            if (!result.ok) {
-                await this.handleFailure(result.error, signal);
-                continue;
-            }
-            this.recordSuccess();
-            if (from !== undefined && result.value.era !== this.era) {
-                // The page may begin with other records than those that follow what was read before.
-                this.dependencies.logger.warn("logRestored", { topic, era: result.value.era, before: this.era, from });
-                this.nextOffset = undefined;
-                continue;
-            }
-            this.era = result.value.era;
-            this.nextOffset = result.value.next;
-            if (from === undefined) {
-                this.dependencies.applySnapshot(result.value);
-            }
-            else {
-                this.dependencies.applyPage(result.value);
-            }
-            if (result.value.records.length > 0 && batchDelayMs > 0) {
+            const hasRecords = await this.readNext(signal);
+            if (hasRecords && batchDelayMs > 0) {
                 await clock.sleep(batchDelayMs * (0.5 + random()), signal);
             }
         }
     }
 
+    /** Makes one read and applies it, or waits after a failure. Returns whether the read brought records. */
+    private async readNext(signal: AbortSignal): Promise<boolean> {
+        const { log, topic, random } = this.dependencies;
+        const from = this.nextOffset;
+        const result = from === undefined
+            ? await log.readNewest(topic)
+            : await log.follow(topic, from, this.chooseWaitMs(random), signal);
+        if (signal.aborted) {
+            return false;
+        }
+        if (!result.ok) {
+            await this.handleFailure(result.error, signal);
+            return false;
+        }
+        this.recordSuccess();
+        return this.applyPage(from, result.value);
+    }
+
+    private applyPage(from: number | undefined, page: KeyedPage): boolean {
+        const { logger, topic, applySnapshot, applyPage } = this.dependencies;
+        if (from !== undefined && page.era !== this.era) {
+            // The page may begin with other records than those that follow what was read before.
+            logger.warn("logRestored", { topic, era: page.era, before: this.era, from });
+            this.nextOffset = undefined;
+            return false;
+        }
+        this.era = page.era;
+        this.nextOffset = page.next;
+        (from === undefined ? applySnapshot : applyPage)(page);
+        return page.records.length > 0;
+    }
+
     /**
      * Time that the next long poll waits, in milliseconds. After a failure it doesn't wait: the log may be back from an
      * older copy that ends just at this offset, which only an answer shows.
@@ -90,11 +118,6 @@
         return this.consecutiveFailures > 0 ? 0 : minWaitMs + random() * maxWaitJitterMs;
     }
 
-    /** Era of the log as of the last read; `undefined` before the first. */
-    getEra(): LogEra | undefined {
-        return this.era;
-    }
-
     private recordSuccess(): void {
         const { logger, topic } = this.dependencies;
         if (this.consecutiveFailures > 0) {
--- a/src/connection/link.ts
+++ b/src/connection/link.ts
@@ -14,6 +14,7 @@
     FailedMessage,
     LinkMessage,
     LoadReport,
+    LogPosition,
     RefusedMessage,
     RunMessage,
 } from "./linkMessage.js";
@@ -56,7 +57,7 @@
         private readonly clock: Clock,
         opened: LinkSocket,
         private readonly callbacks: LinkCallbacks,
-        private readonly getConfigurationVersion: () => number,
+        private readonly getLogPosition: () => LogPosition,
     ) {
         const { socket, reader, hello } = opened;
         this.socket = socket;
@@ -106,7 +107,7 @@
     ping(): void {
         if (this.pingedAt === undefined) {
             this.pingedAt = this.clock.readMonotonic();
-            this.post({ kind: "ping", version: this.getConfigurationVersion() });
+            this.post({ kind: "ping", ...this.getLogPosition() });
         }
     }
 
--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -54,6 +54,16 @@
     readonly callerService: string;
 }
 
+/** What a node has of the keyed log. */
+export interface LogPosition {
+    /** Version of the configuration that the node uses. */
+    readonly version: number;
+    /** Highest era of the log that the node has heard of; -1 before the first. */
+    readonly era: number;
+    /** Whether the node follows the log itself, and its last read succeeded. */
+    readonly isFollowing: boolean;
+}
+
 /** Fields that every message with the outcome of a request carries besides that outcome. */
 interface OutcomeFields {
     readonly id: number;
@@ -86,8 +96,8 @@
         /** Record of the sender's instance, as JSON. */
         readonly record: string;
     }
-    | { readonly kind: "ping"; readonly version: number; }
-    | { readonly kind: "pong"; readonly version: number; readonly load: LoadReport; }
+    | { readonly kind: "ping"; } & LogPosition
+    | { readonly kind: "pong"; readonly load: LoadReport; } & LogPosition
     /** Sent at once when the state of the endpoint changes or the node is about to stop. */
     | { readonly kind: "load"; readonly load: LoadReport; }
     /** Asks for the configuration or the records of the known instances, which are sent in a message of that kind. */
@@ -138,8 +148,8 @@
     failed: ["id", "cause", "ranMs", "load"],
     cancel: ["id"],
     hello: ["address", "incarnation", "version", "record"],
-    ping: ["version"],
-    pong: ["version", "load"],
+    ping: ["version", "era", "isFollowing"],
+    pong: ["version", "era", "isFollowing", "load"],
     load: ["load"],
     ask: ["topic"],
     configuration: ["text"],
--- a/src/connection/peerLinks.ts
+++ b/src/connection/peerLinks.ts
@@ -11,7 +11,7 @@
 import type { InstanceRecord } from "../version/instanceRecord.js";
 import type { HelloMessage, LinkOutcome } from "./link.js";
 import { Link, openLinkSocket } from "./link.js";
-import type { LinkMessage, LoadReport } from "./linkMessage.js";
+import type { LinkMessage, LoadReport, LogPosition } from "./linkMessage.js";
 
 /** Interval at which links are checked for nodes that no longer respond, in milliseconds. */
 const livenessCheckIntervalMs = 150;
@@ -36,6 +36,8 @@
     readonly logger: Logger;
     readonly createHello: () => HelloMessage;
     readonly handleHello: (hello: HelloMessage) => void;
+    /** What this node has of the keyed log; pings carry it. */
+    readonly getLogPosition: () => LogPosition;
     /** Called with each message that doesn't complete a request. */
     readonly handleMessage: (address: string, message: LinkMessage) => void;
     /** Called with the load that another node reports. */
@@ -221,7 +223,7 @@
             receive: message => this.dependencies.handleMessage(peer.address, message),
             recordLoad: load => this.dependencies.recordLoad(peer.address, load),
             handleClose: cause => this.handleLinkClose(peer, cause),
-        }, () => createHello().version);
+        }, this.dependencies.getLogPosition);
         peer.link = link;
         logger.info("linkOpened", { peer: peer.address, incarnation: hello.incarnation });
         this.dependencies.handleHello(hello);
--- a/src/process/instancePublisher.ts
+++ b/src/process/instancePublisher.ts
@@ -19,6 +19,8 @@
     private publishedRecord: string | undefined;
     /** Where the last append of this process lies. */
     private lastAppended = nowhere;
+    /** Era of the last snapshot; -1 before the first. */
+    private snapshotEra = -1;
     /** Resumes {@link run} when it waits for a change of either record. */
     private wake: () => void = () => undefined;
 
@@ -48,6 +50,7 @@
      * that was taken before the last append, in the same era, says nothing about it.
      */
     applySnapshot(snapshot: KeyedPage): void {
+        this.snapshotEra = Math.max(this.snapshotEra, snapshot.era);
         const isOutdated = snapshot.era === this.lastAppended.era && snapshot.next <= this.lastAppended.offset;
         if (isOutdated || snapshot.era < this.lastAppended.era) {
             return;
@@ -69,8 +72,9 @@
             const result = await this.log.append(this.topic, this.key, desiredRecord);
             if (result.ok) {
                 failures = 0;
-                this.publishedRecord = desiredRecord;
                 this.lastAppended = result.value;
+                // An append of an era that is over may be lost, so it is made again.
+                this.publishedRecord = result.value.era < this.snapshotEra ? undefined : desiredRecord;
                 this.logger.info("instancePublished", { ...result.value, record: desiredRecord });
                 continue;
             }
--- a/src/process/instanceRegistry.ts
+++ b/src/process/instanceRegistry.ts
@@ -2,30 +2,28 @@
  * Registry of all instances that a routed node knows, itself included, from the keyed log and from other instances.
  * Nodes that are not routed use Directory instead.
  *
- * The log orders the records of one address. A record that an instance sends of itself over a link is newer than the
- * one that the log holds at that time. A record that a peer passes on is used only for an address that is not known at all.
+ * Records of one address arrive by several ways in any order; the one with the highest revision counts.
  */
 import type { InstanceRecord } from "../version/instanceRecord.js";
 
-/**
- * Source of a record: the keyed log, the instance that the record describes (`self`, which need not be this node), or a
- * peer that passes on another instance's record.
- */
-export type RecordSource = "log" | "self" | "peer";
+/** Source of a record: the newest records of the keyed log, its later ones, or another node. */
+export type RecordSource = "snapshot" | "log" | "peer";
 
 /** Known instances, by address and by service. */
 export class InstanceRegistry {
     private readonly records = new Map<string, InstanceRecord>();
     private byService = new Map<string, readonly InstanceRecord[]>();
+    private changes = 0;
 
-    /** Adds or replaces the record of an address; one from a peer replaces nothing. Returns whether the registry changed. */
-    put(record: InstanceRecord, source: RecordSource): boolean {
+    /** Adds a record, or replaces the one of its address if that is older. Returns whether the registry changed. */
+    put(record: InstanceRecord): boolean {
         const before = this.records.get(record.address);
-        if (before !== undefined && (source === "peer" || isSameRecord(before, record))) {
+        if (before !== undefined && before.revision >= record.revision) {
             return false;
         }
         this.records.set(record.address, record);
         this.byService.clear();
+        this.changes += 1;
         return true;
     }
 
@@ -33,6 +31,7 @@
     remove(address: string): void {
         if (this.records.delete(address)) {
             this.byService.clear();
+            this.changes += 1;
         }
     }
 
@@ -56,13 +55,13 @@
         return listed;
     }
 
+    /** Number of changes so far, by which results that follow from the records are kept. */
+    countChanges(): number {
+        return this.changes;
+    }
+
     /** Number of known instances. */
     count(): number {
         return this.records.size;
     }
 }
-
-function isSameRecord(a: InstanceRecord, b: InstanceRecord): boolean {
-    return a.address === b.address && a.port === b.port && a.service === b.service && a.dataCentre === b.dataCentre
-        && a.slots === b.slots && a.isTaking === b.isTaking;
-}
--- a/src/process/instanceSubset.ts
+++ b/src/process/instanceSubset.ts
@@ -63,7 +63,7 @@
 }
 
 /** Rank of an instance for a node: FNV-1a of both addresses with a final mix, as an unsigned 32-bit integer. */
-function computeRank(nodeAddress: string, instanceAddress: string): number {
+export function computeRank(nodeAddress: string, instanceAddress: string): number {
     let hash = 0x811c9dc5;
     for (const character of `${nodeAddress}>${instanceAddress}`) {
         hash = Math.imul(hash ^ character.charCodeAt(0), 0x01000193);
--- a/src/process/linkKeeper.ts
+++ b/src/process/linkKeeper.ts
@@ -1,8 +1,7 @@
 /**
  * Decides which links a node keeps open: those to its subset of its own service and of the services that it sends to,
- * and a few others, so that all nodes are connected. The number doesn't grow with the number of nodes.
+ * the readers of the log, and a few others, so that all nodes are connected. The number doesn't grow with the number of nodes.
  */
-import type { InstanceRecord } from "../version/instanceRecord.js";
 import type { Clock } from "./clock.js";
 import type { InstanceRegistry } from "./instanceRegistry.js";
 import type { InstanceSubsets } from "./instanceSubset.js";
@@ -22,6 +21,8 @@
         private readonly service: string,
         private readonly registry: InstanceRegistry,
         private readonly subsets: InstanceSubsets,
+        /** Addresses of the readers of the log with which this node keeps in contact. */
+        private readonly listReaders: () => readonly string[],
     ) {}
 
     /** Records a request to a service. Returns whether the links to it were not kept before. */
@@ -31,8 +32,8 @@
         return isNew;
     }
 
-    /** Instances to which links are to be open. */
-    chooseInstances(): readonly InstanceRecord[] {
+    /** Addresses to which links are to be open. */
+    chooseAddresses(): ReadonlySet<string> {
         const now = this.clock.readMonotonic();
         for (const [service, usedAt] of this.usedAt) {
             if (now - usedAt > serviceInUseMs) {
@@ -41,6 +42,7 @@
         }
         const services = new Set([this.service, ...this.usedAt.keys()]);
         const records = [...services].flatMap(each => this.subsets.choose(this.registry.listForService(each)));
-        return [...records, ...this.subsets.chooseAny(this.registry.list(), otherInstances)];
+        const others = this.subsets.chooseAny(this.registry.list(), otherInstances);
+        return new Set([...[...records, ...others].map(record => record.address), ...this.listReaders()]);
     }
 }
--- a/src/process/peerGossip.ts
+++ b/src/process/peerGossip.ts
@@ -2,21 +2,27 @@
  * Gossip of the configuration and of instance records between nodes, for nodes that can't read the keyed log.
  *
  * Hello messages, pings and pongs carry the version in force. A node that sees a newer version requests it from the
- * sender, and a node that adopts a new version announces it to a few others at once. Besides, each node compares its
- * version with one other from time to time, so that a version reaches all in about log2 of their number of rounds.
+ * sender, and a node that adopts a new version announces it to a few others at once. A node that learns a new instance
+ * record, other than with the newest records of the whole log, forwards it to a few others. Besides, each node keeps in
+ * contact with a few readers of the log and asks them for their version several times a second.
  */
 import type { HelloMessage } from "../connection/link.js";
-import type { LinkMessage } from "../connection/linkMessage.js";
+import type { LinkMessage, LogPosition } from "../connection/linkMessage.js";
 import type { AdoptionResult, ConfigurationHolder } from "../version/configurationHolder.js";
+import type { InstanceRecord } from "../version/instanceRecord.js";
 import { formatInstanceRecord } from "../version/instanceRecord.js";
 import type { Random } from "./balancer.js";
 import type { Clock } from "./clock.js";
-import type { InstanceRegistry, RecordSource } from "./instanceRegistry.js";
+import type { InstanceRegistry } from "./instanceRegistry.js";
 
 /** Number of nodes to which a new version is announced at once. */
-const gossipFanout = 3;
-/** Average time between two comparisons of the version with another node, in milliseconds. */
-const comparisonIntervalMs = 500;
+const versionFanout = 3;
+/** Number of nodes to which a new record is forwarded. */
+const recordFanout = 4;
+/** Time for which new records are collected before they are forwarded together, in milliseconds. */
+const recordBatchMs = 100;
+/** Average time between two questions to a reader of the log, in milliseconds. */
+const contactIntervalMs = 350;
 /** Time after which an unanswered request for the configuration may be repeated, in milliseconds. */
 const requestTimeoutMs = 250;
 
@@ -32,11 +38,17 @@
     /** Adopts a configuration if it is newer than the one in force. */
     readonly adoptConfiguration: (text: string, source: string) => AdoptionResult;
     /** Parses an instance record and puts it into the registry. */
-    readonly putRecord: (text: string, source: RecordSource) => void;
+    readonly putRecord: (text: string) => void;
     /** Addresses to which a link is open. */
     readonly listLinked: () => readonly string[];
-    /** Sends the version in force to an address, which answers with its own. */
+    /** Sends what this node has of the log to an address, which answers with the same. */
     readonly ping: (address: string) => void;
+    /** Sends a message on the link to an address. */
+    readonly post: (address: string, message: LinkMessage) => void;
+    /** Addresses of the readers of the log with which this node keeps in contact. */
+    readonly listReaders: () => readonly string[];
+    /** Called with what another node has of the log. */
+    readonly handleLogPosition: (position: LogPosition) => void;
 }
 
 /** Exchanges the configuration and instance records with other nodes. */
@@ -44,12 +56,14 @@
     private requestedVersion = -1;
     private requestedAt = -Infinity;
     private hasRequestedInstances = false;
+    /** Records that will be forwarded together, by address. */
+    private newRecords = new Map<string, InstanceRecord>();
 
     constructor(private readonly dependencies: PeerGossipDependencies) {}
 
     /** Handles a hello message: stores the sender's record and requests what this node lacks. */
     handleHello(hello: HelloMessage, reply: Reply): void {
-        this.dependencies.putRecord(hello.record, "self");
+        this.dependencies.putRecord(hello.record);
         this.requestIfNewer(hello.version, reply);
         // A node that starts while the log is unreachable learns of other instances from its first peer.
         if (!this.hasRequestedInstances) {
@@ -63,6 +77,7 @@
         switch (message.kind) {
             case "ping":
             case "pong":
+                this.dependencies.handleLogPosition(message);
                 this.requestIfNewer(message.version, reply);
                 return;
             case "ask":
@@ -73,7 +88,7 @@
                 return;
             case "instances":
                 for (const record of message.records) {
-                    this.dependencies.putRecord(record, "peer");
+                    this.dependencies.putRecord(record);
                 }
                 return;
             default:
@@ -83,25 +98,46 @@
 
     /** Announces the version in force to a few randomly chosen nodes. */
     announceVersion(): void {
-        this.pingRandom(gossipFanout);
+        this.chooseLinked(versionFanout).forEach(this.dependencies.ping);
     }
 
-    /** Compares the version with that of a randomly chosen node again and again, until the signal aborts. */
-    async runComparisons(signal: AbortSignal): Promise<void> {
-        const { clock, random } = this.dependencies;
-        while (!signal.aborted) {
-            await clock.sleep(comparisonIntervalMs * (0.5 + random()), signal);
-            this.pingRandom(1);
+    /** Forwards a new record to a few randomly chosen nodes, together with others that are new. */
+    forwardRecord(record: InstanceRecord): void {
+        if (this.newRecords.size === 0) {
+            this.dependencies.clock.startTimer(recordBatchMs, () => this.sendNewRecords());
         }
+        this.newRecords.set(record.address, record);
     }
 
-    private pingRandom(count: number): void {
-        const { random, ping, listLinked } = this.dependencies;
+    /** Asks the readers of the log in turn for their version, until the signal aborts. */
+    async runContacts(signal: AbortSignal): Promise<void> {
+        const { clock, random, ping, listReaders } = this.dependencies;
+        for (let turn = 0; !signal.aborted; turn += 1) {
+            await clock.sleep(contactIntervalMs * (0.75 + random() / 2), signal);
+            const readers = listReaders();
+            if (readers.length > 0) {
+                ping(readers[turn % readers.length]!);
+            }
+        }
+    }
+
+    private sendNewRecords(): void {
+        const records = [...this.newRecords.values()].map(formatInstanceRecord);
+        this.newRecords = new Map();
+        for (const address of this.chooseLinked(recordFanout)) {
+            this.dependencies.post(address, { kind: "instances", records });
+        }
+    }
+
+    /** Chooses some of the nodes to which links are open, at random. */
+    private chooseLinked(count: number): string[] {
+        const { random, listLinked } = this.dependencies;
         const linked = [...listLinked()];
-        for (let pinged = 0; pinged < count && linked.length > 0; pinged += 1) {
-            const [chosen] = linked.splice(Math.floor(random() * linked.length), 1);
-            ping(chosen!);
+        const chosen: string[] = [];
+        while (chosen.length < count && linked.length > 0) {
+            chosen.push(...linked.splice(Math.floor(random() * linked.length), 1));
         }
+        return chosen;
     }
 
     /** Requests the configuration if `version` is newer than the one in force and no request is pending. */
--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -13,7 +13,7 @@
 import { Forwarder } from "../request/forwarder.js";
 import type { RoutedEntryDependencies } from "../request/routedEntry.js";
 import { Sender } from "../request/sender.js";
-import type { InstanceRecord } from "../version/instanceRecord.js";
+import type { InstanceDescription } from "../version/instanceRecord.js";
 import type { Clock } from "./clock.js";
 import { ClusterState } from "./clusterState.js";
 import { CrashDetector } from "./crashDetector.js";
@@ -132,13 +132,19 @@
             logger,
             log: platform.log,
             address,
-            createOwnRecord: () => this.createOwnRecord(),
+            dataCentre,
+            firstRevision: this.incarnation,
+            isFirstStart: settings.isFirstStart,
+            describeInstance: () => this.describeInstance(),
             listLinked: () => this.links.listLinked(),
+            isReachable,
             ping: peer => void this.links.ping(peer),
+            post: (peer, message) => this.links.post(peer, message),
             handleInstanceRecord: record => this.links.add(record),
         });
         const { configurationHolder, registry } = this.clusterState;
-        this.linkKeeper = new LinkKeeper(clock, settings.service, registry, this.subsets);
+        const listReaders = (): readonly string[] => this.clusterState.listReaders();
+        this.linkKeeper = new LinkKeeper(clock, settings.service, registry, this.subsets, listReaders);
         this.retryBudget = new ServiceRetryBudget(
             clock,
             createRetryLimits(bounds),
@@ -321,7 +327,7 @@
 
     private keepLinks(): void {
         const { address } = this.settings;
-        const kept = new Set(this.linkKeeper.chooseInstances().map(record => record.address));
+        const kept = new Set(this.linkKeeper.chooseAddresses());
         kept.delete(address);
         this.links.keep(kept);
     }
@@ -332,6 +338,7 @@
             random: Math.random,
             logger: this.logger,
             createHello: () => this.createHello(),
+            getLogPosition: () => this.clusterState.getLogPosition(),
             handleHello: hello =>
                 this.clusterState.gossip.handleHello(hello, message => this.links.post(hello.address, message)),
             handleMessage: (address, message) =>
@@ -353,8 +360,7 @@
             cancel: (id, link) => this.remoteRuns.cancel(id, link),
             handleMessage: (message, link) => {
                 if (message.kind === "ping") {
-                    const version = this.clusterState.configurationHolder.getVersion();
-                    link.post({ kind: "pong", version, load: this.runner.getLoad() });
+                    link.post({ kind: "pong", ...this.clusterState.getLogPosition(), load: this.runner.getLoad() });
                 }
                 if (message.kind === "crashes") {
                     this.crashFlood.receive(message);
@@ -375,7 +381,7 @@
         };
     }
 
-    private createOwnRecord(): InstanceRecord {
+    private describeInstance(): InstanceDescription {
         const { address, service, dataCentre, listeners } = this.settings;
         return {
             address,
@@ -477,7 +483,7 @@
         metrics.addGauge(
             "log_era",
             "Number of times that the log was restored from an older copy; -1 before the first read.",
-            () => clusterState.getLogEra(),
+            () => clusterState.getLogPosition().era,
         );
         metrics.addGauge("instances_known", "Known instances.", () => clusterState.registry.count());
         metrics.addGauge("links_open", "Open links to other nodes.", () => links.countOpenLinks());
--- a/src/version/instanceRecord.ts
+++ b/src/version/instanceRecord.ts
@@ -1,4 +1,7 @@
-/** Record that a node publishes about its instance, on the keyed log and over links. Its key is the address. */
+/**
+ * Record that a node publishes about its instance, on the keyed log and over links. Its key is the address. Whatever way
+ * records of an address take, the one with the highest revision is the newest.
+ */
 import * as v from "valibot";
 import { createIntegerSchema, parseJson, parseWith, shortTextSchema } from "./schema.js";
 
@@ -13,11 +16,16 @@
     slots: createIntegerSchema(0, 1_000_000),
     /** Whether the endpoint accepts requests. */
     isTaking: v.boolean(),
+    /** Rises with each change of the record, also over restarts of the node. */
+    revision: v.optional(createIntegerSchema(0, Number.MAX_SAFE_INTEGER), 0),
 });
 
 /** One instance as described by its own node. */
 export type InstanceRecord = v.InferOutput<typeof recordSchema>;
 
+/** What a node knows of its own instance; the revision is added when it is published. */
+export type InstanceDescription = Omit<InstanceRecord, "revision">;
+
 /** Parses a record; `undefined` when it is malformed. */
 export function parseInstanceRecord(text: string): InstanceRecord | undefined {
     return parseWith(recordSchema, parseJson(text));
