Send fewer pings and prefer the node's own instance

Change: a request pings only as many instances as are missing to two recent loads; an instance other than the node's own costs a tenth of its capacity more, since it takes a message each way; readers are asked every 0.45 s.

--- a/src/process/clusterState.ts
+++ b/src/process/clusterState.ts
@@ -35,7 +35,7 @@
 /** Time after a first start in which no contact with readers of the log is expected, in milliseconds. */
 const firstContactMs = 6000;
 /** Interval at which a node checks whether it has to follow the log, in milliseconds. */
-const followCheckIntervalMs = 200;
+const followCheckIntervalMs = 300;
 /** Average time after which a node that doesn't follow the log reads all instance records again, in milliseconds. */
 const rereadIntervalMs = 120_000;
 /** Maximum delay of the read that follows a restore of the log, in milliseconds. */
--- a/src/process/loadRefresher.ts
+++ b/src/process/loadRefresher.ts
@@ -6,7 +6,7 @@
  *
  * - Hundreds of nodes with a few requests a second each: a node seldom has a recent load of the instances that it could
  *   choose. Before it sends, it pings a few of them and waits for the first answers, which takes one round trip.
- * - Steady traffic: loads arrive with answers. Each request pings at most one instance with an older load, without a wait.
+ * - Steady traffic: loads arrive with answers, and nothing is pinged.
  * - Instances that were lost without a sign: they don't answer the ping, so that a request that must not run twice is not
  *   sent there.
  */
@@ -15,11 +15,9 @@
 import type { Clock } from "./clock.js";
 
 /** Age of a load from which on it is refreshed, in milliseconds. */
-const refreshAgeMs = 700;
+const refreshAgeMs = 1000;
 /** Number of instances with a recent load with which a request is not held up. */
 const enoughRecentLoads = 2;
-/** Number of instances that are pinged when too few have a recent load. */
-const pingedInstances = 3;
 /** Longest time that a request waits for recent loads, in milliseconds. */
 const maxWaitMs = 30;
 /** Time after a ping in which its instance isn't pinged again, in milliseconds. */
@@ -49,16 +47,12 @@
         const { getLoadAgeMs } = this.dependencies;
         const old = records.filter(record => getLoadAgeMs(record.address) > refreshAgeMs);
         const recent = records.length - old.length;
-        if (old.length === 0) {
+        if (recent >= enoughRecentLoads || old.length === 0) {
             return;
         }
-        if (recent >= Math.min(enoughRecentLoads, records.length)) {
-            this.pingFirst(this.shuffleLocalFirst(old), 1);
-            return;
-        }
-        const pinged = this.pingFirst(this.shuffleLocalFirst(old), pingedInstances);
+        const pinged = this.pingFirst(this.shuffleLocalFirst(old), enoughRecentLoads - recent);
         if (pinged.length > 0) {
-            await this.waitForLoads(new Set(pinged), Math.min(pinged.length, enoughRecentLoads - recent));
+            await this.waitForLoads(new Set(pinged), pinged.length);
         }
     }
 
--- a/src/process/logReaders.ts
+++ b/src/process/logReaders.ts
@@ -15,7 +15,7 @@
 /** Readers of other data centres that a node keeps in contact with. */
 const otherReaders = 2;
 /** Time without word of a reader after which a node follows the log by itself, in milliseconds. */
-const contactTimeoutMs = 1200;
+const contactTimeoutMs = 1400;
 /** Time for which a node that followed the log for want of contact goes on with that, in milliseconds. */
 const minFollowMs = 5000;
 
--- a/src/process/peerGossip.ts
+++ b/src/process/peerGossip.ts
@@ -22,7 +22,7 @@
 /** Time for which new records are collected before they are forwarded together, in milliseconds. */
 const recordBatchMs = 100;
 /** Average time between two questions to a reader of the log, in milliseconds. */
-const contactIntervalMs = 350;
+const contactIntervalMs = 450;
 /** Time after which an unanswered request for the configuration may be repeated, in milliseconds. */
 const requestTimeoutMs = 250;
 
--- a/src/process/placement.ts
+++ b/src/process/placement.ts
@@ -4,7 +4,7 @@
  *
  * Load patterns handled:
  *
- * - Normal load: the own data centre serves, since traffic between data centres costs.
+ * - Normal load: the node's own instance serves, then its data centre, since traffic between them costs.
  * - A data centre with too few instances for its callers: the excess goes to other data centres before it waits.
  * - An instance that slows down or fails part of its requests while it reports that it is healthy: the run times and
  *   failures that its node measures raise its cost, and so do this node's own measurements, which show what is wrong
@@ -31,6 +31,8 @@
 const avoidanceMs = 500;
 /** Cost of an instance in another data centre, as a multiple of an instance's capacity. */
 const remoteCost = 0.6;
+/** Cost of an instance other than the node's own, as a multiple of an instance's capacity: it takes a message each way. */
+const linkCost = 0.1;
 /** Cost of an instance to which a link was lost, as a multiple of an instance's capacity. */
 const unreachableCost = 5;
 /** Cost of an instance without a recent load, as a multiple of an instance's capacity. */
@@ -75,6 +77,7 @@
     constructor(
         private readonly clock: Clock,
         private readonly random: Random,
+        private readonly address: string,
         private readonly dataCentre: string,
         /** Whether requests can be expected to reach an address. */
         private readonly isReachable: (address: string) => boolean,
@@ -200,7 +203,9 @@
     private computeCost(record: InstanceRecord, now: number, usualRunMs: number): number {
         const stats = this.statsByAddress.get(record.address);
         const isLocal = record.dataCentre === this.dataCentre;
-        const distanceCost = (isLocal ? 0 : remoteCost) + (this.isReachable(record.address) ? 0 : unreachableCost);
+        const isOwn = record.address === this.address;
+        const distanceCost = (isLocal ? 0 : remoteCost) + (isOwn ? 0 : linkCost)
+            + (this.isReachable(record.address) ? 0 : unreachableCost);
         if (stats === undefined) {
             return distanceCost + unknownLoadCost;
         }
--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -115,7 +115,7 @@
         this.runner = this.createRunner();
         this.remoteRuns = new RemoteRuns(clock, this.runner);
         const isReachable = (peer: string): boolean => peer === address || this.links.isReachable(peer);
-        this.placement = new Placement(clock, Math.random, dataCentre, isReachable);
+        this.placement = new Placement(clock, Math.random, address, dataCentre, isReachable);
         this.subsets = new InstanceSubsets(address, dataCentre);
         this.loadRefresher = new LoadRefresher({
             clock,
