--- a/src/connection/keyedLogFollower.ts
+++ b/src/connection/keyedLogFollower.ts
@@ -15,10 +15,6 @@
 const minBackoffMs = 200;
 /** Maximum backoff after failures, in milliseconds. */
 const maxBackoffMs = 2500;
-/** Minimum time that a long poll waits for a record, in milliseconds. */
-const minWaitMs = 8000;
-/** Maximum jitter added to the wait of a long poll, in milliseconds; it spreads the polls of many nodes. */
-const maxWaitJitterMs = 8000;
 
 /** Dependencies and options of a follower. */
 export interface KeyedLogFollowerDependencies {
@@ -31,6 +27,8 @@
      * Average delay after a read that returned records, so that the next one returns several at once; in milliseconds.
      */
     readonly batchDelayMs: number;
+    /** Longest time that a long poll waits for a record, in milliseconds; a log that fell silent is noticed after it. */
+    readonly maxWaitMs: number;
     /** Called with the newest record of each key, before the first {@link applyPage} and whenever they are read again. */
     readonly applySnapshot: (page: KeyedPage) => void;
     /** Called with the records of each later read, in the order of their offsets. */
@@ -115,7 +113,7 @@
      * older copy that ends just at this offset, which only an answer shows.
      */
     private chooseWaitMs(random: Random): number {
-        return this.consecutiveFailures > 0 ? 0 : minWaitMs + random() * maxWaitJitterMs;
+        return this.consecutiveFailures > 0 ? 0 : this.dependencies.maxWaitMs * (0.5 + random() / 2);
     }
 
     private recordSuccess(): void {
--- a/src/process/clusterState.ts
+++ b/src/process/clusterState.ts
@@ -30,6 +30,10 @@
 const configurationKey = "config";
 /** Delay after a read of instance records, so that the next read returns several at once, in milliseconds. */
 const instanceBatchDelayMs = 300;
+/** Longest wait for a new configuration, in milliseconds. The log may turn away all readers without a sign. */
+const maxConfigurationWaitMs = 4000;
+/** Longest wait for a changed instance record, in milliseconds. */
+const maxInstanceWaitMs = 16_000;
 /** Time after a first start in which the other nodes append their records, in milliseconds. */
 const firstRecordsMs = 2500;
 /** Time after a first start in which no contact with readers of the log is expected, in milliseconds. */
@@ -112,6 +116,7 @@
             ...followed,
             topic: topics.configuration,
             batchDelayMs: 0,
+            maxWaitMs: maxConfigurationWaitMs,
             applySnapshot: page => this.applyConfigurations(page),
             applyPage: page => this.applyConfigurations(page),
         });
@@ -119,6 +124,7 @@
             ...followed,
             topic: topics.instances,
             batchDelayMs: instanceBatchDelayMs,
+            maxWaitMs: maxInstanceWaitMs,
             applySnapshot: page => this.applyInstanceSnapshot(page),
             applyPage: page => this.applyInstances(page, "log"),
         });
