Offer a request again to endpoints that refused it though they have room

Change: a request that as many endpoints as its route allows have refused unrun is offered to the same ones again, up to four times, each taken from the retry budget of the service. Not after a send that may have run.

--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -4,6 +4,9 @@
  * A refusal proves that the request has not run, so any request may then be sent to another instance. After other
  * failures only an idempotent request is retried, within the run limit of its route and the retry budget of the
  * service.
+ *
+ * Load pattern handled: endpoints that refuse a large part of the requests though they have room. Once a request has
+ * reached as many endpoints as its route allows, it is offered to the same ones again, within the retry budget.
  */
 import type { Clock } from "../process/clock.js";
 import type { InstanceSelector } from "../process/instanceSelector.js";
@@ -19,6 +22,8 @@
 
 /** Refusals for lack of capacity after which the refusal of a request is final. */
 const maxCapacityRefusals = 3;
+/** Sends of one request to instances whose endpoints refused it before. */
+const maxRepeatedOffers = 4;
 /** Retry-after delay when no instance accepts requests, in milliseconds. */
 const noInstanceRetryMs = 400;
 
@@ -66,6 +71,9 @@
 interface ForwardProgress extends SendProgress {
     /** Instances that refused the request for lack of capacity. */
     capacityRefusals: number;
+    /** Instances whose endpoints refused the request, and the number of repeated offers to them. */
+    readonly shedBy: InstanceRecord[];
+    repeatedOffers: number;
     /** Failure of a send that may have run; reported if no send succeeds. See {@link noteFailure}. */
     failure: ForwardOutcome | undefined;
 }
@@ -86,11 +94,13 @@
             sends: 0,
             capacityRefusals: 0,
             runs: 0,
+            shedBy: [],
+            repeatedOffers: 0,
             failure: undefined,
         };
         let last: ForwardOutcome = { kind: "refused", cause: "noInstance", retryAfterMs: noInstanceRetryMs };
         while (!call.cancellation.isCancelled() && clock.readMonotonic() < call.deadline) {
-            const instance = await this.dependencies.instanceSelector.select(call.service, progress.tried);
+            const instance = await this.selectInstance(call, progress);
             if (instance === undefined || call.cancellation.isCancelled()) {
                 break;
             }
@@ -112,6 +122,13 @@
         return { outcome: chooseFinalOutcome(last, progress), instance: [...tried].pop(), sends, runs };
     }
 
+    private async selectInstance(call: RoutedCall, progress: ForwardProgress): Promise<InstanceRecord | undefined> {
+        const { instanceSelector, placement } = this.dependencies;
+        return progress.repeatedOffers > 0
+            ? placement.choose(progress.shedBy, new Set())
+            : instanceSelector.select(call.service, progress.tried);
+    }
+
     private chooseHedgeInstance(
         unresponsive: InstanceRecord,
         call: RoutedCall,
@@ -175,7 +192,10 @@
             case "shed":
                 // The endpoint itself refused the request. It was reached, so another send counts as a retry.
                 progress.runs += 1;
-                return this.takeRetry(call, progress.runs) ? "again" : "final";
+                progress.shedBy.push(instance);
+                return this.takeRetry(call, progress.runs) || this.takeRepeatedOffer(call, progress)
+                    ? "again"
+                    : "final";
             case "cancelled":
             case "quarantined":
                 return "final";
@@ -190,6 +210,19 @@
         return runs < call.route.maxRuns && this.dependencies.retryBudget.takeRetry(call.service, call.origin);
     }
 
+    /** Takes one more offer to the instances that refused the request, if all that its route allows have done so. */
+    private takeRepeatedOffer(call: RoutedCall, progress: ForwardProgress): boolean {
+        const haveAllRefused = progress.runs >= call.route.maxRuns && progress.failure === undefined;
+        if (
+            !haveAllRefused || progress.repeatedOffers >= maxRepeatedOffers
+            || !this.dependencies.retryBudget.takeRetry(call.service, call.origin)
+        ) {
+            return false;
+        }
+        progress.repeatedOffers += 1;
+        return true;
+    }
+
     private logFurtherSend(
         event: "placedAgain" | "hedged",
         call: RoutedCall,
--- a/test/routed/forwarder.test.ts
+++ b/test/routed/forwarder.test.ts
@@ -34,13 +34,14 @@
 async function forward(
     repetition: "idempotent" | "atMostOnce",
     sends: readonly (readonly RunOutcome[])[],
-): Promise<{ outcome: ForwardOutcome; sends: number; }> {
+): Promise<{ outcome: ForwardOutcome; sends: number; reached: number; }> {
     const clock = new FakeClock();
     const registry = new InstanceRegistry();
     [1, 2, 3, 4, 5].forEach(host => registry.put(createRecord(`10.0.0.${host}`)));
     const placement = new Placement(clock, createRandom(1), "10.9.9.9", "klaten", () => true);
     const limits = { ratio: 0, slack: 100, windowMs: 10_000 };
     let sendCount = 0;
+    const reached = new Set<string>();
     const forwarder = new Forwarder({
         clock,
         logger: silentLogger,
@@ -53,6 +54,7 @@
         sender: {
             send: (record, _call, progress) => {
                 progress.tried.add(record.address);
+                reached.add(record.address);
                 const results: SendResult[] = (sends[sendCount] ?? [refused("cancelled")]).map(outcome => ({
                     record,
                     outcome,
@@ -77,7 +79,7 @@
         target: now + 500,
         cancellation: new Cancellation(),
     };
-    return { outcome: (await forwarder.forward(call)).outcome, sends: sendCount };
+    return { outcome: (await forwarder.forward(call)).outcome, sends: sendCount, reached: reached.size };
 }
 
 describe("forwarding", () => {
@@ -109,6 +111,25 @@
             outcome: "answer 200",
             count: 2,
         },
+        {
+            name: "offers what as many endpoints as the route allows did not run to the same ones again",
+            repetition: "atMostOnce",
+            sends: [[refused("shed")], [refused("shed")], [refused("shed")], [refused("shed")], [answered(200)]],
+            outcome: "answer 200",
+            count: 5,
+        },
+        {
+            name: "gives up on endpoints that refuse again and again",
+            sends: Array.from({ length: 9 }, () => [refused("shed")]),
+            outcome: "refused shed",
+            count: 6,
+        },
+        {
+            name: "offers nothing again once a send may have run",
+            sends: [[failed], [refused("shed")], [answered(200)]],
+            outcome: "failed reset",
+            count: 2,
+        },
         {
             name: "repeats an idempotent request that was lost",
             sends: [[failed], [answered(200)]],
@@ -166,6 +187,10 @@
             const described = result.outcome.kind === "answer" ? String(result.outcome.status) : result.outcome.cause;
             expect(`${result.outcome.kind} ${described}`).equals(outcome);
             expect(result.sends).equals(count);
+            const hasOnlyShed = sends.every(([end]) =>
+                end?.kind === "answer" || end?.kind === "refused" && end.cause === "shed"
+            );
+            expect(result.reached).at.most(hasOnlyShed ? 2 : count);
         });
     }
 });
