Split the reading of the log and the own record off the cluster state

Change: logReading.ts holds the tasks that read, ownInstanceRecord.ts the revisions; one task for each topic.

--- a/src/process/clusterState.ts
+++ b/src/process/clusterState.ts
@@ -4,7 +4,6 @@
  * members on the shared log.
  */
 import type { KeyedLog, KeyedPage } from "../connection/keyedLog.js";
-import { KeyedLogFollower } from "../connection/keyedLogFollower.js";
 import type { LinkMessage, LogPosition } from "../connection/linkMessage.js";
 import type { AdoptionResult } from "../version/configurationHolder.js";
 import { ConfigurationHolder } from "../version/configurationHolder.js";
@@ -17,33 +16,14 @@
 import { InstanceRegistry } from "./instanceRegistry.js";
 import type { Logger } from "./logger.js";
 import { LogReaders } from "./logReaders.js";
+import { LogReading, topics } from "./logReading.js";
+import { OwnInstanceRecord } from "./ownInstanceRecord.js";
 import { PeerGossip } from "./peerGossip.js";
 
-/** Topics of the keyed log. */
-export const topics = {
-    /** The operator's configuration, under the key {@link configurationKey}. */
-    configuration: "configuration",
-    /** Records of the instances, by address. */
-    instances: "instances",
-} as const;
 /** Key of the configuration in its topic. */
 const configurationKey = "config";
-/** Delay after a read of instance records, so that the next read returns several at once, in milliseconds. */
-const instanceBatchDelayMs = 300;
-/** Longest wait for a new configuration, in milliseconds. The log may turn away all readers without a sign. */
-const maxConfigurationWaitMs = 4000;
-/** Longest wait for a changed instance record, in milliseconds. */
-const maxInstanceWaitMs = 16_000;
-/** Time after a first start in which the other nodes append their records, in milliseconds. */
-const firstRecordsMs = 2500;
 /** Time after a first start in which no contact with readers of the log is expected, in milliseconds. */
 const firstContactMs = 6000;
-/** Interval at which a node checks whether it has to follow the log, in milliseconds. */
-const followCheckIntervalMs = 300;
-/** Average time after which a node that doesn't follow the log reads all instance records again, in milliseconds. */
-const rereadIntervalMs = 120_000;
-/** Maximum delay of the read that follows a restore of the log, in milliseconds. */
-const maxRestoreDelayMs = 1000;
 
 /** Dependencies of the cluster state. */
 export interface ClusterStateDependencies {
@@ -79,24 +59,31 @@
     readonly gossip: PeerGossip;
     private readonly publisher: InstancePublisher;
     private readonly readers: LogReaders;
-    private readonly configurationFollower: KeyedLogFollower;
-    private readonly instanceFollower: KeyedLogFollower;
-    private ownRecord: InstanceRecord;
-    /** Ends the tasks that follow the log; `undefined` while this node doesn't follow it. */
-    private followController: AbortController | undefined;
-    /** Highest era of the log that this node has heard of. */
-    private knownEra = -1;
-    /** Time on the monotonic clock at which all instance records are to be read. */
-    private rereadAt: number;
+    private readonly reading: LogReading;
+    private readonly ownRecord: OwnInstanceRecord;
 
     constructor(private readonly dependencies: ClusterStateDependencies) {
         const { clock, random, logger, log, address, dataCentre, isFirstStart, isReachable } = dependencies;
         const { listLinked, ping, post } = dependencies;
-        this.ownRecord = { ...dependencies.describeInstance(), revision: dependencies.firstRevision };
+        this.ownRecord = new OwnInstanceRecord(dependencies.describeInstance, dependencies.firstRevision);
         this.publisher = new InstancePublisher(clock, random, logger, log, topics.instances, address);
         const contactDelayMs = isFirstStart ? firstContactMs : 0;
         this.readers = new LogReaders(clock, this.registry, address, dataCentre, isReachable, contactDelayMs);
-        this.rereadAt = clock.readMonotonic() + (isFirstStart ? firstRecordsMs * (1 + random() / 4) : 0);
+        this.reading = new LogReading({
+            clock,
+            random,
+            logger,
+            log,
+            readers: this.readers,
+            isFirstStart,
+            hasConfiguration: () => this.configurationHolder.getVersion() >= 0,
+            applyConfigurations: page => this.applyConfigurations(page),
+            applyInstanceSnapshot: page => {
+                this.publisher.applySnapshot(page);
+                this.applyInstances(page, "snapshot");
+            },
+            applyInstances: page => this.applyInstances(page, "log"),
+        });
         this.gossip = new PeerGossip({
             clock,
             random,
@@ -108,32 +95,18 @@
             ping,
             post,
             listReaders: () => this.readers.listContacts(),
-            handleLogPosition: position => this.handleLogPosition(position),
+            handleLogPosition: ({ era, isFollowing }) => {
+                this.readers.recordContact(isFollowing);
+                this.reading.recordEra(era);
+            },
         });
         this.configurationHolder.addListener(() => this.gossip.announceVersion());
-        const followed = { clock, random, logger, log };
-        this.configurationFollower = new KeyedLogFollower({
-            ...followed,
-            topic: topics.configuration,
-            batchDelayMs: 0,
-            maxWaitMs: maxConfigurationWaitMs,
-            applySnapshot: page => this.applyConfigurations(page),
-            applyPage: page => this.applyConfigurations(page),
-        });
-        this.instanceFollower = new KeyedLogFollower({
-            ...followed,
-            topic: topics.instances,
-            batchDelayMs: instanceBatchDelayMs,
-            maxWaitMs: maxInstanceWaitMs,
-            applySnapshot: page => this.applyInstanceSnapshot(page),
-            applyPage: page => this.applyInstances(page, "log"),
-        });
-        this.registry.put(this.ownRecord);
+        this.registry.put(this.ownRecord.update());
     }
 
     /** Starts to read the keyed log and to publish the record of this node's instance, until the signal aborts. */
     run(signal: AbortSignal): void {
-        void this.runReading(signal);
+        this.reading.run(signal);
         void this.publisher.run(signal);
         void this.gossip.runContacts(signal);
     }
@@ -142,8 +115,8 @@
     getLogPosition(): LogPosition {
         return {
             version: this.configurationHolder.getVersion(),
-            era: this.knownEra,
-            isFollowing: this.followController !== undefined && this.configurationFollower.isHealthy(),
+            era: this.reading.getEra(),
+            isFollowing: this.reading.isFollowing(),
         };
     }
 
@@ -154,114 +127,18 @@
 
     /** Updates the record of this node's instance in the registry, on the keyed log and at other nodes. */
     publishOwnRecord(): void {
-        const record = this.updateOwnRecord();
+        const record = this.ownRecord.update();
+        this.registry.put(record);
         this.publisher.publish(formatInstanceRecord(record));
         this.gossip.forwardRecord(record);
     }
 
     /** Formats the record of this node's instance for the keyed log and for links. */
     formatOwnRecord(): string {
-        return formatInstanceRecord(this.updateOwnRecord());
-    }
-
-    /** Reads the configuration until one is known, then all instance records, then what this node's part requires. */
-    private async runReading(signal: AbortSignal): Promise<void> {
-        const { clock } = this.dependencies;
-        void this.readFirstConfiguration(signal);
-        while (!signal.aborted) {
-            if (clock.readMonotonic() >= this.rereadAt) {
-                this.stopFollowing();
-                this.rereadAt = clock.readMonotonic() + rereadIntervalMs * (0.75 + this.dependencies.random() / 2);
-                await this.instanceFollower.readNewest(signal);
-            }
-            if (this.instanceFollower.hasRead() && this.readers.isFollowerNeeded()) {
-                this.startFollowing(signal);
-            }
-            else {
-                this.stopFollowing();
-            }
-            await clock.sleep(followCheckIntervalMs, signal);
-        }
-        this.stopFollowing();
-    }
-
-    private async readFirstConfiguration(signal: AbortSignal): Promise<void> {
-        const found = new AbortController();
-        const stop = (): void => found.abort();
-        signal.addEventListener("abort", stop);
-        this.configurationHolder.addListener(stop);
-        await this.configurationFollower.run(found.signal);
-        signal.removeEventListener("abort", stop);
-        if (this.followController !== undefined) {
-            await this.configurationFollower.run(this.followController.signal);
-        }
-    }
-
-    private startFollowing(signal: AbortSignal): void {
-        if (this.followController !== undefined) {
-            return;
-        }
-        this.followController = new AbortController();
-        signal.addEventListener("abort", () => this.stopFollowing(), { signal: this.followController.signal });
-        // Until the first configuration is known, every node follows that topic.
-        if (this.configurationHolder.getVersion() >= 0) {
-            void this.configurationFollower.run(this.followController.signal);
-        }
-        void this.instanceFollower.run(this.followController.signal);
-        this.dependencies.logger.info("logFollowed", { contacts: this.listReaders().length });
-    }
-
-    private stopFollowing(): void {
-        if (this.followController !== undefined) {
-            this.followController.abort();
-            this.followController = undefined;
-            this.dependencies.logger.info("logLeftToReaders", { contacts: this.listReaders().length });
-        }
-    }
-
-    private handleLogPosition({ era, isFollowing }: LogPosition): void {
-        this.readers.recordContact(isFollowing);
-        this.recordEra(era);
-    }
-
-    /** Records the era of the log that a read or another node names. After a rise this node's record may be lost. */
-    private recordEra(era: number): void {
-        const isRestored = this.knownEra >= 0 && era > this.knownEra;
-        this.knownEra = Math.max(this.knownEra, era);
-        if (isRestored) {
-            const delayMs = this.dependencies.random() * maxRestoreDelayMs;
-            this.rereadAt = Math.min(this.rereadAt, this.dependencies.clock.readMonotonic() + delayMs);
-        }
-    }
-
-    private updateOwnRecord(): InstanceRecord {
-        const description = this.dependencies.describeInstance();
-        if (!isSameDescription(description, this.ownRecord)) {
-            this.ownRecord = { ...description, revision: this.ownRecord.revision + 1 };
-            this.registry.put(this.ownRecord);
-        }
-        return this.ownRecord;
-    }
-
-    /** Makes this node's record newer than a different one of its address, such as that of an earlier process. */
-    private refuteOwnRecord(text: string): void {
-        const other = parseInstanceRecord(text);
-        if (other === undefined || text === this.formatOwnRecord() || other.revision < this.ownRecord.revision) {
-            return;
-        }
-        this.ownRecord = { ...this.ownRecord, revision: other.revision + 1 };
-        this.registry.put(this.ownRecord);
-        this.publishOwnRecord();
-    }
-
-    private applyInstanceSnapshot(page: KeyedPage): void {
-        this.knownEra = Math.max(this.knownEra, page.era);
-        this.publisher.applySnapshot(page);
-        this.applyInstances(page, "snapshot");
+        return formatInstanceRecord(this.ownRecord.update());
     }
 
     private applyConfigurations(page: KeyedPage): void {
-        this.recordEra(page.era);
         for (const record of page.records) {
             if (record.key === configurationKey && record.value !== "") {
                 this.adoptConfiguration(record.value, "log");
@@ -273,7 +150,7 @@
         for (const { key, value } of page.records) {
             if (key === this.dependencies.address) {
                 this.publisher.setPublishedRecord(value);
-                this.refuteOwnRecord(value);
+                this.refuteRecord(value);
             }
             // An empty value means that the record of this address was removed.
             else if (value === "") {
@@ -285,6 +162,13 @@
         }
     }
 
+    /** Publishes this node's record as a newer one if another one of its address is around. */
+    private refuteRecord(text: string): void {
+        if (this.ownRecord.refute(text)) {
+            this.publishOwnRecord();
+        }
+    }
+
     private putRecord(text: string, source: RecordSource): void {
         const record = parseInstanceRecord(text);
         if (record === undefined) {
@@ -292,7 +176,7 @@
             return;
         }
         if (record.address === this.dependencies.address) {
-            this.refuteOwnRecord(text);
+            this.refuteRecord(text);
             return;
         }
         const isNew = this.registry.put(record);
@@ -321,9 +205,3 @@
         return result;
     }
 }
-
-function isSameDescription(description: InstanceDescription, record: InstanceRecord): boolean {
-    return description.address === record.address && description.port === record.port
-        && description.service === record.service && description.dataCentre === record.dataCentre
-        && description.slots === record.slots && description.isTaking === record.isTaking;
-}
