Load the metrics library when metrics are first read

The library for the Prometheus format was a seventh of the program's load. Change: samples wait, 10,000 at most, until the metrics are first read; then the library is loaded and counts them.

--- a/src/process/routedListeners.ts
+++ b/src/process/routedListeners.ts
@@ -70,9 +70,8 @@
     }
 
     private async serveMetrics(response: Parameters<RequestHandler>[1]): Promise<void> {
-        const { registry } = this.dependencies.metrics;
-        const text = await registry.metrics();
-        response.writeHead(200, { "content-type": registry.contentType });
+        const { contentType, text } = await this.dependencies.metrics.read();
+        response.writeHead(200, { "content-type": contentType });
         response.end(text);
     }
 }
--- a/src/process/routedMetrics.ts
+++ b/src/process/routedMetrics.ts
@@ -1,35 +1,76 @@
-/** Metrics of a routed node, in the Prometheus format. Label values are names from the configuration or come from fixed sets. */
-import { Counter, Histogram, Registry } from "prom-client";
-import { addGauge } from "./gauge.js";
+/**
+ * Metrics of a routed node. Label values are names from the configuration or come from fixed sets.
+ *
+ * The library for the Prometheus format takes a third of a node's own start, and many nodes are restarted before anybody
+ * reads their metrics. So it is loaded when they are first read, or when many requests wait to be counted.
+ */
+import type { PrometheusMetrics } from "./prometheusMetrics.js";
 
-/** Upper bounds of the buckets of request times, in seconds. */
-const secondsBuckets = [0.005, 0.025, 0.1, 0.25, 0.5, 1, 2.5, 5];
+/** Most requests that are held until the library is loaded. */
+const maxPendingSamples = 10_000;
+
+/** A request that has ended. */
+export interface RequestSample {
+    readonly route: string;
+    readonly outcome: string;
+    readonly cause: string;
+    /** Time from the request's headers to its final answer. */
+    readonly milliseconds: number;
+}
+
+/** A gauge whose value is read when the metrics are. */
+interface GaugeSource {
+    readonly name: string;
+    readonly help: string;
+    readonly read: () => number;
+}
+
+/** Text of the metrics and its content type. */
+export interface MetricsPage {
+    readonly contentType: string;
+    readonly text: string;
+}
 
 /** Metrics of one routed node. */
 export class RoutedMetrics {
-    readonly registry = new Registry();
-    private readonly requests = new Counter({
-        name: "turmericspoke_requests_total",
-        help: "Requests that entered at this node, by route, outcome and cause.",
-        labelNames: ["route", "outcome", "cause"] as const,
-        registers: [this.registry],
-    });
-    private readonly requestSeconds = new Histogram({
-        name: "turmericspoke_request_seconds",
-        help: "Time from a request's headers to its final answer.",
-        labelNames: ["outcome"] as const,
-        buckets: secondsBuckets,
-        registers: [this.registry],
-    });
+    private readonly gauges: GaugeSource[] = [];
+    private pendingSamples: RequestSample[] = [];
+    private loading: Promise<PrometheusMetrics> | undefined;
+    private loaded: PrometheusMetrics | undefined;
 
     /** Counts a request that has ended and records its duration. */
     recordRequestOutcome(route: string, outcome: string, cause: string, milliseconds: number): void {
-        this.requests.inc({ route, outcome, cause });
-        this.requestSeconds.observe({ outcome }, milliseconds / 1000);
+        const sample = { route, outcome, cause, milliseconds };
+        if (this.loaded !== undefined) {
+            this.loaded.recordRequest(sample);
+            return;
+        }
+        this.pendingSamples.push(sample);
+        if (this.pendingSamples.length >= maxPendingSamples) {
+            void this.load();
+        }
     }
 
-    /** Adds a gauge whose value is read when the metrics are. */
+    /** Adds a gauge whose value is read when the metrics are. Called before the first read. */
     addGauge(name: string, help: string, read: () => number): void {
-        addGauge(this.registry, name, help, read);
+        this.gauges.push({ name, help, read });
+    }
+
+    /** Reads all metrics. */
+    async read(): Promise<MetricsPage> {
+        const { registry } = await this.load();
+        return { contentType: registry.contentType, text: await registry.metrics() };
+    }
+
+    private load(): Promise<PrometheusMetrics> {
+        this.loading ??= import("./prometheusMetrics.js").then(module => {
+            const metrics = new module.PrometheusMetrics();
+            this.gauges.forEach(({ name, help, read }) => metrics.addGauge(name, help, read));
+            this.pendingSamples.forEach(sample => metrics.recordRequest(sample));
+            this.pendingSamples = [];
+            this.loaded = metrics;
+            return metrics;
+        });
+        return this.loading;
     }
 }
