--- a/standin/platformStore.ts
+++ b/standin/platformStore.ts
@@ -1,6 +1,7 @@
 /** Stand-in of the platform's store, in memory: keyed topics with appends, long reads and the newest record of each key. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
+import type { Socket } from "node:net";
 
 /** Faults that the stand-in can show. */
 export interface StoreFaults {
@@ -39,9 +40,15 @@
     readonly calls = new Map<string, number>();
     private readonly topics = new Map<string, Topic>();
     private readonly server: Server;
+    private readonly sockets = new Set<Socket>();
+    private readonly silentSockets = new WeakSet<Socket>();
 
     constructor(private readonly address: string, private readonly port: number) {
         this.server = createServer((request, response) => void this.serve(request, response));
+        this.server.on("connection", (socket: Socket) => {
+            this.sockets.add(socket);
+            socket.once("close", () => this.sockets.delete(socket));
+        });
     }
 
     async start(): Promise<void> {
@@ -73,6 +80,14 @@
         topic.waiters.splice(0).forEach(wake => wake());
     }
 
+    /** Connections that are open now carry nothing to callers any more, and are not closed either; new ones work. */
+    silenceConnections(): void {
+        for (const socket of this.sockets) {
+            socket.setTimeout(0);
+            this.silentSockets.add(socket);
+        }
+    }
+
     /** Copies all topics. */
     copy(): StoreCopy {
         return new Map([...this.topics].map(([name, { records, first }]) => [name, { records: [...records], first }]));
@@ -106,7 +121,7 @@
         }
         const { status, isSilent, addresses = [] } = this.faults;
         const isHit = addresses.length === 0 || addresses.includes(request.socket.remoteAddress ?? "");
-        if (isHit && isSilent === true) {
+        if ((isHit && isSilent === true) || this.silentSockets.has(request.socket)) {
             return;
         }
         if (isHit && status !== undefined) {
@@ -119,7 +134,7 @@
                 this.serveAppend(url, Buffer.concat(chunks), response);
                 return;
             case "/log-read":
-                await this.serveRead(topic, url, response);
+                await this.serveRead(topic, url, request.socket, response);
                 return;
             case "/log-newest":
                 this.serveNewest(topic, url, response);
@@ -138,7 +153,7 @@
         }
     }
 
-    private async serveRead(topic: Topic, url: URL, response: ServerResponse): Promise<void> {
+    private async serveRead(topic: Topic, url: URL, socket: Socket, response: ServerResponse): Promise<void> {
         const from = Number(url.searchParams.get("from"));
         if (from === topic.records.length) {
             await new Promise<void>(resolve => {
@@ -146,6 +161,9 @@
                 setTimeout(resolve, Number(url.searchParams.get("wait_ms") ?? 0)).unref();
             });
         }
+        if (this.silentSockets.has(socket)) {
+            return;
+        }
         if (from < topic.first || from > topic.records.length) {
             response.writeHead(410).end(JSON.stringify({ first: topic.first }));
             return;
--- a/test/routed/cluster.test.ts
+++ b/test/routed/cluster.test.ts
@@ -15,6 +15,8 @@
     shares: [{ service: "kas", weight: 1 }],
 });
 const routes = [page, advance];
+/** Time after a disturbance in which the platform's rules with a time bound don't hold, in milliseconds. */
+const stabilityWindowMs = 3000;
 
 /** Adds up how often an attempt ran. */
 function countRuns(cluster: PlatformCluster, attempt: string): number {
@@ -53,13 +55,17 @@
         cluster.store.put("keyed.op", "config", formatConfiguration(version, change));
         return version;
     };
-    const waitForVersion = (machine: Machine): Promise<void> =>
+    const waitForVersion = (machine: Machine, limitMs = 2000): Promise<void> =>
         waitFor(
             async () => (await machine.readMetrics()).includes(`configuration_version ${version}\n`),
-            2000,
+            limitMs,
             `version ${version} at ${machine.address}`,
         );
 
+    const waitForVersionEverywhere = async (limitMs?: number): Promise<void> => {
+        await Promise.all(cluster.machines.map(machine => waitForVersion(machine, limitMs)));
+    };
+
     it("serve a request through the nodes, with its calls, its body and the upstream's signature", async () => {
         const answer = await getPage(kas1!, "calm-page");
         const other = await postAdvance(katalog1!, "calm-advance");
@@ -202,7 +208,7 @@
     it("put a new version in force everywhere in time, also where the store turns a node away, and never go back", async () => {
         cluster.store.faults = { status: 503, addresses: [kas1!.address] };
         publish([...routes, createRoute({ name: "new", pathPrefix: "/new/" })]);
-        await Promise.all(cluster.machines.map(waitForVersion));
+        await waitForVersionEverywhere();
         cluster.store.put("keyed.op", "config", formatConfiguration(version - 1, routes));
         cluster.store.put("keyed.op", "config", "{\"version\":");
         await sleep(200);
@@ -218,14 +224,24 @@
         cluster.store.forgetHistory("keyed.op");
         cluster.store.forgetHistory("keyed.instances");
         publish(routes);
-        await Promise.all(cluster.machines.map(waitForVersion));
+        await waitForVersionEverywhere();
         expect((await getPage(kas1!, "after-history")).status).equals(200);
     });
 
+    it("put a new version in force before they count as in touch again when open connections to the store fall silent", async () => {
+        publish(routes);
+        await waitForVersionEverywhere();
+        // Each long poll has just begun, so none ends by itself for as long as a poll can wait.
+        await sleep(150);
+        cluster.store.silenceConnections();
+        publish([...routes, createRoute({ name: "silent", pathPrefix: "/silent/" })]);
+        await waitForVersionEverywhere(stabilityWindowMs);
+    });
+
     it("read again, write their records again and keep the version when the store comes back from an older copy", async () => {
         const copy = cluster.store.copy();
         publish([...routes, createRoute({ name: "newest", pathPrefix: "/newest/" })]);
-        await Promise.all(cluster.machines.map(waitForVersion));
+        await waitForVersionEverywhere();
         const { upstream } = kas1!;
         upstream.slots = 9;
         await upstream.sendHeartbeat();
@@ -235,9 +251,9 @@
         cluster.store.restore(copy);
         expect(holdsNewRecord()).equals(false);
         await waitFor(async () => holdsNewRecord(), 5000, "record written again");
-        await Promise.all(cluster.machines.map(waitForVersion));
+        await waitForVersionEverywhere();
         publish(routes);
-        await Promise.all(cluster.machines.map(waitForVersion));
+        await waitForVersionEverywhere();
         upstream.slots = 10;
         await upstream.sendHeartbeat();
         await waitFor(async () => !holdsNewRecord(), 3000, "record of the endpoint as before");
