--- a/src/connection/keyedLogFollower.ts
+++ b/src/connection/keyedLogFollower.ts
@@ -41,8 +41,12 @@
     private nextOffset: number | undefined;
     private era: LogEra | undefined;
     private consecutiveFailures = 0;
+    /** Time of the last answer on the monotonic clock, in milliseconds. */
+    private answeredAt: number;
 
-    constructor(private readonly dependencies: KeyedLogFollowerDependencies) {}
+    constructor(private readonly dependencies: KeyedLogFollowerDependencies) {
+        this.answeredAt = dependencies.clock.readMonotonic();
+    }
 
     /** Whether a read has succeeded. */
     hasRead(): boolean {
@@ -117,7 +121,8 @@
     }
 
     private recordSuccess(): void {
-        const { logger, topic } = this.dependencies;
+        const { clock, logger, topic } = this.dependencies;
+        this.answeredAt = clock.readMonotonic();
         if (this.consecutiveFailures > 0) {
             logger.info("logRegained", { topic, failures: this.consecutiveFailures });
         }
@@ -133,7 +138,8 @@
         }
         this.consecutiveFailures += 1;
         if (this.consecutiveFailures === 1) {
-            logger.warn("logLost", { topic, ...describeKeyedLogError(error), from: this.nextOffset });
+            const sinceAnswerMs = Math.round(clock.readMonotonic() - this.answeredAt);
+            logger.warn("logLost", { topic, ...describeKeyedLogError(error), from: this.nextOffset, sinceAnswerMs });
         }
         const maxDelayMs = Math.min(maxBackoffMs, minBackoffMs * 2 ** this.consecutiveFailures);
         await clock.sleep(maxDelayMs * (0.5 + random() / 2), signal);
