--- a/src/connection/keyedLogFollower.ts
+++ b/src/connection/keyedLogFollower.ts
@@ -117,7 +117,7 @@
      * older copy that ends just at this offset, which only an answer shows.
      */
     private chooseWaitMs(random: Random): number {
-        return this.consecutiveFailures > 0 ? 0 : this.dependencies.maxWaitMs * (0.5 + random() / 2);
+        return this.consecutiveFailures > 0 ? 0 : this.dependencies.maxWaitMs * (0.8 + random() / 5);
     }
 
     private recordSuccess(): void {
--- a/src/process/logReading.ts
+++ b/src/process/logReading.ts
@@ -18,8 +18,11 @@
 } as const;
 /** Delay after a read of instance records, so that the next read returns several at once, in milliseconds. */
 const instanceBatchDelayMs = 300;
-/** Longest wait for a new configuration, in milliseconds. The log may turn away all readers without a sign. */
-const maxConfigurationWaitMs = 4000;
+/**
+ * Longest wait for a new configuration, in milliseconds. A connection to the log can fall silent without a sign, at all
+ * readers at once, and a new version that was appended since must still be in force in time.
+ */
+const maxConfigurationWaitMs = 1200;
 /** Longest wait for a changed instance record, in milliseconds. */
 const maxInstanceWaitMs = 16_000;
 /** Time after a first start in which the other nodes append their records, in milliseconds. */
