Test that an upstream gets no work once its answers say that it leaves

Cause suspected: what an upstream says in its answers is not read, and a node that restarts forgets what it heard.

--- a/standin/platformUpstream.ts
+++ b/standin/platformUpstream.ts
@@ -44,6 +44,8 @@
     runMs: number;
     /** Slots that it reports. */
     slots: number;
+    /** Whether its answers say that it leaves; its heartbeats and health checks don't. */
+    saysInAnswersThatItLeaves = false;
     id: string;
     private state: "ready" | "draining" = "ready";
     private number = 0;
@@ -117,7 +119,10 @@
             }).end();
             return;
         }
-        const echo = { "Attempt-Id": String(attempt) };
+        const echo = {
+            "Attempt-Id": String(attempt),
+            ...(this.saysInAnswersThatItLeaves ? { "Server-Leaving": "1" } : {}),
+        };
         if (expected !== undefined && expected !== this.id) {
             response.writeHead(421, { ...echo, "Upstream-Instance": this.id }).end();
             return;
--- a/test/routed/cluster.test.ts
+++ b/test/routed/cluster.test.ts
@@ -2,6 +2,7 @@
 import { expect } from "chai";
 import type { CallerAnswer, Machine } from "../../standin/platformCluster.js";
 import { PlatformCluster } from "../../standin/platformCluster.js";
+import type { StoreFaults } from "../../standin/platformStore.js";
 import { sleep, waitFor } from "../../standin/processes.js";
 import { createRoute, formatConfiguration } from "./samples.js";
 
@@ -286,6 +287,66 @@
         );
     });
 
+    it("give no more work to an upstream whose answers say that it leaves", async () => {
+        const { upstream } = kas1!;
+        upstream.saysInAnswersThatItLeaves = true;
+        for (let index = 0; index < 8; index += 1) {
+            await postAdvance(kas1!, `until-told${index}`);
+        }
+        const told = upstream.runs.length;
+        expect(upstream.runs[told - 1]).contains("until-told");
+        for (const machine of cluster.machines) {
+            expect((await postAdvance(machine, `told-${machine.address}`)).status).equals(200);
+        }
+        expect(upstream.runs.length).equals(told);
+    });
+
+    const restartCases: readonly { readonly name: string; readonly faults: StoreFaults; }[] = [
+        {
+            name: "give no work to an upstream that leaves after its node was restarted, though it reports late",
+            faults: {},
+        },
+        {
+            name: "give no work to an upstream that leaves after its node was restarted while the store is away",
+            faults: { isSilent: true },
+        },
+    ];
+    for (const { name, faults } of restartCases) {
+        it(name, async () => {
+            const { upstream } = kas1!;
+            const told = upstream.runs.length;
+            cluster.store.faults = faults;
+            await kas1!.endNode("SIGKILL");
+            kas1!.startNode();
+            await waitFor(() => kas1!.isReady(), 6000, "restarted node");
+            await waitFor(() => upstream.sendHeartbeat(), 2000, "report that it is ready");
+            for (const machine of cluster.machines) {
+                for (let index = 0; index < 3; index += 1) {
+                    await postAdvance(machine, `restarted${index}-${machine.address}`);
+                }
+            }
+            cluster.store.faults = {};
+            expect(upstream.runs.length).equals(told);
+        });
+    }
+
+    it("give work to the successor of an upstream that left", async () => {
+        const { upstream } = kas1!;
+        const told = upstream.runs.length;
+        upstream.endAbruptly();
+        upstream.saysInAnswersThatItLeaves = false;
+        await upstream.start();
+        await cluster.waitForInstances();
+        await waitFor(
+            async () => {
+                await postAdvance(kas1!, `heir${Math.random()}`);
+                return upstream.runs.length > told;
+            },
+            3000,
+            "work at the successor",
+        );
+    });
+
     it("find their upstream by its own answer when a late report names an old incarnation", async () => {
         const { upstream } = kas2!;
         await kas2!.endNode("SIGKILL");
