Give no more work to an endpoint whose answers say that it leaves

Cause: an endpoint may say it in its answers only; the header was passed on to the caller and not read. Change: the node beside the endpoint, which alone reaches it, takes the answer for its word and announces that at once, before the answer goes on.

--- a/src/process/endpointRunner.ts
+++ b/src/process/endpointRunner.ts
@@ -52,6 +52,8 @@
     readonly runs: RunsInProgress;
     readonly quarantine: Quarantine;
     readonly crashes: Pick<CrashDetector, "recordLost">;
+    /** Called with the id of an endpoint's process that leaves, as its answers say; also repeatedly. */
+    readonly recordLeaving: (endpointId: string) => void;
     /** Whether this node is stopping and gives the endpoint no more work. */
     readonly isEndpointClosed: () => boolean;
     /** Whether this node is stable: it has run for a while and is not about to stop. */
@@ -207,13 +209,34 @@
         return this.readResult(request, result, startedAt, run);
     }
 
-    private send(request: RunRequest, timeLeftMs: number, cancellation: Cancellation): Promise<SendResult> {
+    private async send(
+        request: RunRequest,
+        timeLeftMs: number,
+        cancellation: Cancellation,
+    ): Promise<SendResult> {
         const { dialect, pool, endpoint } = this.dependencies;
         const { method, path, body, attemptId, callerService } = request;
         const endpointId = endpoint.getIncarnationId();
         const runHeaders = dialect.createRunHeaders({ attemptId, timeLeftMs, callerService, endpointId });
         const headers = [...request.headers, ...runHeaders];
-        return pool.send({ method, path, headers, body, attemptId }, request.isIdempotent, cancellation);
+        const result = await pool.send(
+            { method, path, headers, body, attemptId },
+            request.isIdempotent,
+            cancellation,
+        );
+        this.recordIfLeaving(result, endpointId);
+        return result;
+    }
+
+    /** Records that the endpoint leaves if its answer says so. Only another one than it was sent to names itself. */
+    private recordIfLeaving(result: SendResult, sentTo: string | undefined): void {
+        if (result.kind !== "answered" || !result.answer.metadata.isLeaving) {
+            return;
+        }
+        const endpointId = result.answer.metadata.endpointId ?? (result.answer.status === 421 ? undefined : sentTo);
+        if (endpointId !== undefined) {
+            this.dependencies.recordLeaving(endpointId);
+        }
     }
 
     /**
--- a/src/process/endpointState.ts
+++ b/src/process/endpointState.ts
@@ -2,7 +2,7 @@
  * State of the local endpoint from its own reports and answers: incarnation, concurrency slots and whether it leaves.
  *
  * Reports are ordered within an incarnation by their number. A late report of an incarnation that was replaced does not
- * make it current again. Once an incarnation has reported that it drains or leaves, it gets no more requests.
+ * make it current again. Once an incarnation has stated that it drains or leaves, it gets no more requests.
  */
 import type { Clock } from "./clock.js";
 
@@ -111,6 +111,20 @@
         return wasLeaving ? "unchanged" : "changed";
     }
 
+    /**
+     * Records that an incarnation leaves, as one of its answers says. It doesn't become the current one by that; if it isn't,
+     * the result is `stale`.
+     */
+    recordLeaving(id: string): ReportResult {
+        const incarnation = this.incarnations.get(id) ?? this.addIncarnation(id);
+        const wasLeaving = incarnation.isLeaving;
+        incarnation.isLeaving = true;
+        if (incarnation !== this.current) {
+            return "stale";
+        }
+        return wasLeaving ? "unchanged" : "changed";
+    }
+
     /** Makes the incarnation that answered a request or health check the current one; false if it already was. */
     learnIncarnation(id: string, slots: number | undefined): boolean {
         const incarnation = this.incarnations.get(id) ?? this.addIncarnation(id);
--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -259,6 +259,7 @@
                 isEndpointRunning: () => isEndpointRunning(host, port),
                 reportToPeers: (fingerprints, incident) => this.crashFlood.report({ fingerprints, incident }),
             }),
+            recordLeaving: id => this.applyReportResult(this.endpoint.recordLeaving(id), id, "leaving"),
             isEndpointClosed: () => this.isEndpointClosed,
             isSettled: () => this.isSettled(),
         });
@@ -397,7 +398,7 @@
         this.applyReportResult(this.endpoint.applyReport(report), report.id, report.state);
     }
 
-    /** Logs a change of the endpoint that it has reported, and tells the other nodes of it. */
+    /** Logs a change of the endpoint that it has stated, and tells the other nodes of it. */
     private applyReportResult(result: ReportResult, id: string, state: string): void {
         if (result === "unchanged" || result === "stale") {
             return;
--- a/src/request/dialect.ts
+++ b/src/request/dialect.ts
@@ -44,6 +44,8 @@
     readonly isNotRun: boolean;
     /** Id of the endpoint's process that answered, if stated. */
     readonly endpointId: string | undefined;
+    /** Whether the endpoint states that it leaves. */
+    readonly isLeaving: boolean;
     readonly load: EndpointLoad | undefined;
 }
 
