Remember over a node's restart that its endpoint leaves

Callers see: requests reach an upstream that has said that it leaves, after the node beside it was restarted. Cause: only the process that heard it knew. A restarted node believed a late report, an endpoint that goes on saying ready after its leave message, or its health check. Change: the instance record names the endpoint's process that leaves; it is announced on all links before the answer that said so goes on, a later record of the same address doesn't lose it, and each request names it to the node that would run it. A restarted node reads its record from the log or hears it from another node before its endpoint gets work and before it says that it is ready, 1 s at most. A request message without the new field is taken, so that nodes of both builds work together in this.

--- a/src/connection/link.ts
+++ b/src/connection/link.ts
@@ -202,6 +202,7 @@
         timeLeftMs: request.deadline - now,
         targetLeftMs: request.target - now,
         callerService: request.callerService,
+        leavingEndpoint: request.leavingEndpoint,
     };
 }
 
--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -52,6 +52,8 @@
     readonly targetLeftMs: number;
     /** Service of the instance whose node sends the request. */
     readonly callerService: string;
+    /** Endpoint's process at the receiver that the sender knows to leave; it must not run the request. */
+    readonly leavingEndpoint: string | undefined;
 }
 
 /** What a node has of the keyed log. */
@@ -142,6 +144,7 @@
         "timeLeftMs",
         "targetLeftMs",
         "callerService",
+        "leavingEndpoint",
     ],
     answer: ["id", "status", "headers", "body", "runMs", "waitedMs", "behind", "pressure", "load"],
     refused: ["id", "cause", "retryAfterMs", "load"],
@@ -157,6 +160,9 @@
     crashes: ["fingerprints", "incident"],
 };
 
+/** Number of the last fields of a kind that a message of an earlier build lacks. */
+const optionalFieldsByKind: { readonly [Kind in LinkMessage["kind"]]?: number; } = { run: 1 };
+
 /** Maximum size of a message, in bytes. */
 const maxMessageBytes = 80_000_000;
 const packr = new Packr({ useRecords: false });
@@ -238,12 +244,12 @@
         return undefined;
     }
     const fields = fieldsByKind[kind];
-    if (items.length < fields.length + 1) {
+    if (items.length < fields.length + 1 - (optionalFieldsByKind[kind] ?? 0)) {
         return undefined;
     }
     const message: Record<string, unknown> = { kind };
     fields.forEach((field, index) => {
-        message[field] = decodeField(field, items[index + 1]);
+        message[field] = decodeField(field, items[index + 1] ?? undefined);
     });
     return message as unknown as LinkMessage;
 }
--- a/src/process/clusterState.ts
+++ b/src/process/clusterState.ts
@@ -48,6 +48,8 @@
     readonly ping: (address: string) => void;
     /** Sends a message on the link to an address. */
     readonly post: (address: string, message: LinkMessage) => void;
+    /** Called with the endpoint's process that a record of this address says to leave. */
+    readonly recordLeavingEndpoint: (endpointId: string) => void;
     /** Called with each well-formed record of another instance, also when it changes nothing. */
     readonly handleInstanceRecord: (record: InstanceRecord) => void;
 }
@@ -61,6 +63,7 @@
     private readonly readers: LogReaders;
     private readonly reading: LogReading;
     private readonly ownRecord: OwnInstanceRecord;
+    private hasHeardOfItself = false;
 
     constructor(private readonly dependencies: ClusterStateDependencies) {
         const { clock, random, logger, log, address, dataCentre, isFirstStart, isReachable } = dependencies;
@@ -120,6 +123,11 @@
         };
     }
 
+    /** Whether it is known what earlier processes of this node published, from the log or from another node. */
+    hasOwnRecord(): boolean {
+        return this.reading.hasReadInstances() || this.hasHeardOfItself;
+    }
+
     /** Addresses of the readers of the log with which this node keeps in contact. */
     listReaders(): string[] {
         return this.readers.listContacts();
@@ -162,8 +170,16 @@
         }
     }
 
-    /** Publishes this node's record as a newer one if another one of its address is around. */
+    /**
+     * Publishes this node's record as a newer one if another one of its address is around. What an earlier process of
+     * this node knew of a leaving endpoint stays known.
+     */
     private refuteRecord(text: string): void {
+        this.hasHeardOfItself = true;
+        const leavingEndpoint = parseInstanceRecord(text)?.leavingEndpoint;
+        if (leavingEndpoint !== undefined) {
+            this.dependencies.recordLeavingEndpoint(leavingEndpoint);
+        }
         if (this.ownRecord.refute(text)) {
             this.publishOwnRecord();
         }
--- a/src/process/endpointRunner.ts
+++ b/src/process/endpointRunner.ts
@@ -52,8 +52,10 @@
     readonly runs: RunsInProgress;
     readonly quarantine: Quarantine;
     readonly crashes: Pick<CrashDetector, "recordLost">;
-    /** Called with the id of an endpoint's process that leaves, as its answers say; also repeatedly. */
+    /** Called with the id of an endpoint's process that leaves, as its answers or other nodes say; also repeatedly. */
     readonly recordLeaving: (endpointId: string) => void;
+    /** Whether it is known what earlier processes of this node knew of the endpoint. */
+    readonly isRecovered: () => boolean;
     /** Whether this node is stopping and gives the endpoint no more work. */
     readonly isEndpointClosed: () => boolean;
     /** Whether this node is stable: it has run for a while and is not about to stop. */
@@ -96,6 +98,9 @@
     async run(request: RunRequest, cancellation: Cancellation): Promise<RunOutcome> {
         const { clock } = this.dependencies;
         const arrivedAt = clock.readMonotonic();
+        if (request.leavingEndpoint !== undefined) {
+            this.dependencies.recordLeaving(request.leavingEndpoint);
+        }
         const unavailableCause = request.service === this.dependencies.service
             ? this.findUnavailableCause()
             : "wrongService";
@@ -133,7 +138,11 @@
     }
 
     private findUnavailableCause(): RefusalCause | undefined {
-        return this.dependencies.isEndpointClosed() ? "leaving" : this.dependencies.endpoint.findRefusalReason();
+        const { endpoint, isEndpointClosed, isRecovered } = this.dependencies;
+        if (isEndpointClosed()) {
+            return "leaving";
+        }
+        return isRecovered() ? endpoint.findRefusalReason() : "notKnown";
     }
 
     private updateLimit(): number {
--- a/src/process/endpointState.ts
+++ b/src/process/endpointState.ts
@@ -43,6 +43,7 @@
 export class EndpointState {
     private readonly incarnations = new Map<string, Incarnation>();
     private current: Incarnation | undefined;
+    private leavingId: string | undefined;
     /** Monotonic time in milliseconds until which no requests are sent after a refused connection. */
     private unreachableUntil = 0;
 
@@ -53,6 +54,14 @@
         return this.current?.id;
     }
 
+    /**
+     * Incarnation that was last known to leave; `undefined` if none is. It stays so when another one takes its place, so
+     * that a later process of this node doesn't take it for current again.
+     */
+    getLeavingId(): string | undefined {
+        return this.leavingId;
+    }
+
     /** Concurrency slots of the endpoint; 0 while not known. */
     getSlots(): number {
         return this.current?.slots ?? 0;
@@ -80,7 +89,9 @@
         const slotsBefore = incarnation.slots;
         incarnation.reportNumber = report.reportNumber;
         incarnation.slots = report.slots;
-        incarnation.isLeaving ||= report.state === "draining";
+        if (report.state === "draining") {
+            this.markLeaving(incarnation);
+        }
         if (incarnation.isReplaced) {
             return "stale";
         }
@@ -100,7 +111,7 @@
     applyLeave(id: string): ReportResult {
         const incarnation = this.incarnations.get(id) ?? this.addIncarnation(id);
         const wasLeaving = incarnation.isLeaving;
-        incarnation.isLeaving = true;
+        this.markLeaving(incarnation);
         if (this.current === undefined) {
             this.setCurrent(incarnation);
         }
@@ -112,13 +123,13 @@
     }
 
     /**
-     * Records that an incarnation leaves, as one of its answers says. It doesn't become the current one by that; if it isn't,
-     * the result is `stale`.
+     * Records that an incarnation leaves, as one of its answers or another node says. It doesn't become the current one
+     * by that; if it isn't, the result is `stale`.
      */
     recordLeaving(id: string): ReportResult {
         const incarnation = this.incarnations.get(id) ?? this.addIncarnation(id);
         const wasLeaving = incarnation.isLeaving;
-        incarnation.isLeaving = true;
+        this.markLeaving(incarnation);
         if (incarnation !== this.current) {
             return "stale";
         }
@@ -143,12 +154,22 @@
         this.unreachableUntil = this.clock.readMonotonic() + connectionRefusedBackoffMs;
     }
 
+    private markLeaving(incarnation: Incarnation): void {
+        incarnation.isLeaving = true;
+        if (incarnation === this.current || this.leavingId === undefined) {
+            this.leavingId = incarnation.id;
+        }
+    }
+
     private setCurrent(incarnation: Incarnation): void {
         if (this.current !== undefined) {
             this.current.isReplaced = true;
         }
         incarnation.isReplaced = false;
         this.current = incarnation;
+        if (incarnation.isLeaving) {
+            this.leavingId = incarnation.id;
+        }
         this.unreachableUntil = 0;
     }
 
--- a/src/process/instanceRegistry.ts
+++ b/src/process/instanceRegistry.ts
@@ -21,7 +21,9 @@
         if (before !== undefined && before.revision >= record.revision) {
             return false;
         }
-        this.records.set(record.address, record);
+        // A restarted node may not know yet what its earlier process knew of a leaving endpoint.
+        const { leavingEndpoint = before?.leavingEndpoint } = record;
+        this.records.set(record.address, { ...record, leavingEndpoint });
         this.byService.clear();
         this.changes += 1;
         return true;
@@ -39,6 +41,11 @@
         return this.records.get(address);
     }
 
+    /** Id of the endpoint's process at an address that was last known to leave. */
+    findLeavingEndpoint(address: string): string | undefined {
+        return this.records.get(address)?.leavingEndpoint;
+    }
+
     /** Lists all records. */
     list(): InstanceRecord[] {
         return [...this.records.values()];
--- a/src/process/logReading.ts
+++ b/src/process/logReading.ts
@@ -99,6 +99,11 @@
         return this.knownEra;
     }
 
+    /** Whether the records of all instances were read once. */
+    hasReadInstances(): boolean {
+        return this.instanceFollower.hasRead();
+    }
+
     /** Whether this node follows the log, and its last read of the configuration succeeded. */
     isFollowing(): boolean {
         return this.isFollowingInstances && this.configurationFollower.isHealthy();
--- a/src/process/ownInstanceRecord.ts
+++ b/src/process/ownInstanceRecord.ts
@@ -41,5 +41,6 @@
 function isSameDescription(description: InstanceDescription, record: InstanceRecord): boolean {
     return description.address === record.address && description.port === record.port
         && description.service === record.service && description.dataCentre === record.dataCentre
-        && description.slots === record.slots && description.isTaking === record.isTaking;
+        && description.slots === record.slots && description.isTaking === record.isTaking
+        && description.leavingEndpoint === record.leavingEndpoint;
 }
--- a/src/process/remoteRuns.ts
+++ b/src/process/remoteRuns.ts
@@ -117,6 +117,7 @@
             deadline: now + message.timeLeftMs,
             target: now + message.targetLeftMs,
             callerService: message.callerService,
+            leavingEndpoint: message.leavingEndpoint,
         };
     }
 }
--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -46,6 +46,10 @@
 const waitPollMs = 50;
 /** Time after a restart for which other nodes prefer other instances, in milliseconds. */
 const stabilisationMs = 3500;
+/** Longest time after a restart in which the endpoint gets no requests for want of the records from before, in milliseconds. */
+const maxRecoveryMs = 1000;
+/** Interval at which the end of that wait is checked, in milliseconds. */
+const recoveryPollMs = 20;
 /** Time between removals of the expired outcomes of runs for other nodes, in milliseconds. */
 const housekeepingIntervalMs = 1000;
 /**
@@ -91,6 +95,8 @@
     /** Time of the start on the monotonic clock, in milliseconds. */
     private readonly startedAt: number;
     private graceMs: number;
+    /** Whether it is known what earlier processes of this node knew of the endpoint. */
+    private isRecovered: boolean;
     private isStopping = false;
     /** Whether the endpoint gets no new runs, since this process ends soon. */
     private isEndpointClosed = false;
@@ -104,6 +110,7 @@
         const { address, dataCentre, bounds, endpoint } = settings;
         this.graceMs = bounds.graceSeconds * 1000;
         this.startedAt = clock.readMonotonic();
+        this.isRecovered = settings.isFirstStart;
         // One task for each peer listens to this signal, more than the default limit of listeners allows.
         setMaxListeners(0, this.stopController.signal);
         this.incarnation = Math.floor(clock.readDate().getTime() * 1000 + Math.random() * 1000);
@@ -140,6 +147,7 @@
             isReachable,
             ping: peer => void this.links.ping(peer),
             post: (peer, message) => this.links.post(peer, message),
+            recordLeavingEndpoint: id => this.recordLeavingEndpoint(id),
             handleInstanceRecord: record => this.links.add(record),
         });
         const { configurationHolder, registry } = this.clusterState;
@@ -181,7 +189,7 @@
         void this.pool.runPruning(signal);
         void this.runHousekeeping(signal);
         if (!isFirstStart) {
-            void this.learnEndpointIncarnation(signal);
+            void this.restoreEndpointState(signal);
         }
         this.logger.info("started", { machine, service, address, incarnation: this.incarnation, isFirstStart });
     }
@@ -235,7 +243,10 @@
         if (this.isStopping) {
             return "stopping";
         }
-        return this.clusterState.configurationHolder.getVersion() < 0 ? "no configuration is known" : undefined;
+        if (this.clusterState.configurationHolder.getVersion() < 0) {
+            return "no configuration is known";
+        }
+        return this.isRecovered ? undefined : "the own record is not read";
     }
 
     private createRunner(): EndpointRunner {
@@ -259,7 +270,8 @@
                 isEndpointRunning: () => isEndpointRunning(host, port),
                 reportToPeers: (fingerprints, incident) => this.crashFlood.report({ fingerprints, incident }),
             }),
-            recordLeaving: id => this.applyReportResult(this.endpoint.recordLeaving(id), id, "leaving"),
+            recordLeaving: id => this.recordLeavingEndpoint(id),
+            isRecovered: () => this.isRecovered,
             isEndpointClosed: () => this.isEndpointClosed,
             isSettled: () => this.isSettled(),
         });
@@ -291,7 +303,15 @@
                 placement,
                 instanceSelector: this.createInstanceSelector(),
                 retryBudget,
-                sender: new Sender({ clock, address, service, placement, links, runner }),
+                sender: new Sender({
+                    clock,
+                    address,
+                    service,
+                    placement,
+                    links,
+                    runner,
+                    findLeavingEndpoint: peer => registry.findLeavingEndpoint(peer),
+                }),
             }),
             runs,
             entryThrottle: new EntryThrottle(clock, Math.random),
@@ -390,6 +410,7 @@
             service,
             dataCentre,
             slots: this.endpoint.getSlots(),
+            leavingEndpoint: this.endpoint.getLeavingId(),
             isTaking: this.endpoint.getIncarnationId() !== undefined && this.endpoint.findRefusalReason() !== "leaving",
         };
     }
@@ -398,6 +419,10 @@
         this.applyReportResult(this.endpoint.applyReport(report), report.id, report.state);
     }
 
+    private recordLeavingEndpoint(id: string): void {
+        this.applyReportResult(this.endpoint.recordLeaving(id), id, "leaving");
+    }
+
     /** Logs a change of the endpoint that it has stated, and tells the other nodes of it. */
     private applyReportResult(result: ReportResult, id: string, state: string): void {
         if (result === "unchanged" || result === "stale") {
@@ -412,6 +437,24 @@
         }
         this.clusterState.publishOwnRecord();
         this.announceLoad();
+        if (this.endpoint.findRefusalReason() === "leaving") {
+            // A node that passes on an answer of this endpoint has to know before that the endpoint leaves.
+            this.linkServer.postToAll({ kind: "instances", records: [this.clusterState.formatOwnRecord()] });
+        }
+    }
+
+    /**
+     * After a restart of the node, waits until its records from before are read, from the log or from another node. They
+     * may say that the endpoint leaves, which its late reports and its health check don't. If nobody can be heard, the wait ends.
+     */
+    private async restoreEndpointState(signal: AbortSignal): Promise<void> {
+        const giveUpAt = this.startedAt + maxRecoveryMs;
+        while (!this.clusterState.hasOwnRecord() && this.clock.readMonotonic() < giveUpAt && !signal.aborted) {
+            await this.clock.sleep(recoveryPollMs, signal);
+        }
+        this.isRecovered = true;
+        this.announceLoad();
+        await this.learnEndpointIncarnation(signal);
     }
 
     /**
--- a/src/request/runRequest.ts
+++ b/src/request/runRequest.ts
@@ -14,6 +14,8 @@
     readonly isIdempotent: boolean;
     /** Service of the request's entry node. For a call that a run makes, this is the calling service. */
     readonly callerService: string;
+    /** Endpoint's process that the sender knows to leave; it must not run the request. */
+    readonly leavingEndpoint: string | undefined;
     readonly origin: Origin;
     /** Time after which the answer is of no use to the caller. */
     readonly deadline: number;
--- a/src/request/sender.ts
+++ b/src/request/sender.ts
@@ -55,6 +55,8 @@
     readonly placement: Placement;
     readonly links: PeerLinks;
     readonly runner: EndpointRunner;
+    /** Returns the endpoint's process at an address that was last known to leave. */
+    readonly findLeavingEndpoint: (address: string) => string | undefined;
 }
 
 /** Sends requests to instances, with hedging. */
@@ -152,7 +154,7 @@
         progress: SendProgress,
     ): Promise<RunOutcome> {
         const { runner, placement, address } = this.dependencies;
-        const outcome = await runner.run(this.createRunRequest(call, progress), cancellation);
+        const outcome = await runner.run(this.createRunRequest(address, call, progress), cancellation);
         placement.recordLoad(address, runner.getLoad());
         return outcome;
     }
@@ -165,7 +167,7 @@
     ): Promise<RunOutcome> {
         const outcome = await this.dependencies.links.run(
             instance.address,
-            this.createRunRequest(call, progress),
+            this.createRunRequest(instance.address, call, progress),
             cancellation,
         );
         switch (outcome.kind) {
@@ -179,7 +181,7 @@
         }
     }
 
-    private createRunRequest(call: RoutedCall, progress: SendProgress): PeerRunRequest {
+    private createRunRequest(address: string, call: RoutedCall, progress: SendProgress): PeerRunRequest {
         const { origin, route } = call;
         return {
             attemptId: call.attemptId,
@@ -192,6 +194,7 @@
             body: call.body,
             isIdempotent: route.repetition === "idempotent",
             callerService: this.dependencies.service,
+            leavingEndpoint: this.dependencies.findLeavingEndpoint(address),
             origin: progress.runs > 0 ? { ...origin, isRepeated: true } : origin,
             deadline: call.deadline,
             target: call.target,
--- a/src/version/instanceRecord.ts
+++ b/src/version/instanceRecord.ts
@@ -16,6 +16,8 @@
     slots: createIntegerSchema(0, 1_000_000),
     /** Whether the endpoint accepts requests. */
     isTaking: v.boolean(),
+    /** Id of the endpoint's process that was last known to leave; it gets no requests any more. */
+    leavingEndpoint: v.optional(shortTextSchema),
     /** Rises with each change of the record, also over restarts of the node. */
     revision: v.optional(createIntegerSchema(0, Number.MAX_SAFE_INTEGER), 0),
 });
--- a/test/routed/linkMessage.test.ts
+++ b/test/routed/linkMessage.test.ts
@@ -1,6 +1,7 @@
 /** Messages between nodes: what is sent arrives, in whatever pieces; what is no message is told apart. */
 import { expect } from "chai";
 import fc from "fast-check";
+import { Packr } from "msgpackr";
 import type { LinkMessage } from "../../src/connection/linkMessage.js";
 import { encodeMessage, MessageReader } from "../../src/connection/linkMessage.js";
 import { readPropertyOptions } from "../fakes.js";
@@ -24,6 +25,7 @@
         timeLeftMs: 812.5,
         targetLeftMs: -3,
         callerService: "ekspor",
+        leavingEndpoint: "i-7",
     },
     {
         kind: "answer",
@@ -69,6 +71,15 @@
         );
     });
 
+    it("of an earlier build, which lack the newest field, are taken", () => {
+        const packr = new Packr({ useRecords: false });
+        const items = packr.unpack(encodeMessage(samples[0]!).subarray(4)) as unknown[];
+        const packed = packr.pack(items.slice(0, -1));
+        const framed = Buffer.concat([Buffer.alloc(4), packed]);
+        framed.writeUInt32BE(packed.length, 0);
+        expect(new MessageReader().read(framed)).deep.equals([{ ...samples[0]!, leavingEndpoint: undefined }]);
+    });
+
     it("that are malformed never fail the reader", () => {
         fc.assert(
             fc.property(fc.uint8Array({ maxLength: 200 }), bytes => {
--- a/test/routed/links.test.ts
+++ b/test/routed/links.test.ts
@@ -167,6 +167,7 @@
                 deadline: now + 4000,
                 target: now + 4000,
                 callerService: "ekspor",
+                leavingEndpoint: undefined,
             };
             const running = links.run(address, run, new Cancellation());
             await sleep(200);
