--- a/standin/platformUpstream.ts
+++ b/standin/platformUpstream.ts
@@ -46,6 +46,8 @@
     slots: number;
     /** Whether its answers say that it leaves; its heartbeats and health checks don't. */
     saysInAnswersThatItLeaves = false;
+    /** Requests a second that its answers say it takes; `undefined` if they name no limit. */
+    namedLimit: number | undefined;
     id: string;
     private state: "ready" | "draining" = "ready";
     private number = 0;
@@ -119,10 +121,7 @@
             }).end();
             return;
         }
-        const echo = {
-            "Attempt-Id": String(attempt),
-            ...(this.saysInAnswersThatItLeaves ? { "Server-Leaving": "1" } : {}),
-        };
+        const echo = { "Attempt-Id": String(attempt), ...this.createStateHeaders() };
         if (expected !== undefined && expected !== this.id) {
             response.writeHead(421, { ...echo, "Upstream-Instance": this.id }).end();
             return;
@@ -140,6 +139,13 @@
         await this.run(String(attempt), echo, Buffer.concat(chunks), response);
     }
 
+    private createStateHeaders(): Record<string, string> {
+        return {
+            ...(this.saysInAnswersThatItLeaves ? { "Server-Leaving": "1" } : {}),
+            ...(this.namedLimit === undefined ? {} : { "Server-Limit": String(this.namedLimit) }),
+        };
+    }
+
     private async run(
         attempt: string,
         echo: Record<string, string>,
--- a/test/routed/cluster.test.ts
+++ b/test/routed/cluster.test.ts
@@ -347,6 +347,42 @@
         );
     });
 
+    /** Sends advances from all machines for a while and returns the share that is served. */
+    const sendSteadily = async (name: string, perSecond: number, seconds: number): Promise<number> => {
+        const answers: Promise<CallerAnswer>[] = [];
+        for (let index = 0; index < perSecond * seconds; index += 1) {
+            answers.push(postAdvance(cluster.machines[index % cluster.machines.length]!, `${name}${index}`));
+            await sleep(1000 / perSecond);
+        }
+        const served = (await Promise.all(answers)).filter(answer => answer.status === 200);
+        return served.length / answers.length;
+    };
+
+    it("send an upstream no more than the limit that its answers name, also after its node was restarted", async () => {
+        const { upstream } = kas1!;
+        upstream.namedLimit = 5;
+        const allowedIn4Seconds = 1.5 * 4 * upstream.namedLimit + 5;
+        await sendSteadily("told", 50, 1);
+        let before = upstream.runs.length;
+        expect(await sendSteadily("limited", 50, 4)).above(0.95);
+        expect(upstream.runs.length - before).within(10, allowedIn4Seconds);
+        before = upstream.runs.length;
+        await kas1!.endNode("SIGKILL");
+        kas1!.startNode();
+        await waitFor(() => kas1!.isReady(), 5000, "restarted node");
+        expect(await sendSteadily("limitedAgain", 50, 3)).above(0.95);
+        expect(upstream.runs.length - before).at.most(allowedIn4Seconds);
+    });
+
+    it("send an upstream more again once its answers name no limit any more", async () => {
+        const { upstream } = kas1!;
+        upstream.namedLimit = undefined;
+        await sendSteadily("lifting", 50, 2);
+        const before = upstream.runs.length;
+        await sendSteadily("lifted", 50, 2);
+        expect(upstream.runs.length - before).above(25);
+    });
+
     it("find their upstream by its own answer when a late report names an old incarnation", async () => {
         const { upstream } = kas2!;
         await kas2!.endNode("SIGKILL");
