Send an endpoint no more than the limit that its answers name

Cause: nobody read the limit. Change: the node beside the endpoint, which alone reaches it, paces the runs to what its answers name, for as long as they do; what can't wait that long is refused at once and placed elsewhere by its entry. Other nodes hear that less may be in progress there. The limit is in the instance record, so that a restarted node keeps it, also while the log is away.

--- a/src/process/clusterState.ts
+++ b/src/process/clusterState.ts
@@ -48,8 +48,8 @@
     readonly ping: (address: string) => void;
     /** Sends a message on the link to an address. */
     readonly post: (address: string, message: LinkMessage) => void;
-    /** Called with the endpoint's process that a record of this address says to leave. */
-    readonly recordLeavingEndpoint: (endpointId: string) => void;
+    /** Called with a record of this address, which says what an earlier process of this node knew of the endpoint. */
+    readonly restoreFromOwnRecord: (record: InstanceRecord) => void;
     /** Called with each well-formed record of another instance, also when it changes nothing. */
     readonly handleInstanceRecord: (record: InstanceRecord) => void;
 }
@@ -172,13 +172,13 @@
 
     /**
      * Publishes this node's record as a newer one if another one of its address is around. What an earlier process of
-     * this node knew of a leaving endpoint stays known.
+     * this node knew of the endpoint stays known.
      */
     private refuteRecord(text: string): void {
         this.hasHeardOfItself = true;
-        const leavingEndpoint = parseInstanceRecord(text)?.leavingEndpoint;
-        if (leavingEndpoint !== undefined) {
-            this.dependencies.recordLeavingEndpoint(leavingEndpoint);
+        const record = parseInstanceRecord(text);
+        if (record !== undefined) {
+            this.dependencies.restoreFromOwnRecord(record);
         }
         if (this.ownRecord.refute(text)) {
             this.publishOwnRecord();
--- a/src/process/endpointRunner.ts
+++ b/src/process/endpointRunner.ts
@@ -10,12 +10,13 @@
 import { copyEndToEndHeaders } from "../request/dialect.js";
 import type { RunRequest } from "../request/runRequest.js";
 import { Cancellation } from "./cancellation.js";
-import type { Clock } from "./clock.js";
+import type { Clock, Timer } from "./clock.js";
 import type { CrashDetector } from "./crashDetector.js";
 import type { EndpointState } from "./endpointState.js";
 import type { Logger } from "./logger.js";
 import type { Quarantine } from "./quarantine.js";
 import type { FailureCause, RefusalCause, RunOutcome } from "./runOutcome.js";
+import { RunPacer } from "./runPacer.js";
 import type { Candidate } from "./runQueue.js";
 import { RunQueue } from "./runQueue.js";
 import type { RunInProgress, RunsInProgress } from "./runsInProgress.js";
@@ -30,6 +31,10 @@
 const defaultSlots = 8;
 /** Time beyond its deadline after which a run without an answer is aborted, in milliseconds. */
 const answerGraceMs = 60;
+/** Time in which an endpoint that names a limit can start all requests that are sent to it, in milliseconds; longer if runs are. */
+const minPaceHorizonMs = 400;
+/** Shortest wait for the next turn of a pace, in milliseconds. */
+const minPaceWaitMs = 5;
 /** Weight of a new run in the share of failed runs. */
 const failureShareWeight = 0.05;
 /** Retry delay advised for a request that crashed endpoints, in milliseconds. */
@@ -54,6 +59,8 @@
     readonly crashes: Pick<CrashDetector, "recordLost">;
     /** Called with the id of an endpoint's process that leaves, as its answers or other nodes say; also repeatedly. */
     readonly recordLeaving: (endpointId: string) => void;
+    /** Called with the limit that an answer of an endpoint's process names, if any, in requests per second. */
+    readonly recordNamedLimit: (endpointId: string, perSecond: number | undefined) => void;
     /** Whether it is known what earlier processes of this node knew of the endpoint. */
     readonly isRecovered: () => boolean;
     /** Whether this node is stopping and gives the endpoint no more work. */
@@ -69,12 +76,17 @@
 
 /** Runs requests at the local endpoint, at most as many at once as its slots allow. */
 export class EndpointRunner {
-    private readonly queue = new RunQueue<WaitingRequest>();
+    private readonly pacer: RunPacer;
+    private readonly queue: RunQueue<WaitingRequest>;
+    /** Timer of the next run that the pace holds up. */
+    private paceTimer: Timer | undefined;
     private readonly runTimes: RunTimeMonitor;
     private failureShare = 0;
     private failureShareAt = 0;
 
     constructor(private readonly dependencies: EndpointRunnerDependencies) {
+        this.pacer = new RunPacer(dependencies.clock);
+        this.queue = new RunQueue(this.pacer);
         this.runTimes = new RunTimeMonitor(dependencies.clock);
     }
 
@@ -84,7 +96,7 @@
         return {
             running: this.queue.getRunning(),
             waiting: this.queue.getWaiting(),
-            limit: isUnavailable ? 0 : this.updateLimit(),
+            limit: isUnavailable ? 0 : this.computeUsableLimit(),
             failureShare: this.computeFailureShare(),
             isSettled: this.dependencies.isSettled(),
             runMs: this.runTimes.getAverageMs(),
@@ -149,9 +161,24 @@
         const { endpoint } = this.dependencies;
         const slots = endpoint.getSlots() > 0 ? endpoint.getSlots() : defaultSlots;
         this.queue.setLimit(Math.floor(slots * usedSlotShare));
+        this.pacer.setRate(endpoint.getNamedLimit());
         return this.queue.getLimit();
     }
 
+    /**
+     * Requests in progress up to which others may be sent: by slots, and by the limit that the endpoint names. An endpoint
+     * that has not answered lately may have ended its limit, which only an answer can tell, so it gets a share again.
+     */
+    private computeUsableLimit(): number {
+        const limit = this.updateLimit();
+        const perSecond = this.dependencies.endpoint.getRecentNamedLimit();
+        if (perSecond === undefined) {
+            return limit;
+        }
+        const horizonMs = Math.max(minPaceHorizonMs, this.runTimes.getAverageMs());
+        return Math.min(limit, Math.max(1, Math.ceil(perSecond * horizonMs / 1000)));
+    }
+
     /** Waits for a concurrency slot; the outcome is a refusal, or `undefined` once the request holds a slot. */
     private async waitForSlot(
         request: RunRequest,
@@ -176,6 +203,7 @@
         }
         const waitEnd = new Promise<RefusalCause | undefined>(resolve => endWait = resolve);
         this.refuseLate(now);
+        this.startPaceTimer();
         const cancel = (): void => {
             if (this.queue.remove(waiting)) {
                 endWait("cancelled");
@@ -233,19 +261,24 @@
             request.isIdempotent,
             cancellation,
         );
-        this.recordIfLeaving(result, endpointId);
+        if (result.kind === "answered") {
+            this.recordStatements(result.answer, endpointId);
+        }
         return result;
     }
 
-    /** Records that the endpoint leaves if its answer says so. Only another one than it was sent to names itself. */
-    private recordIfLeaving(result: SendResult, sentTo: string | undefined): void {
-        if (result.kind !== "answered" || !result.answer.metadata.isLeaving) {
+    /** Records what an answer states of the endpoint. Only another one than the request was sent to names itself. */
+    private recordStatements({ status, metadata }: EndpointAnswer, sentTo: string | undefined): void {
+        const endpointId = metadata.endpointId ?? (status === 421 ? undefined : sentTo);
+        if (endpointId === undefined) {
             return;
         }
-        const endpointId = result.answer.metadata.endpointId ?? (result.answer.status === 421 ? undefined : sentTo);
-        if (endpointId !== undefined) {
+        if (metadata.isLeaving) {
             this.dependencies.recordLeaving(endpointId);
         }
+        if (metadata.isSigned || metadata.isNotRun) {
+            this.dependencies.recordNamedLimit(endpointId, metadata.requestsPerSecond);
+        }
     }
 
     /**
@@ -317,14 +350,28 @@
         const decayedShare = this.computeFailureShare();
         this.failureShare = decayedShare + ((hasFailed ? 1 : 0) - decayedShare) * failureShareWeight;
         this.failureShareAt = now;
-        this.refuseLate(now);
-        for (;;) {
-            const next = this.queue.takeNext();
-            if (next === undefined) {
-                return;
-            }
+        this.startNext();
+    }
+
+    /** Starts the waiting requests whose turn has come, and refuses those that can't meet their deadlines any more. */
+    private startNext(): void {
+        this.updateLimit();
+        this.refuseLate(this.dependencies.clock.readMonotonic());
+        for (let next = this.queue.takeNext(); next !== undefined; next = this.queue.takeNext()) {
             next.settle(undefined);
         }
+        this.startPaceTimer();
+    }
+
+    private startPaceTimer(): void {
+        const waitMs = this.queue.computePaceWaitMs();
+        if (waitMs === undefined || this.paceTimer !== undefined) {
+            return;
+        }
+        this.paceTimer = this.dependencies.clock.startTimer(Math.max(minPaceWaitMs, waitMs), () => {
+            this.paceTimer = undefined;
+            this.startNext();
+        });
     }
 
     /**
--- a/src/process/endpointState.ts
+++ b/src/process/endpointState.ts
@@ -1,10 +1,12 @@
 /**
- * State of the local endpoint from its own reports and answers: incarnation, concurrency slots and whether it leaves.
+ * State of the local endpoint from its own reports and answers: incarnation, concurrency slots, the limit that
+ * it names and whether it leaves.
  *
  * Reports are ordered within an incarnation by their number. A late report of an incarnation that was replaced does not
  * make it current again. Once an incarnation has stated that it drains or leaves, it gets no more requests.
  */
 import type { Clock } from "./clock.js";
+import { NamedLimit } from "./namedLimit.js";
 
 /** Report of an endpoint about itself. */
 export interface EndpointReport {
@@ -28,6 +30,12 @@
 /** Maximum number of incarnations that are remembered, the current one included. */
 const maxIncarnations = 64;
 
+/** Limit that an incarnation names, in requests per second; without a number if it names none any more. */
+export interface NamedLimitDescription {
+    readonly endpoint: string;
+    readonly perSecond?: number | undefined;
+}
+
 /** State of one incarnation. */
 interface Incarnation {
     readonly id: string;
@@ -35,6 +43,7 @@
     slots: number;
     /** Whether it has reported that it drains or leaves. */
     isLeaving: boolean;
+    readonly namedLimit: NamedLimit;
     /** Whether another incarnation has taken its place. */
     isReplaced: boolean;
 }
@@ -67,6 +76,23 @@
         return this.current?.slots ?? 0;
     }
 
+    /** Requests a second that the endpoint takes; `undefined` while it names no limit. */
+    getNamedLimit(): number | undefined {
+        return this.current?.namedLimit.get();
+    }
+
+    /** The same limit if an answer has named it lately. */
+    getRecentNamedLimit(): number | undefined {
+        return this.current?.namedLimit.getRecent(this.clock.readMonotonic());
+    }
+
+    /** The limit that the current incarnation names or named last; `undefined` if it has never named one. */
+    describeNamedLimit(): NamedLimitDescription | undefined {
+        return this.current?.namedLimit.isKnown() === true
+            ? { endpoint: this.current.id, perSecond: this.current.namedLimit.get() }
+            : undefined;
+    }
+
     /** Why the endpoint gets no requests now; `undefined` when it may get them. */
     findRefusalReason(): "leaving" | "away" | "notKnown" | undefined {
         if (this.current === undefined) {
@@ -136,6 +162,17 @@
         return wasLeaving ? "unchanged" : "changed";
     }
 
+    /** Records the limit that an answer of an incarnation names, if any. Returns whether it changed. */
+    recordNamedLimit(id: string, perSecond: number | undefined): boolean {
+        return this.incarnations.get(id)?.namedLimit.record(perSecond, this.clock.readMonotonic()) ?? false;
+    }
+
+    /** Takes over the limit that an earlier process of this node knew of an incarnation. */
+    restoreNamedLimit({ endpoint, perSecond }: NamedLimitDescription): void {
+        const incarnation = this.incarnations.get(endpoint) ?? this.addIncarnation(endpoint);
+        incarnation.namedLimit.restore(perSecond, this.clock.readMonotonic());
+    }
+
     /** Makes the incarnation that answered a request or health check the current one; false if it already was. */
     learnIncarnation(id: string, slots: number | undefined): boolean {
         const incarnation = this.incarnations.get(id) ?? this.addIncarnation(id);
@@ -174,7 +211,14 @@
     }
 
     private addIncarnation(id: string): Incarnation {
-        const incarnation = { id, reportNumber: -1, slots: 0, isLeaving: false, isReplaced: false };
+        const incarnation: Incarnation = {
+            id,
+            reportNumber: -1,
+            slots: 0,
+            isLeaving: false,
+            namedLimit: new NamedLimit(),
+            isReplaced: false,
+        };
         this.incarnations.set(id, incarnation);
         if (this.incarnations.size > maxIncarnations) {
             const oldest = [...this.incarnations.values()].find(each => each !== this.current && each !== incarnation);
--- a/src/process/instanceRegistry.ts
+++ b/src/process/instanceRegistry.ts
@@ -21,9 +21,9 @@
         if (before !== undefined && before.revision >= record.revision) {
             return false;
         }
-        // A restarted node may not know yet what its earlier process knew of a leaving endpoint.
-        const { leavingEndpoint = before?.leavingEndpoint } = record;
-        this.records.set(record.address, { ...record, leavingEndpoint });
+        // A restarted node may not know yet what its earlier process knew of its endpoint.
+        const { leavingEndpoint = before?.leavingEndpoint, namedLimit = before?.namedLimit } = record;
+        this.records.set(record.address, { ...record, leavingEndpoint, namedLimit });
         this.byService.clear();
         this.changes += 1;
         return true;
--- a/src/process/ownInstanceRecord.ts
+++ b/src/process/ownInstanceRecord.ts
@@ -42,5 +42,7 @@
     return description.address === record.address && description.port === record.port
         && description.service === record.service && description.dataCentre === record.dataCentre
         && description.slots === record.slots && description.isTaking === record.isTaking
-        && description.leavingEndpoint === record.leavingEndpoint;
+        && description.leavingEndpoint === record.leavingEndpoint
+        && description.namedLimit?.endpoint === record.namedLimit?.endpoint
+        && description.namedLimit?.perSecond === record.namedLimit?.perSecond;
 }
--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -13,7 +13,7 @@
 import { Forwarder } from "../request/forwarder.js";
 import type { RoutedEntryDependencies } from "../request/routedEntry.js";
 import { Sender } from "../request/sender.js";
-import type { InstanceDescription } from "../version/instanceRecord.js";
+import type { InstanceDescription, InstanceRecord } from "../version/instanceRecord.js";
 import type { Clock } from "./clock.js";
 import { ClusterState } from "./clusterState.js";
 import { CrashDetector } from "./crashDetector.js";
@@ -46,6 +46,8 @@
 const waitPollMs = 50;
 /** Time after a restart for which other nodes prefer other instances, in milliseconds. */
 const stabilisationMs = 3500;
+/** Factor by which the endpoint's limit may differ from the published one before it is published again. */
+const limitTolerance = 1.25;
 /** Longest time after a restart in which the endpoint gets no requests for want of the records from before, in milliseconds. */
 const maxRecoveryMs = 1000;
 /** Interval at which the end of that wait is checked, in milliseconds. */
@@ -97,6 +99,8 @@
     private graceMs: number;
     /** Whether it is known what earlier processes of this node knew of the endpoint. */
     private isRecovered: boolean;
+    /** Limit of the endpoint that was published last, in requests per second. */
+    private publishedLimit: number | undefined;
     private isStopping = false;
     /** Whether the endpoint gets no new runs, since this process ends soon. */
     private isEndpointClosed = false;
@@ -147,7 +151,7 @@
             isReachable,
             ping: peer => void this.links.ping(peer),
             post: (peer, message) => this.links.post(peer, message),
-            recordLeavingEndpoint: id => this.recordLeavingEndpoint(id),
+            restoreFromOwnRecord: record => this.restoreFromOwnRecord(record),
             handleInstanceRecord: record => this.links.add(record),
         });
         const { configurationHolder, registry } = this.clusterState;
@@ -271,6 +275,7 @@
                 reportToPeers: (fingerprints, incident) => this.crashFlood.report({ fingerprints, incident }),
             }),
             recordLeaving: id => this.recordLeavingEndpoint(id),
+            recordNamedLimit: (id, perSecond) => this.recordNamedLimit(id, perSecond),
             isRecovered: () => this.isRecovered,
             isEndpointClosed: () => this.isEndpointClosed,
             isSettled: () => this.isSettled(),
@@ -411,6 +416,7 @@
             dataCentre,
             slots: this.endpoint.getSlots(),
             leavingEndpoint: this.endpoint.getLeavingId(),
+            namedLimit: this.endpoint.describeNamedLimit(),
             isTaking: this.endpoint.getIncarnationId() !== undefined && this.endpoint.findRefusalReason() !== "leaving",
         };
     }
@@ -419,6 +425,32 @@
         this.applyReportResult(this.endpoint.applyReport(report), report.id, report.state);
     }
 
+    /** Takes over what an earlier process of this node published of its endpoint. */
+    private restoreFromOwnRecord({ leavingEndpoint, namedLimit }: InstanceRecord): void {
+        if (leavingEndpoint !== undefined) {
+            this.recordLeavingEndpoint(leavingEndpoint);
+        }
+        if (namedLimit !== undefined) {
+            this.endpoint.restoreNamedLimit(namedLimit);
+        }
+    }
+
+    /** Records the limit that an answer names. A later process of this node learns it from the record, if it is still about right. */
+    private recordNamedLimit(id: string, perSecond: number | undefined): void {
+        const published = this.publishedLimit;
+        if (!this.endpoint.recordNamedLimit(id, perSecond)) {
+            return;
+        }
+        const limit = this.endpoint.getNamedLimit();
+        if (limit !== undefined && published !== undefined && isAboutEqual(limit, published)) {
+            return;
+        }
+        this.publishedLimit = limit;
+        this.logger.info("endpointLimited", { endpoint: id, perSecond: limit });
+        this.clusterState.publishOwnRecord();
+        this.announceLoad();
+    }
+
     private recordLeavingEndpoint(id: string): void {
         this.applyReportResult(this.endpoint.recordLeaving(id), id, "leaving");
     }
@@ -538,9 +570,19 @@
             "Requests that may run at once.",
             () => runner.getLoad().limit,
         );
+        metrics.addGauge(
+            "endpoint_named_limit",
+            "Requests a second that the endpoint says it takes; -1 if it names no limit.",
+            () => this.endpoint.getNamedLimit() ?? -1,
+        );
     }
 }
 
+/** Whether two limits differ so little that the earlier one may stand for the later one. */
+function isAboutEqual(limit: number, published: number): boolean {
+    return limit <= published * limitTolerance && published <= limit * limitTolerance;
+}
+
 function createRetryLimits(bounds: RoutedSettings["bounds"]): RetryLimits {
     return {
         ratio: bounds.retryRatio * usableRetryShare,
--- a/src/process/runQueue.ts
+++ b/src/process/runQueue.ts
@@ -10,10 +10,13 @@
  *   priority, since refusing a call wastes the run that made it.
  * - Runs that make several calls in sequence to an overloaded service: the run with the most served calls goes first;
  *   otherwise many runs make a little progress and all fail.
+ * - An endpoint that names how many requests a second it takes: see `runPacer.ts`.
  * - An endpoint that slows down: the estimated wait grows with the measured run time, so the queue holds fewer
  *   requests.
  */
 
+import type { RunPacer } from "./runPacer.js";
+
 /** A request that asks for a concurrency slot at the endpoint. Times are on the monotonic clock, in milliseconds. */
 export interface Candidate {
     /** Calls from the client's request to this one, counting this one; 0 for the client's request itself. */
@@ -43,6 +46,11 @@
 /** Part of the time up to the target that a request may spend waiting; the most urgent priority may use all of it. */
 const maxWaitShare = 0.5;
 
+/** Pace at which requests may start, besides the limit of concurrency. */
+export type Pace = Pick<RunPacer, "take" | "computeWaitMs">;
+
+const noPace: Pace = { take: () => true, computeWaitMs: () => 0 };
+
 interface Waiter<T extends Candidate> {
     readonly candidate: T;
     readonly arrival: number;
@@ -56,6 +64,8 @@
     private running = 0;
     private limit = 1;
 
+    constructor(private readonly pace: Pace = noPace) {}
+
     getRunning(): number {
         return this.running;
     }
@@ -80,7 +90,7 @@
 
     /** Asks for a concurrency slot. A request that has to wait is returned by {@link takeNext} when its turn comes. */
     offer(candidate: T, now: number): QueueDecision {
-        if (this.running < this.limit && this.waiting.length === 0) {
+        if (this.running < this.limit && this.waiting.length === 0 && this.pace.take()) {
             this.running += 1;
             return { kind: "run" };
         }
@@ -93,9 +103,9 @@
         return { kind: "wait" };
     }
 
-    /** Takes the next request if a concurrency slot is free. The slot counts as used from now on. */
+    /** Takes the next request if a concurrency slot is free and the pace allows it. The slot counts as used from now on. */
     takeNext(): T | undefined {
-        if (this.running >= this.limit) {
+        if (this.running >= this.limit || this.waiting.length === 0 || !this.pace.take()) {
             return undefined;
         }
         const next = this.waiting.shift();
@@ -148,8 +158,17 @@
         }
     }
 
+    /** Time until the pace allows the next waiting request, in milliseconds; `undefined` if the pace holds up none. */
+    computePaceWaitMs(): number | undefined {
+        return this.running < this.limit && this.waiting.length > 0 ? this.pace.computeWaitMs(0) : undefined;
+    }
+
     /** Estimates the wait of a request with `ahead` others before it, in milliseconds. */
     estimateWaitMs(ahead: number): number {
+        return Math.max(this.estimateSlotWaitMs(ahead), this.pace.computeWaitMs(ahead));
+    }
+
+    private estimateSlotWaitMs(ahead: number): number {
         if (this.running < this.limit && ahead === 0) {
             return 0;
         }
--- a/src/request/dialect.ts
+++ b/src/request/dialect.ts
@@ -46,6 +46,8 @@
     readonly endpointId: string | undefined;
     /** Whether the endpoint states that it leaves. */
     readonly isLeaving: boolean;
+    /** Requests a second that the endpoint states it takes from all nodes together; `undefined` if it names no limit. */
+    readonly requestsPerSecond: number | undefined;
     readonly load: EndpointLoad | undefined;
 }
 
--- a/src/version/instanceRecord.ts
+++ b/src/version/instanceRecord.ts
@@ -18,6 +18,14 @@
     isTaking: v.boolean(),
     /** Id of the endpoint's process that was last known to leave; it gets no requests any more. */
     leavingEndpoint: v.optional(shortTextSchema),
+    /**
+     * The limit that the endpoint's process names or named last; `perSecond` (requests from all nodes together) is missing if
+     * it names none any more.
+     */
+    namedLimit: v.optional(v.object({
+        endpoint: shortTextSchema,
+        perSecond: v.optional(v.pipe(v.number(), v.minValue(0))),
+    })),
     /** Rises with each change of the record, also over restarts of the node. */
     revision: v.optional(createIntegerSchema(0, Number.MAX_SAFE_INTEGER), 0),
 });
@@ -36,5 +44,19 @@
 /** Formats a record as JSON. Equal records have the same text, whoever formats them. */
 export function formatInstanceRecord(record: InstanceRecord): string {
     const { address, port, service, dataCentre, slots, isTaking, leavingEndpoint, revision } = record;
-    return JSON.stringify({ address, port, service, dataCentre, slots, isTaking, leavingEndpoint, revision });
+    const namedLimit = record.namedLimit && {
+        endpoint: record.namedLimit.endpoint,
+        perSecond: record.namedLimit.perSecond,
+    };
+    return JSON.stringify({
+        address,
+        port,
+        service,
+        dataCentre,
+        slots,
+        isTaking,
+        leavingEndpoint,
+        namedLimit,
+        revision,
+    });
 }
--- a/test/routed/restoredLog.test.ts
+++ b/test/routed/restoredLog.test.ts
@@ -176,7 +176,7 @@
             firstRevision: this.starts * 100,
             isFirstStart: false,
             describeInstance: () => createRecord(address, { slots: this.slots }),
-            recordLeavingEndpoint: () => undefined,
+            restoreFromOwnRecord: () => undefined,
             isReachable: () => true,
             post: () => undefined,
             listLinked: () => [],
