End connections on which an endpoint sends bytes without end

Callers would see: a node that runs out of memory, with all its requests, or a request that waits for its deadline. Cause: only the body of one answer was bounded, by its content. Chunks of a few bytes took 2 GB before that bound; the size or the end of a chunk and trailers were not bounded at all, nor answers that only announce another, nor all answers in progress together.

--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -4,7 +4,7 @@
  * An answer is matched to the request in progress by its attempt identifier; an answer that names another attempt is
  * skipped. The connection is closed after data without a request in progress, after a truncated answer, and after an
  * answer that arrived before the request was fully written, since the endpoint could take the remaining bytes for
- * another request.
+ * another request. It is closed too when bytes come without end, in a head, in a body or between pieces of one.
  */
 import { HTTPParser } from "http-parser-js";
 import type { Socket } from "node:net";
@@ -12,11 +12,16 @@
 import type { AnswerMetadata, Dialect } from "../request/dialect.js";
 import { findHeader } from "../request/dialect.js";
 import type { HeaderList } from "../request/headers.js";
+import type { AnswerBudget, BudgetedAnswer } from "./answerBudget.js";
 
 /** Timeout for opening a connection, in milliseconds. */
 const connectTimeoutMs = 600;
 /** Maximum size of a buffered answer body, in bytes. */
 const maxAnswerBytes = 67_108_864;
+/** Memory that a piece of a body takes besides its content, in bytes. It counts for the maximum, since pieces may be tiny. */
+const pieceOverheadBytes = 128;
+/** Maximum size of what comes without a byte of a body: heads, sizes of chunks, trailers; in bytes. */
+const maxFramingBytes = 131_072;
 
 /** A request to the endpoint. */
 export interface EndpointRequest {
@@ -65,7 +70,7 @@
 }
 
 /** An open connection to the endpoint. */
-export class EndpointConnection {
+export class EndpointConnection implements BudgetedAnswer {
     /** Monotonic time at which the connection became idle, in milliseconds; set by the pool. */
     idleSince = 0;
     /** Idle timeout that the endpoint announced in a Keep-Alive header, in milliseconds. */
@@ -73,11 +78,17 @@
     private exchange: Exchange | undefined;
     private partialAnswer: PartialAnswer | undefined;
     private isOpen = true;
+    /** Bytes received since the request or since the last byte of a body. */
+    private framingBytes = 0;
     /** Whether the answer violates HTTP, exceeds the size limit or can't be matched to a request. */
     private hasProtocolError = false;
     private readonly parser = new HTTPParser(HTTPParser.RESPONSE);
 
-    constructor(private readonly socket: Socket, private readonly dialect: Dialect) {
+    constructor(
+        private readonly socket: Socket,
+        private readonly dialect: Dialect,
+        private readonly budget: AnswerBudget,
+    ) {
         socket.setNoDelay(true);
         socket.on("data", chunk => this.readChunk(chunk));
         socket.on("end", () => this.readEnd());
@@ -96,6 +107,7 @@
     /** Sends a request and reads its answer. Never rejects. Must only be called while the connection is reusable. */
     send(request: EndpointRequest): Promise<ExchangeResult> {
         return new Promise(resolve => {
+            this.framingBytes = 0;
             this.exchange = {
                 attemptId: request.attemptId,
                 isBodyless: request.method === "HEAD",
@@ -126,12 +138,18 @@
             this.fail("garbled");
             return;
         }
+        this.framingBytes += chunk.length;
         const result = this.parser.execute(chunk);
-        if (typeof result !== "number" || this.hasProtocolError) {
+        if (typeof result !== "number" || this.hasProtocolError || this.framingBytes > maxFramingBytes) {
             this.fail("garbled");
         }
     }
 
+    /** Ends the answer in progress, since answers take too much memory together. */
+    endReading(): void {
+        this.fail("garbled");
+    }
+
     /**
      * Handles the end of the stream. A reset right after data is also reported as an end by the event loop. Writing an
      * empty buffer distinguishes the two: it sends no byte, but fails if the connection was reset.
@@ -168,17 +186,21 @@
 
     private addBody(chunk: Buffer): void {
         const { partialAnswer } = this;
-        if (partialAnswer === undefined) {
+        if (partialAnswer === undefined || !this.isOpen) {
             return;
         }
-        partialAnswer.bytes += chunk.length;
+        this.framingBytes = 0;
+        const bytes = chunk.length + pieceOverheadBytes;
+        partialAnswer.bytes += bytes;
         partialAnswer.chunks.push(chunk);
         this.hasProtocolError ||= partialAnswer.bytes > maxAnswerBytes;
+        this.budget.add(this, bytes);
     }
 
     private finishAnswer(): void {
         const { partialAnswer, exchange } = this;
         this.partialAnswer = undefined;
+        this.budget.release(this);
         if (partialAnswer === undefined || partialAnswer.status < 200 || this.hasProtocolError) {
             return;
         }
@@ -215,6 +237,8 @@
 
     private close(): void {
         this.isOpen = false;
+        this.partialAnswer = undefined;
+        this.budget.release(this);
         this.socket.destroy();
     }
 
@@ -236,6 +260,7 @@
     host: string,
     port: number,
     dialect: Dialect,
+    budget: AnswerBudget,
 ): Promise<EndpointConnection | undefined> {
     return new Promise(resolve => {
         // The half-open mode allows the write that distinguishes the end of an answer without a length from a reset.
@@ -250,7 +275,7 @@
             clearTimeout(timer);
             socket.removeAllListeners("close");
             socket.removeAllListeners("error");
-            resolve(new EndpointConnection(socket, dialect));
+            resolve(new EndpointConnection(socket, dialect, budget));
         });
     });
 }
--- a/src/connection/endpointConnectionPool.ts
+++ b/src/connection/endpointConnectionPool.ts
@@ -2,6 +2,7 @@
 import type { Cancellation } from "../process/cancellation.js";
 import type { Clock } from "../process/clock.js";
 import type { Dialect } from "../request/dialect.js";
+import { AnswerBudget } from "./answerBudget.js";
 import type { EndpointConnection, EndpointRequest, ExchangeResult } from "./endpointConnection.js";
 import { openEndpointConnection } from "./endpointConnection.js";
 
@@ -26,6 +27,7 @@
 /** Pool of connections to one endpoint address. */
 export class EndpointConnectionPool {
     private idle: EndpointConnection[] = [];
+    private readonly budget = new AnswerBudget();
     private readonly busy = new Set<EndpointConnection>();
 
     constructor(
@@ -38,7 +40,7 @@
     /** Sends a request. A cancellation closes the connection that carries it. Never rejects. */
     async send(request: EndpointRequest, isIdempotent: boolean, cancellation: Cancellation): Promise<SendResult> {
         const connection = this.takeIdle(isIdempotent)
-            ?? await openEndpointConnection(this.host, this.port, this.dialect);
+            ?? await openEndpointConnection(this.host, this.port, this.dialect, this.budget);
         if (connection === undefined) {
             return { kind: "unsent", cause: "unreachable" };
         }
--- a/test/routed/endpointConnection.test.ts
+++ b/test/routed/endpointConnection.test.ts
@@ -6,6 +6,7 @@
 import { EndpointConnectionPool } from "../../src/connection/endpointConnectionPool.js";
 import { Cancellation } from "../../src/process/cancellation.js";
 import { SystemClock } from "../../src/process/clock.js";
+import { sleep, waitFor } from "../../standin/processes.js";
 
 /** Creates a cancellation that comes after a time, in milliseconds. */
 function cancelAfter(milliseconds: number): Cancellation {
@@ -16,6 +17,26 @@
 
 const dialect = new PlatformDialect();
 
+/** Memory that the bytes of endless answers may take, in bytes: less than half of what a node's process has. */
+const maxGrowthBytes = 160_000_000;
+
+/** Measures the memory that the process takes for objects and buffers. `stop` returns by how much it grew at most, in bytes. */
+function measureMemory(): { stop: () => number; } {
+    const measure = (): number => {
+        const { heapUsed, external } = process.memoryUsage();
+        return heapUsed + external;
+    };
+    const before = measure();
+    let most = before;
+    const timer = setInterval(() => most = Math.max(most, measure()), 5);
+    return {
+        stop: () => {
+            clearInterval(timer);
+            return most - before;
+        },
+    };
+}
+
 /** Text of an answer. */
 function formatAnswer(attempt: string, body: string, extra = ""): string {
     return `HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\nUpstream-Signature: s\r\n${extra}`
@@ -89,6 +110,93 @@
     return { endings, connections };
 }
 
+/** Writes a piece again and again until the connection is closed or so many bytes are written, as fast as it is read. */
+function writeWithoutEnd(socket: Socket, piece: string, maxBytes = Infinity): void {
+    const buffer = Buffer.from(piece.repeat(Math.ceil(60_000 / piece.length)), "latin1");
+    let bytes = 0;
+    const writeMore = (): void => {
+        while (!socket.destroyed && bytes < maxBytes && socket.write(buffer)) {
+            bytes += buffer.length;
+        }
+    };
+    socket.on("drain", writeMore);
+    writeMore();
+}
+
+describe("bytes without end from the local endpoint", () => {
+    const head = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nUpstream-Signature: s\r\n";
+    const cases: readonly { readonly name: string; readonly begin: string; readonly piece: string; }[] = [
+        { name: "before an answer", begin: "", piece: "\r\n" },
+        { name: "that are no answer", begin: "", piece: "x" },
+        { name: "in a status line", begin: "HTTP/1.1 200 ", piece: "OK" },
+        { name: "in one header", begin: `${head}Note: `, piece: "note" },
+        { name: "in headers", begin: head, piece: "Note: note\r\n" },
+        { name: "in answers that announce another", begin: "", piece: "HTTP/1.1 100 Continue\r\n\r\n" },
+        { name: "in a body without a length", begin: `${head}\r\n`, piece: "body" },
+        { name: "in a body with a length", begin: `${head}Content-Length: 900000000000\r\n\r\n`, piece: "body" },
+        { name: "in chunks", begin: `${head}Transfer-Encoding: chunked\r\n\r\n`, piece: "4\r\nbody\r\n" },
+        { name: "in the size of a chunk", begin: `${head}Transfer-Encoding: chunked\r\n\r\n`, piece: "0" },
+        { name: "in the end of a chunk", begin: `${head}Transfer-Encoding: chunked\r\n\r\n1\r\nx`, piece: "x" },
+        { name: "in trailers", begin: `${head}Transfer-Encoding: chunked\r\n\r\n0\r\n`, piece: "Note: note\r\n" },
+    ];
+    for (const { name, begin, piece } of cases) {
+        it(`${name} end the connection and fail the request, with memory bounded`, async () => {
+            let isClosed = false;
+            const endpoint = new ScriptedEndpoint(socket => {
+                socket.once("close", () => isClosed = true);
+                socket.write(begin, "latin1");
+                writeWithoutEnd(socket, piece);
+            });
+            const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+            const request = {
+                method: "GET",
+                path: "/",
+                headers: ["Attempt-Id", "a"],
+                body: Buffer.alloc(0),
+                attemptId: "a",
+            };
+            const memory = measureMemory();
+            const result = await pool.send(request, true, cancelAfter(20_000));
+            await waitFor(async () => isClosed, 1000, "end of the connection");
+            const grownBytes = memory.stop();
+            pool.destroy();
+            endpoint.stop();
+            expect(result).deep.equals({ kind: "lost", cause: "garbled" });
+            expect(grownBytes).below(maxGrowthBytes);
+        });
+    }
+
+    it("on many connections at once leave memory bounded, and answers of usual size are read meanwhile", async () => {
+        const endpoint = new ScriptedEndpoint((socket, attempt) => {
+            if (attempt === "small") {
+                socket.write(formatAnswer(attempt, "x".repeat(100_000)));
+                return;
+            }
+            socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\nUpstream-Signature: s\r\n\r\n`);
+            // Less than one answer may have, so that only all together take too much.
+            writeWithoutEnd(socket, "body", 40_000_000);
+        });
+        const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+        const send = (attemptId: string) =>
+            pool.send(
+                { method: "GET", path: "/", headers: ["Attempt-Id", attemptId], body: Buffer.alloc(0), attemptId },
+                true,
+                cancelAfter(3000),
+            );
+        const memory = measureMemory();
+        const endless = Array.from({ length: 12 }, (_, index) => send(`endless${index}`));
+        await sleep(1000);
+        const small = await send("small");
+        const results = await Promise.all(endless);
+        const grownBytes = memory.stop();
+        pool.destroy();
+        endpoint.stop();
+        expect(small.kind).equals("answered");
+        expect(results.filter(result => result.kind === "lost" && result.cause === "garbled").length).at.least(9);
+        expect(grownBytes).below(maxGrowthBytes);
+    });
+});
+
 describe("answers of the local endpoint", () => {
     const cases: readonly {
         readonly name: string;
