Close idle connections that may have fallen silent with one that did

Callers see: an answer that doesn't come until the deadline, once for each connection that was open to the endpoint when connections fell silent; an unsafe request then ends with 504. Cause: after a request without an answer the next one took another connection of the same age. Change: connections that have been idle since before the request was sent are closed with it.

--- a/src/connection/endpointConnectionPool.ts
+++ b/src/connection/endpointConnectionPool.ts
@@ -49,15 +49,29 @@
             return { kind: "unsent", cause: "aborted" };
         }
         this.busy.add(connection);
+        const sentAt = this.clock.readMonotonic();
         const abort = (): void => connection.destroy();
         cancellation.listen(abort);
         const result = await connection.send(request);
         cancellation.removeListener(abort);
         this.busy.delete(connection);
         this.release(connection);
+        if (result.kind === "lost" && result.cause === "aborted") {
+            this.closeIdleSince(sentAt);
+        }
         return result;
     }
 
+    /**
+     * Closes the connections that were idle at a time and have been since. A request that got no answer may have been on
+     * a connection that fell silent, and so may those that were open with it.
+     */
+    private closeIdleSince(time: number): void {
+        const suspect = this.idle.filter(connection => connection.idleSince <= time);
+        suspect.forEach(connection => connection.destroy());
+        this.idle = this.idle.filter(connection => !suspect.includes(connection));
+    }
+
     /** Closes connections that exceed their idle timeout, until the signal aborts. */
     async runPruning(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
--- a/test/routed/endpointConnection.test.ts
+++ b/test/routed/endpointConnection.test.ts
@@ -319,6 +319,31 @@
         });
     }
 
+    it("that don't come since open connections fell silent cost one request, not one for each connection", async () => {
+        const silent = new Set<Socket>();
+        const open = new Set<Socket>();
+        const endpoint = new ScriptedEndpoint((socket, attempt) => {
+            open.add(socket);
+            setTimeout(() => silent.has(socket) || socket.write(formatAnswer(attempt, attempt)), 20);
+        });
+        const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+        const send = (attemptId: string) =>
+            pool.send(
+                { method: "GET", path: "/", headers: ["Attempt-Id", attemptId], body: Buffer.alloc(0), attemptId },
+                true,
+                cancelAfter(300),
+            );
+        await Promise.all(["a", "b", "c", "d"].map(send));
+        open.forEach(socket => silent.add(socket));
+        const kinds: string[] = [];
+        for (const attempt of ["e", "f", "g", "h"]) {
+            kinds.push((await send(attempt)).kind);
+        }
+        pool.destroy();
+        endpoint.stop();
+        expect(kinds).deep.equals(["lost", "answered", "answered", "answered"]);
+    });
+
     it("leave a request unsent when nothing listens", async () => {
         const endpoint = new ScriptedEndpoint(() => undefined);
         const port = await endpoint.start();
