Ping the other links when one fell silent

Callers see: requests that wait on a link that carries nothing, and versions that are announced on it in vain. Open connections fall silent together, but each link noticed it by itself, an idle one after 1.5 s or more (0.125 s for each open link). Change: when a link is closed because its node doesn't respond, the others are pinged once. Measured: three links that fell silent together: one noticed within 1.3 s before, all three after.

--- a/src/connection/peerLinks.ts
+++ b/src/connection/peerLinks.ts
@@ -239,5 +239,9 @@
         const listener = this.lossListeners.get(peer.address);
         this.lossListeners.delete(peer.address);
         listener?.();
+        if (cause === "silent") {
+            // Others that were open with it may have fallen silent too.
+            this.peers.forEach(other => other.link?.ping());
+        }
     }
 }
--- a/test/routed/links.test.ts
+++ b/test/routed/links.test.ts
@@ -81,8 +81,8 @@
         });
     }
 
-    async start(): Promise<number> {
-        await new Promise<void>(resolve => this.server.listen(0, address, resolve));
+    async start(host = address): Promise<number> {
+        await new Promise<void>(resolve => this.server.listen(0, host, resolve));
         return (this.server.address() as AddressInfo).port;
     }
 
@@ -181,4 +181,42 @@
             expect(node.runs).equals(1);
         });
     }
+
+    it("that fell silent together are all noticed soon after the first", async () => {
+        const node = new AnsweringNode(1);
+        const stopping = new AbortController();
+        const lost: string[] = [];
+        const links = new PeerLinks({
+            clock,
+            random: Math.random,
+            logger: silentLogger,
+            createHello: () => createHello(9),
+            getLogPosition: () => position,
+            handleHello: () => undefined,
+            handleMessage: () => undefined,
+            recordLoad: () => undefined,
+            recordLostLink: peer => lost.push(peer),
+            isKnownInstance: () => true,
+        }, stopping.signal);
+        const port = 10_000 + process.pid % 20_000;
+        await node.server.start("0.0.0.0", port);
+        const peers = ["127.0.0.1", "127.0.0.2", "127.0.0.3"];
+        const proxies: FaultProxy[] = [];
+        for (const peer of peers) {
+            const proxy = new FaultProxy(port);
+            proxies.push(proxy);
+            links.add(createRecord(peer, { port: await proxy.start(peer) }));
+        }
+        links.keep(new Set(peers));
+        void links.runLivenessChecks();
+        await sleep(200);
+        proxies.forEach(proxy => proxy.isDroppingData = true);
+        links.ping(peers[0]!);
+        await sleep(1300);
+        stopping.abort();
+        links.close();
+        proxies.forEach(proxy => proxy.stop());
+        node.server.stop();
+        expect(lost.slice(0, 3)).to.have.members(peers);
+    });
 });
