Move what a node follows of its endpoint to a file of its own

Cause: routedNode.ts had grown to 592 lines; reports, answers, the restart and announcements of the endpoint are one concern.

--- /dev/null
+++ b/src/process/endpointLifecycle.ts
@@ -0,0 +1,161 @@
+/**
+ * Follows what the local endpoint states of itself, by its reports, its answers and its health check, and tells the other
+ * nodes of each change. After a restart of the node, takes over what an earlier process of it published.
+ */
+import type { EndpointConnectionPool } from "../connection/endpointConnectionPool.js";
+import type { InstanceRecord } from "../version/instanceRecord.js";
+import type { Clock } from "./clock.js";
+import type { ClusterState } from "./clusterState.js";
+import { probeEndpoint } from "./endpointProbe.js";
+import type { EndpointReport, EndpointState, ReportResult } from "./endpointState.js";
+import type { Logger } from "./logger.js";
+
+/** Longest time after a restart in which the endpoint gets no requests for want of the own record, in milliseconds. */
+const maxRestoreMs = 1000;
+/** Interval at which the end of that wait is checked, in milliseconds. */
+const restorePollMs = 20;
+/** Interval at which the first configuration is waited for, in milliseconds. */
+const configurationPollMs = 50;
+/** Factor by which the endpoint's limit may differ from the published one before it is published again. */
+const limitTolerance = 1.25;
+
+/** Dependencies of the lifecycle. */
+export interface EndpointLifecycleDependencies {
+    readonly clock: Clock;
+    readonly logger: Logger;
+    /** Service of the endpoint. */
+    readonly service: string;
+    readonly endpoint: EndpointState;
+    readonly pool: EndpointConnectionPool;
+    readonly clusterState: Pick<ClusterState, "configurationHolder" | "hasOwnRecord" | "publishOwnRecord">;
+    /** Whether all nodes start now for the first time, so that no earlier process knew anything. */
+    readonly isFirstStart: boolean;
+    /** Refuses the requests that wait for the endpoint. */
+    readonly refuseWaiting: () => void;
+    /** Sends the endpoint's load on every link that other nodes opened. */
+    readonly announceLoad: () => void;
+    /** Sends the own instance record on every link that other nodes opened. */
+    readonly announceRecord: () => void;
+}
+
+/** What one node knows of its endpoint, and its announcements. */
+export class EndpointLifecycle {
+    private isRestoreOver: boolean;
+    /** Limit that was published last, in requests per second. */
+    private publishedLimit: number | undefined;
+
+    constructor(private readonly dependencies: EndpointLifecycleDependencies) {
+        this.isRestoreOver = dependencies.isFirstStart;
+    }
+
+    /** Whether it is known what earlier processes of this node knew of the endpoint. */
+    isRestored(): boolean {
+        return this.isRestoreOver;
+    }
+
+    /** Applies a report of the endpoint. */
+    applyReport(report: EndpointReport): void {
+        this.applyResult(this.dependencies.endpoint.applyReport(report), report.id, report.state);
+    }
+
+    /** Applies the message of an incarnation that it leaves for good. */
+    applyLeave(id: string): void {
+        this.applyResult(this.dependencies.endpoint.applyLeave(id), id, "left");
+    }
+
+    /** Records that an incarnation leaves, as one of its answers or another node says. */
+    recordLeaving(id: string): void {
+        this.applyResult(this.dependencies.endpoint.recordLeaving(id), id, "leaving");
+    }
+
+    /**
+     * Records the limit that an answer of an incarnation names, if any. It is published when it differs much from the
+     * published one, so that a later process of this node learns it.
+     */
+    recordNamedLimit(id: string, perSecond: number | undefined): void {
+        const { endpoint, logger, clusterState, announceLoad } = this.dependencies;
+        if (!endpoint.recordNamedLimit(id, perSecond)) {
+            return;
+        }
+        const limit = endpoint.getNamedLimit();
+        if (limit !== undefined && this.publishedLimit !== undefined && isAboutEqual(limit, this.publishedLimit)) {
+            return;
+        }
+        this.publishedLimit = limit;
+        logger.info("endpointLimited", { endpoint: id, perSecond: limit });
+        clusterState.publishOwnRecord();
+        announceLoad();
+    }
+
+    /** Takes over what an earlier process of this node published of its endpoint. */
+    restoreFromOwnRecord({ leavingEndpoint, namedLimit }: InstanceRecord): void {
+        if (leavingEndpoint !== undefined) {
+            this.recordLeaving(leavingEndpoint);
+        }
+        if (namedLimit !== undefined) {
+            this.dependencies.endpoint.restoreNamedLimit(namedLimit);
+        }
+    }
+
+    /**
+     * After a restart of the node, waits until its record from before is read, from the log or from another node. It may
+     * say that the endpoint leaves, which late reports and the health check don't. If nobody can be heard, the wait ends.
+     */
+    async restore(signal: AbortSignal): Promise<void> {
+        const { clock, clusterState, announceLoad } = this.dependencies;
+        const giveUpAt = clock.readMonotonic() + maxRestoreMs;
+        while (!clusterState.hasOwnRecord() && clock.readMonotonic() < giveUpAt && !signal.aborted) {
+            await clock.sleep(restorePollMs, signal);
+        }
+        this.isRestoreOver = true;
+        announceLoad();
+        await this.learnIncarnation(signal);
+    }
+
+    /** Reads the id of the endpoint's incarnation from its health check instead of waiting for its next report. */
+    private async learnIncarnation(signal: AbortSignal): Promise<void> {
+        const { clock, logger, service, endpoint, pool, clusterState, announceLoad } = this.dependencies;
+        const { configurationHolder } = clusterState;
+        while (configurationHolder.getVersion() < 0 && !signal.aborted) {
+            await clock.sleep(configurationPollMs, signal);
+        }
+        const serviceConfiguration = configurationHolder.getTable()?.configuration.services.get(service);
+        if (serviceConfiguration === undefined || endpoint.getIncarnationId() !== undefined) {
+            return;
+        }
+        const probeResult = await probeEndpoint(clock, pool, serviceConfiguration.healthPath);
+        logger.info("endpointProbed", { ...probeResult });
+        const { isHealthy, endpointId, slots } = probeResult;
+        if (isHealthy && endpointId !== undefined && endpoint.getIncarnationId() === undefined) {
+            endpoint.learnIncarnation(endpointId, slots);
+            clusterState.publishOwnRecord();
+            announceLoad();
+        }
+    }
+
+    /** Logs a change of what the endpoint has stated, and tells the other nodes of it. */
+    private applyResult(result: ReportResult, id: string, state: string): void {
+        if (result === "unchanged" || result === "stale") {
+            return;
+        }
+        const { endpoint, logger, pool, clusterState, refuseWaiting, announceLoad, announceRecord } = this.dependencies;
+        logger.info("endpointChanged", { endpoint: id, state, result, slots: endpoint.getSlots() });
+        if (result === "started") {
+            pool.clear();
+        }
+        if (endpoint.findRefusalReason() !== undefined) {
+            refuseWaiting();
+        }
+        clusterState.publishOwnRecord();
+        announceLoad();
+        if (endpoint.findRefusalReason() === "leaving") {
+            // A node that passes on an answer of this endpoint has to know before that the endpoint leaves.
+            announceRecord();
+        }
+    }
+}
+
+/** Whether two limits differ so little that the earlier one may stand for the later one. */
+function isAboutEqual(limit: number, published: number): boolean {
+    return limit <= published * limitTolerance && published <= limit * limitTolerance;
+}
--- a/src/process/endpointRunner.ts
+++ b/src/process/endpointRunner.ts
@@ -62,7 +62,7 @@
     /** Called with the limit that an answer of an endpoint's process names, if any, in requests per second. */
     readonly recordNamedLimit: (endpointId: string, perSecond: number | undefined) => void;
     /** Whether it is known what earlier processes of this node knew of the endpoint. */
-    readonly isRecovered: () => boolean;
+    readonly isRestored: () => boolean;
     /** Whether this node is stopping and gives the endpoint no more work. */
     readonly isEndpointClosed: () => boolean;
     /** Whether this node is stable: it has run for a while and is not about to stop. */
@@ -150,11 +150,11 @@
     }
 
     private findUnavailableCause(): RefusalCause | undefined {
-        const { endpoint, isEndpointClosed, isRecovered } = this.dependencies;
+        const { endpoint, isEndpointClosed, isRestored } = this.dependencies;
         if (isEndpointClosed()) {
             return "leaving";
         }
-        return isRecovered() ? endpoint.findRefusalReason() : "notKnown";
+        return isRestored() ? endpoint.findRefusalReason() : "notKnown";
     }
 
     private updateLimit(): number {
--- a/src/process/routedNode.ts
+++ b/src/process/routedNode.ts
@@ -13,15 +13,14 @@
 import { Forwarder } from "../request/forwarder.js";
 import type { RoutedEntryDependencies } from "../request/routedEntry.js";
 import { Sender } from "../request/sender.js";
-import type { InstanceDescription, InstanceRecord } from "../version/instanceRecord.js";
+import type { InstanceDescription } from "../version/instanceRecord.js";
 import type { Clock } from "./clock.js";
 import { ClusterState } from "./clusterState.js";
 import { CrashDetector } from "./crashDetector.js";
 import type { CrashReport } from "./crashFlood.js";
 import { CrashFlood } from "./crashFlood.js";
-import { probeEndpoint } from "./endpointProbe.js";
+import { EndpointLifecycle } from "./endpointLifecycle.js";
 import { EndpointRunner } from "./endpointRunner.js";
-import type { EndpointReport, ReportResult } from "./endpointState.js";
 import { EndpointState } from "./endpointState.js";
 import { EntryThrottle } from "./entryThrottle.js";
 import { decideStopStep } from "./gracefulStop.js";
@@ -42,16 +41,10 @@
 import { ServiceRetryBudget } from "./serviceRetryBudget.js";
 import { WeightedRoundRobin } from "./weightedRoundRobin.js";
 
-/** Poll interval of the graceful stop and of the wait for the first configuration, in milliseconds. */
+/** Poll interval of the graceful stop, in milliseconds. */
 const waitPollMs = 50;
 /** Time after a restart for which other nodes prefer other instances, in milliseconds. */
 const stabilisationMs = 3500;
-/** Factor by which the endpoint's limit may differ from the published one before it is published again. */
-const limitTolerance = 1.25;
-/** Longest time after a restart in which the endpoint gets no requests for want of the records from before, in milliseconds. */
-const maxRecoveryMs = 1000;
-/** Interval at which the end of that wait is checked, in milliseconds. */
-const recoveryPollMs = 20;
 /** Time between removals of the expired outcomes of runs for other nodes, in milliseconds. */
 const housekeepingIntervalMs = 1000;
 /**
@@ -74,6 +67,7 @@
     private readonly clusterState: ClusterState;
     private readonly metrics = new RoutedMetrics();
     private readonly endpoint: EndpointState;
+    private readonly endpointLifecycle: EndpointLifecycle;
     private readonly pool: EndpointConnectionPool;
     private readonly quarantine: Quarantine;
     private readonly crashFlood: CrashFlood;
@@ -97,10 +91,6 @@
     /** Time of the start on the monotonic clock, in milliseconds. */
     private readonly startedAt: number;
     private graceMs: number;
-    /** Whether it is known what earlier processes of this node knew of the endpoint. */
-    private isRecovered: boolean;
-    /** Limit of the endpoint that was published last, in requests per second. */
-    private publishedLimit: number | undefined;
     private isStopping = false;
     /** Whether the endpoint gets no new runs, since this process ends soon. */
     private isEndpointClosed = false;
@@ -114,7 +104,6 @@
         const { address, dataCentre, bounds, endpoint } = settings;
         this.graceMs = bounds.graceSeconds * 1000;
         this.startedAt = clock.readMonotonic();
-        this.isRecovered = settings.isFirstStart;
         // One task for each peer listens to this signal, more than the default limit of listeners allows.
         setMaxListeners(0, this.stopController.signal);
         this.incarnation = Math.floor(clock.readDate().getTime() * 1000 + Math.random() * 1000);
@@ -151,9 +140,23 @@
             isReachable,
             ping: peer => void this.links.ping(peer),
             post: (peer, message) => this.links.post(peer, message),
-            restoreFromOwnRecord: record => this.restoreFromOwnRecord(record),
+            restoreFromOwnRecord: record => this.endpointLifecycle.restoreFromOwnRecord(record),
             handleInstanceRecord: record => this.links.add(record),
         });
+        this.endpointLifecycle = new EndpointLifecycle({
+            clock,
+            logger,
+            service: settings.service,
+            endpoint: this.endpoint,
+            pool: this.pool,
+            clusterState: this.clusterState,
+            isFirstStart: settings.isFirstStart,
+            refuseWaiting: () => this.runner.refuseWaiting("leaving"),
+            announceLoad: () => this.announceLoad(),
+            announceRecord: () => {
+                this.linkServer.postToAll({ kind: "instances", records: [this.clusterState.formatOwnRecord()] });
+            },
+        });
         const { configurationHolder, registry } = this.clusterState;
         const listReaders = (): readonly string[] => this.clusterState.listReaders();
         this.linkKeeper = new LinkKeeper(clock, settings.service, registry, this.subsets, listReaders);
@@ -170,9 +173,8 @@
             inFlightRequests: this.inFlightRequests,
             entry: this.createEntryDependencies(),
             reports: {
-                report: report => this.applyReport(report),
-                // The endpoint reports that this incarnation of it leaves for good.
-                leave: id => this.applyReportResult(this.endpoint.applyLeave(id), id, "left"),
+                report: report => this.endpointLifecycle.applyReport(report),
+                leave: id => this.endpointLifecycle.applyLeave(id),
             },
             findNotReadyCause: () => this.findNotReadyCause(),
         });
@@ -193,7 +195,7 @@
         void this.pool.runPruning(signal);
         void this.runHousekeeping(signal);
         if (!isFirstStart) {
-            void this.restoreEndpointState(signal);
+            void this.endpointLifecycle.restore(signal);
         }
         this.logger.info("started", { machine, service, address, incarnation: this.incarnation, isFirstStart });
     }
@@ -250,7 +252,7 @@
         if (this.clusterState.configurationHolder.getVersion() < 0) {
             return "no configuration is known";
         }
-        return this.isRecovered ? undefined : "the own record is not read";
+        return this.endpointLifecycle.isRestored() ? undefined : "the own record is not read";
     }
 
     private createRunner(): EndpointRunner {
@@ -274,9 +276,9 @@
                 isEndpointRunning: () => isEndpointRunning(host, port),
                 reportToPeers: (fingerprints, incident) => this.crashFlood.report({ fingerprints, incident }),
             }),
-            recordLeaving: id => this.recordLeavingEndpoint(id),
-            recordNamedLimit: (id, perSecond) => this.recordNamedLimit(id, perSecond),
-            isRecovered: () => this.isRecovered,
+            recordLeaving: id => this.endpointLifecycle.recordLeaving(id),
+            recordNamedLimit: (id, perSecond) => this.endpointLifecycle.recordNamedLimit(id, perSecond),
+            isRestored: () => this.endpointLifecycle.isRestored(),
             isEndpointClosed: () => this.isEndpointClosed,
             isSettled: () => this.isSettled(),
         });
@@ -421,99 +423,6 @@
         };
     }
 
-    private applyReport(report: EndpointReport): void {
-        this.applyReportResult(this.endpoint.applyReport(report), report.id, report.state);
-    }
-
-    /** Takes over what an earlier process of this node published of its endpoint. */
-    private restoreFromOwnRecord({ leavingEndpoint, namedLimit }: InstanceRecord): void {
-        if (leavingEndpoint !== undefined) {
-            this.recordLeavingEndpoint(leavingEndpoint);
-        }
-        if (namedLimit !== undefined) {
-            this.endpoint.restoreNamedLimit(namedLimit);
-        }
-    }
-
-    /** Records the limit that an answer names. A later process of this node learns it from the record, if it is still about right. */
-    private recordNamedLimit(id: string, perSecond: number | undefined): void {
-        const published = this.publishedLimit;
-        if (!this.endpoint.recordNamedLimit(id, perSecond)) {
-            return;
-        }
-        const limit = this.endpoint.getNamedLimit();
-        if (limit !== undefined && published !== undefined && isAboutEqual(limit, published)) {
-            return;
-        }
-        this.publishedLimit = limit;
-        this.logger.info("endpointLimited", { endpoint: id, perSecond: limit });
-        this.clusterState.publishOwnRecord();
-        this.announceLoad();
-    }
-
-    private recordLeavingEndpoint(id: string): void {
-        this.applyReportResult(this.endpoint.recordLeaving(id), id, "leaving");
-    }
-
-    /** Logs a change of the endpoint that it has stated, and tells the other nodes of it. */
-    private applyReportResult(result: ReportResult, id: string, state: string): void {
-        if (result === "unchanged" || result === "stale") {
-            return;
-        }
-        this.logger.info("endpointChanged", { endpoint: id, state, result, slots: this.endpoint.getSlots() });
-        if (result === "started") {
-            this.pool.clear();
-        }
-        if (this.endpoint.findRefusalReason() !== undefined) {
-            this.runner.refuseWaiting("leaving");
-        }
-        this.clusterState.publishOwnRecord();
-        this.announceLoad();
-        if (this.endpoint.findRefusalReason() === "leaving") {
-            // A node that passes on an answer of this endpoint has to know before that the endpoint leaves.
-            this.linkServer.postToAll({ kind: "instances", records: [this.clusterState.formatOwnRecord()] });
-        }
-    }
-
-    /**
-     * After a restart of the node, waits until its records from before are read, from the log or from another node. They
-     * may say that the endpoint leaves, which its late reports and its health check don't. If nobody can be heard, the wait ends.
-     */
-    private async restoreEndpointState(signal: AbortSignal): Promise<void> {
-        const giveUpAt = this.startedAt + maxRecoveryMs;
-        while (!this.clusterState.hasOwnRecord() && this.clock.readMonotonic() < giveUpAt && !signal.aborted) {
-            await this.clock.sleep(recoveryPollMs, signal);
-        }
-        this.isRecovered = true;
-        this.announceLoad();
-        await this.learnEndpointIncarnation(signal);
-    }
-
-    /**
-     * After a restart of the node, reads the id of the endpoint's incarnation from its health check instead of waiting
-     * for its next report.
-     */
-    private async learnEndpointIncarnation(signal: AbortSignal): Promise<void> {
-        const { configurationHolder } = this.clusterState;
-        while (configurationHolder.getVersion() < 0 && !signal.aborted) {
-            await this.clock.sleep(waitPollMs, signal);
-        }
-        const serviceConfiguration = configurationHolder.getTable()?.configuration.services.get(this.settings.service);
-        if (serviceConfiguration === undefined || this.endpoint.getIncarnationId() !== undefined) {
-            return;
-        }
-        const probeResult = await probeEndpoint(this.clock, this.pool, serviceConfiguration.healthPath);
-        this.logger.info("endpointProbed", { ...probeResult });
-        if (
-            probeResult.isHealthy && probeResult.endpointId !== undefined
-            && this.endpoint.getIncarnationId() === undefined
-        ) {
-            this.endpoint.learnIncarnation(probeResult.endpointId, probeResult.slots);
-            this.clusterState.publishOwnRecord();
-            this.announceLoad();
-        }
-    }
-
     /** Whether another instance of the same service takes work. The node's own instance is excluded from the choice. */
     private hasOtherInstance(): boolean {
         const { service, address } = this.settings;
@@ -578,11 +487,6 @@
     }
 }
 
-/** Whether two limits differ so little that the earlier one may stand for the later one. */
-function isAboutEqual(limit: number, published: number): boolean {
-    return limit <= published * limitTolerance && published <= limit * limitTolerance;
-}
-
 function createRetryLimits(bounds: RoutedSettings["bounds"]): RetryLimits {
     return {
         ratio: bounds.retryRatio * usableRetryShare,
