--- a/src/process/instanceSelector.ts
+++ b/src/process/instanceSelector.ts
@@ -9,6 +9,7 @@
 import type { LinkKeeper } from "./linkKeeper.js";
 import type { LoadRefresher } from "./loadRefresher.js";
 import type { Placement } from "./placement.js";
+import { pickSome } from "./randomSample.js";
 
 /** Instances outside of the subset among which one is chosen when the subset has no room. */
 const sampledOthers = 6;
@@ -58,10 +59,6 @@
 
     private sampleOthers(all: readonly InstanceRecord[], subset: readonly InstanceRecord[]): InstanceRecord[] {
         const others = all.filter(record => !subset.includes(record));
-        const sample: InstanceRecord[] = [];
-        while (sample.length < sampledOthers && others.length > 0) {
-            sample.push(...others.splice(Math.floor(this.dependencies.random() * others.length), 1));
-        }
-        return sample;
+        return pickSome(others, sampledOthers, this.dependencies.random);
     }
 }
--- a/src/process/peerGossip.ts
+++ b/src/process/peerGossip.ts
@@ -14,6 +14,7 @@
 import type { Random } from "./balancer.js";
 import type { Clock } from "./clock.js";
 import type { InstanceRegistry } from "./instanceRegistry.js";
+import { pickSome } from "./randomSample.js";
 
 /** Number of nodes to which a new version is announced at once. */
 const versionFanout = 3;
@@ -132,12 +133,7 @@
     /** Chooses some of the nodes to which links are open, at random. */
     private chooseLinked(count: number): string[] {
         const { random, listLinked } = this.dependencies;
-        const linked = [...listLinked()];
-        const chosen: string[] = [];
-        while (chosen.length < count && linked.length > 0) {
-            chosen.push(...linked.splice(Math.floor(random() * linked.length), 1));
-        }
-        return chosen;
+        return pickSome(listLinked(), count, random);
     }
 
     /** Requests the configuration if `version` is newer than the one in force and no request is pending. */
--- a/test/routed/links.test.ts
+++ b/test/routed/links.test.ts
@@ -97,6 +97,22 @@
     }
 }
 
+/** Links of a node that keeps nothing of what it hears. */
+function createLinks(signal: AbortSignal, recordLostLink: (peer: string) => void = () => undefined): PeerLinks {
+    return new PeerLinks({
+        clock,
+        random: Math.random,
+        logger: silentLogger,
+        createHello: () => createHello(9),
+        getLogPosition: () => position,
+        handleHello: () => undefined,
+        handleMessage: () => undefined,
+        recordLoad: () => undefined,
+        recordLostLink,
+        isKnownInstance: () => true,
+    }, signal);
+}
+
 describe("links between nodes", () => {
     const cases: readonly {
         readonly name: string;
@@ -138,18 +154,7 @@
             await node.server.start(address, port);
             const proxy = new FaultProxy(port);
             const stopping = new AbortController();
-            const links = new PeerLinks({
-                clock,
-                random: Math.random,
-                logger: silentLogger,
-                createHello: () => createHello(9),
-                getLogPosition: () => position,
-                handleHello: () => undefined,
-                handleMessage: () => undefined,
-                recordLoad: () => undefined,
-                recordLostLink: () => undefined,
-                isKnownInstance: () => true,
-            }, stopping.signal);
+            const links = createLinks(stopping.signal);
             links.add(createRecord(address, { port: await proxy.start() }));
             void links.runLivenessChecks();
             const now = clock.readMonotonic();
@@ -186,18 +191,7 @@
         const node = new AnsweringNode(1);
         const stopping = new AbortController();
         const lost: string[] = [];
-        const links = new PeerLinks({
-            clock,
-            random: Math.random,
-            logger: silentLogger,
-            createHello: () => createHello(9),
-            getLogPosition: () => position,
-            handleHello: () => undefined,
-            handleMessage: () => undefined,
-            recordLoad: () => undefined,
-            recordLostLink: peer => lost.push(peer),
-            isKnownInstance: () => true,
-        }, stopping.signal);
+        const links = createLinks(stopping.signal, peer => lost.push(peer));
         const port = 10_000 + process.pid % 20_000;
         await node.server.start("0.0.0.0", port);
         const peers = ["127.0.0.1", "127.0.0.2", "127.0.0.3"];
