--- a/src/connection/endpointConnectionPool.ts
+++ b/src/connection/endpointConnectionPool.ts
@@ -18,6 +18,8 @@
  * be closing an idle connection, and a reset would leave it unknown whether the request ran.
  */
 const maxIdleForNonIdempotentMs = 1000;
+/** Time without an answer from which on a cancelled request says that its connection may have fallen silent, in milliseconds. */
+const minSilentMs = 500;
 /** Interval at which idle connections are checked, in milliseconds. */
 const pruneIntervalMs = 1000;
 
@@ -56,7 +58,8 @@
         cancellation.removeListener(abort);
         this.busy.delete(connection);
         this.release(connection);
-        if (result.kind === "lost" && result.cause === "aborted") {
+        const isUnanswered = result.kind === "lost" && result.cause === "aborted";
+        if (isUnanswered && this.clock.readMonotonic() - sentAt > minSilentMs) {
             this.closeIdleSince(sentAt);
         }
         return result;
