--- a/src/cli.ts
+++ b/src/cli.ts
@@ -9,19 +9,19 @@
     listContracts,
     publishContractFile,
     showContract,
-} from "./process/contractCommands.js";
-import type { KeySource } from "./process/keys.js";
-import { formatKeyError, readKeys } from "./process/keys.js";
+} from "./process/operators/contractCommands.js";
+import type { KeySource } from "./process/operators/keys.js";
+import { formatKeyError, readKeys } from "./process/operators/keys.js";
 import {
     releaseQuarantine,
     retireSlot,
     showAudit,
     showContractHistory,
     showStatus,
-} from "./process/operatorCommands.js";
-import { checkFile, printRequestLines } from "./process/routedCommands.js";
-import type { ToolOptions } from "./process/tool.js";
-import { exitCodes } from "./process/tool.js";
+} from "./process/operators/operatorCommands.js";
+import { checkFile, printRequestLines } from "./process/operators/routedCommands.js";
+import type { ToolOptions } from "./process/operators/tool.js";
+import { exitCodes } from "./process/operators/tool.js";
 
 /** Options of all commands, as parsed from the command line. */
 interface CommandLineOptions {
--- a/src/connection/endpointConnectionPool.ts
+++ b/src/connection/endpointConnectionPool.ts
@@ -1,6 +1,6 @@
 /** Pool of keep-alive connections to the local endpoint. The most recently used idle connection is used first. */
-import type { Cancellation } from "../process/cancellation.js";
-import type { Clock } from "../process/clock.js";
+import type { Cancellation } from "../process/base/cancellation.js";
+import type { Clock } from "../process/base/clock.js";
 import type { Dialect } from "../request/dialect.js";
 import { AnswerBudget } from "./answerBudget.js";
 import type { EndpointConnection, EndpointRequest, ExchangeResult } from "./endpointConnection.js";
--- a/src/connection/keyedLog.ts
+++ b/src/connection/keyedLog.ts
@@ -5,7 +5,7 @@
  * An implementation only translates these calls into those of one platform. Decisions, such as when to retry, are left
  * to the callers.
  */
-import type { Result } from "../process/result.js";
+import type { Result } from "../process/base/result.js";
 
 /** A record of a topic. An empty value is a tombstone: it marks the key as removed. */
 export interface KeyedRecord {
--- a/src/connection/keyedLogFollower.ts
+++ b/src/connection/keyedLogFollower.ts
@@ -5,9 +5,9 @@
  * While calls to the log fail, they are retried with exponential backoff and jitter, so that many nodes don't retry at
  * the same time. The first failure and the recovery are logged once each.
  */
-import type { Random } from "../process/balancer.js";
-import type { Clock } from "../process/clock.js";
-import type { Logger } from "../process/logger.js";
+import type { Clock } from "../process/base/clock.js";
+import type { Random } from "../process/load/balancer.js";
+import type { Logger } from "../process/telemetry/logger.js";
 import type { KeyedLog, KeyedLogError, KeyedPage, LogEra } from "./keyedLog.js";
 import { describeKeyedLogError } from "./keyedLog.js";
 
--- a/src/connection/link.ts
+++ b/src/connection/link.ts
@@ -6,8 +6,8 @@
  */
 import type { Socket } from "node:net";
 import { connect } from "node:net";
-import type { Cancellation } from "../process/cancellation.js";
-import type { Clock } from "../process/clock.js";
+import type { Cancellation } from "../process/base/cancellation.js";
+import type { Clock } from "../process/base/clock.js";
 import type { PeerRunRequest } from "../request/runRequest.js";
 import type {
     AnswerMessage,
--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -7,8 +7,8 @@
  * two machines don't need to be synchronised.
  */
 import { Packr } from "msgpackr";
-import type { AnsweredRun, FailedRun, RefusedRun } from "../process/runOutcome.js";
-import type { Origin } from "../process/runsInProgress.js";
+import type { AnsweredRun, FailedRun, RefusedRun } from "../process/load/runOutcome.js";
+import type { Origin } from "../process/load/runsInProgress.js";
 import type { HeaderList } from "../request/headers.js";
 
 /** Load of a node's local endpoint, sent with the outcome of every request. */
--- a/src/connection/logFollower.ts
+++ b/src/connection/logFollower.ts
@@ -6,12 +6,12 @@
  * shows that a peer has applied more records, and otherwise at the long interval. While the log can't be read, a node
  * pulls the state of the streams from its peers, starting with those that have applied most.
  */
-import type { Clock } from "../process/clock.js";
-import type { Directory } from "../process/directory.js";
-import { mergeOffsets, unknownOffsets } from "../process/directory.js";
-import type { Logger } from "../process/logger.js";
-import type { Streams } from "../process/streams.js";
-import { catchUpAll, getOffsets, isBehind, streamKeys } from "../process/streams.js";
+import type { Clock } from "../process/base/clock.js";
+import type { Directory } from "../process/membership/directory.js";
+import { mergeOffsets, unknownOffsets } from "../process/membership/directory.js";
+import type { Streams } from "../process/membership/streams.js";
+import { catchUpAll, getOffsets, isBehind, streamKeys } from "../process/membership/streams.js";
+import type { Logger } from "../process/telemetry/logger.js";
 import type { Member } from "../version/member.js";
 import { formatSlot, isSameMember } from "../version/member.js";
 import { hashText } from "../version/memberStream.js";
--- a/src/connection/logService.ts
+++ b/src/connection/logService.ts
@@ -6,8 +6,8 @@
  */
 import { request } from "undici";
 import * as v from "valibot";
-import type { Result } from "../process/result.js";
-import { createFailure, createSuccess } from "../process/result.js";
+import type { Result } from "../process/base/result.js";
+import { createFailure, createSuccess } from "../process/base/result.js";
 
 /** Maximum number of records requested in one read. */
 const maxRecordsPerRead = 500;
--- a/src/connection/peerLinks.ts
+++ b/src/connection/peerLinks.ts
@@ -3,10 +3,10 @@
  * are lost. Requests that were in flight on a lost link are sent again over the new one; the other node recognises them
  * and doesn't run them twice.
  */
-import type { Random } from "../process/balancer.js";
-import type { Cancellation } from "../process/cancellation.js";
-import type { Clock } from "../process/clock.js";
-import type { Logger } from "../process/logger.js";
+import type { Cancellation } from "../process/base/cancellation.js";
+import type { Clock } from "../process/base/clock.js";
+import type { Random } from "../process/load/balancer.js";
+import type { Logger } from "../process/telemetry/logger.js";
 import type { PeerRunRequest } from "../request/runRequest.js";
 import type { InstanceRecord } from "../version/instanceRecord.js";
 import type { HelloMessage, LinkOutcome } from "./link.js";
--- a/src/connection/prober.ts
+++ b/src/connection/prober.ts
@@ -3,9 +3,9 @@
  * shuffled round over all peers, and asks other members to probe it if it doesn't answer. Member updates are
  * piggybacked on probes and their replies (gossip), so the load on a node doesn't grow with the number of members.
  */
-import type { Random } from "../process/balancer.js";
-import type { Clock } from "../process/clock.js";
-import type { Directory } from "../process/directory.js";
+import type { Clock } from "../process/base/clock.js";
+import type { Random } from "../process/load/balancer.js";
+import type { Directory } from "../process/membership/directory.js";
 import type { Member } from "../version/member.js";
 import { formatSlot } from "../version/member.js";
 import type { ControlCaller, ControlReply, ControlRequest, MemberUpdate, StreamOffsets } from "./control.js";
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -7,12 +7,12 @@
  * runs.
  */
 import { parseArgs } from "node:util";
-import { SystemClock } from "./process/clock.js";
-import { formatKeyError, keyNames, readKeys } from "./process/keys.js";
-import { createLogger } from "./process/logger.js";
-import { Node } from "./process/node.js";
-import { readSettings } from "./process/settings.js";
-import { formatSettingsError } from "./process/settingsFile.js";
+import { SystemClock } from "./process/base/clock.js";
+import { Node } from "./process/node/node.js";
+import { formatKeyError, keyNames, readKeys } from "./process/operators/keys.js";
+import { readSettings } from "./process/settings/settings.js";
+import { formatSettingsError } from "./process/settings/settingsFile.js";
+import { createLogger } from "./process/telemetry/logger.js";
 
 const usage = "usage: turmericspoked --config FILE";
 
--- a/src/index.ts
+++ b/src/index.ts
@@ -4,9 +4,9 @@
  */
 export type { LogError, LogPage, LogRecord, LogService } from "./connection/logService.js";
 export { HttpLogService } from "./connection/logService.js";
-export type { Clock } from "./process/clock.js";
-export { SystemClock } from "./process/clock.js";
-export type { Result } from "./process/result.js";
+export type { Clock } from "./process/base/clock.js";
+export { SystemClock } from "./process/base/clock.js";
+export type { Result } from "./process/base/result.js";
 export type { Reason } from "./request/answer.js";
 export { reasons } from "./request/answer.js";
 export { headerNames } from "./request/headers.js";
--- a/src/process/randomSample.ts
+++ b/src/process/base/randomSample.ts
@@ -1,5 +1,5 @@
 /** Random samples. */
-import type { Random } from "./balancer.js";
+import type { Random } from "../load/balancer.js";
 
 /** Picks up to `count` different items at random. */
 export function pickSome<T>(items: readonly T[], count: number, random: Random): T[] {
--- a/src/process/customerRateLimiter.ts
+++ b/src/process/customers/customerRateLimiter.ts
@@ -4,12 +4,12 @@
  * Each node has a small floor rate that needs no coordination, and leases shares of quota pools from their coordinators
  * (see `ShareCoordinator`). The leased shares follow the demand that each node sees.
  */
-import type { ControlCaller } from "../connection/control.js";
-import type { Contract } from "../version/contract.js";
-import type { Member } from "../version/member.js";
-import { formatSlot } from "../version/member.js";
-import type { Clock } from "./clock.js";
-import { TokenBucket } from "./rateLimit.js";
+import type { ControlCaller } from "../../connection/control.js";
+import type { Contract } from "../../version/contract.js";
+import type { Member } from "../../version/member.js";
+import { formatSlot } from "../../version/member.js";
+import type { Clock } from "../base/clock.js";
+import { TokenBucket } from "../base/rateLimit.js";
 import { chooseCoordinators, floorShare, leaseDurationMs, poolCount } from "./shareCoordinator.js";
 
 /** Interval at which demand is measured and leases are renewed, in milliseconds. */
--- a/src/process/shareCoordinator.ts
+++ b/src/process/customers/shareCoordinator.ts
@@ -6,10 +6,10 @@
  * shares of its pool, so the sum of all shares stays within the rate limit whichever nodes fail or are separated by a
  * network partition: the share of a lost coordinator or holder stays unused, and is never granted twice.
  */
-import type { Member, SlotName } from "../version/member.js";
-import { formatSlot } from "../version/member.js";
-import { hashText } from "../version/memberStream.js";
-import type { Clock } from "./clock.js";
+import type { Member, SlotName } from "../../version/member.js";
+import { formatSlot } from "../../version/member.js";
+import { hashText } from "../../version/memberStream.js";
+import type { Clock } from "../base/clock.js";
 
 /** Quota pools of each rate limit. */
 export const poolCount = 3;
--- a/src/process/crashDetector.ts
+++ b/src/process/endpoint/crashDetector.ts
@@ -5,8 +5,8 @@
  * requests whose connections were lost just before then become suspects, on this node and on all others. Only routed
  * nodes use this class; on other nodes, LocalEndpoint detects crashes and CrashReporter reports them.
  */
-import type { Clock } from "./clock.js";
-import type { Logger } from "./logger.js";
+import type { Clock } from "../base/clock.js";
+import type { Logger } from "../telemetry/logger.js";
 import type { Quarantine } from "./quarantine.js";
 
 /** Connections that are lost within this time of each other count as lost in the same crash, in milliseconds. */
--- a/src/process/crashReporter.ts
+++ b/src/process/endpoint/crashReporter.ts
@@ -3,15 +3,15 @@
  *
  * LocalEndpoint detects the crashes. Routed nodes use CrashDetector instead of both.
  */
-import type { ControlCaller } from "../connection/control.js";
-import type { LogService } from "../connection/logService.js";
-import type { Member } from "../version/member.js";
-import { formatSlot } from "../version/member.js";
-import type { QuarantineState } from "../version/quarantineStream.js";
-import { formatQuarantineRecord, quarantineStreamName } from "../version/quarantineStream.js";
-import type { Clock } from "./clock.js";
-import type { Directory } from "./directory.js";
-import type { Logger } from "./logger.js";
+import type { ControlCaller } from "../../connection/control.js";
+import type { LogService } from "../../connection/logService.js";
+import type { Member } from "../../version/member.js";
+import { formatSlot } from "../../version/member.js";
+import type { QuarantineState } from "../../version/quarantineStream.js";
+import { formatQuarantineRecord, quarantineStreamName } from "../../version/quarantineStream.js";
+import type { Clock } from "../base/clock.js";
+import type { Directory } from "../membership/directory.js";
+import type { Logger } from "../telemetry/logger.js";
 import type { Quarantine } from "./quarantine.js";
 import { quarantineMs } from "./quarantine.js";
 
--- a/src/process/endpointLifecycle.ts
+++ b/src/process/endpoint/endpointLifecycle.ts
@@ -2,13 +2,13 @@
  * Follows what the local endpoint states of itself, by its reports, its answers and its health check, and tells the other
  * nodes of each change. After a restart of the node, takes over what an earlier process of it published.
  */
-import type { EndpointConnectionPool } from "../connection/endpointConnectionPool.js";
-import type { InstanceRecord } from "../version/instanceRecord.js";
-import type { Clock } from "./clock.js";
-import type { ClusterState } from "./clusterState.js";
+import type { EndpointConnectionPool } from "../../connection/endpointConnectionPool.js";
+import type { InstanceRecord } from "../../version/instanceRecord.js";
+import type { Clock } from "../base/clock.js";
+import type { ClusterState } from "../membership/clusterState.js";
+import type { Logger } from "../telemetry/logger.js";
 import { probeEndpoint } from "./endpointProbe.js";
 import type { EndpointReport, EndpointState, ReportResult } from "./endpointState.js";
-import type { Logger } from "./logger.js";
 
 /** Longest time after a restart in which the endpoint gets no requests for want of the own record, in milliseconds. */
 const maxRestoreMs = 1000;
--- a/src/process/endpointProbe.ts
+++ b/src/process/endpoint/endpointProbe.ts
@@ -1,7 +1,7 @@
 /** Health check of the local endpoint, by which a restarted node learns the endpoint's incarnation at once. */
-import type { EndpointConnectionPool } from "../connection/endpointConnectionPool.js";
-import { Cancellation } from "./cancellation.js";
-import type { Clock } from "./clock.js";
+import type { EndpointConnectionPool } from "../../connection/endpointConnectionPool.js";
+import { Cancellation } from "../base/cancellation.js";
+import type { Clock } from "../base/clock.js";
 
 /** Timeout of the health check, in milliseconds. */
 const probeTimeoutMs = 1500;
--- a/src/process/endpointReports.ts
+++ b/src/process/endpoint/endpointReports.ts
@@ -1,9 +1,9 @@
 /** Serves the reports of the local endpoint: `POST /endpoint/ID/report` and `POST /endpoint/ID/leave`. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import * as v from "valibot";
-import { sendJson } from "../connection/httpServer.js";
-import { readBody } from "../request/body.js";
-import { createIntegerSchema, parseJson, parseWith } from "../version/schema.js";
+import { sendJson } from "../../connection/httpServer.js";
+import { readBody } from "../../request/body.js";
+import { createIntegerSchema, parseJson, parseWith } from "../../version/schema.js";
 import type { EndpointReport } from "./endpointState.js";
 
 /** Maximum size of a report, in bytes. */
--- a/src/process/endpointRunner.ts
+++ b/src/process/endpoint/endpointRunner.ts
@@ -2,25 +2,25 @@
  * Runs requests at the local endpoint. Only this node reaches the endpoint, so this module decides which requests run,
  * how many run at once and which wait, and a request that is refused here has not run.
  */
-import type { EndpointAnswer, LossCause } from "../connection/endpointConnection.js";
-import type { EndpointConnectionPool, SendResult } from "../connection/endpointConnectionPool.js";
-import type { LoadReport } from "../connection/linkMessage.js";
-import { computeFingerprint } from "../request/action.js";
-import type { Dialect } from "../request/dialect.js";
-import { copyEndToEndHeaders } from "../request/dialect.js";
-import type { RunRequest } from "../request/runRequest.js";
-import { Cancellation } from "./cancellation.js";
-import type { Clock, Timer } from "./clock.js";
+import type { EndpointAnswer, LossCause } from "../../connection/endpointConnection.js";
+import type { EndpointConnectionPool, SendResult } from "../../connection/endpointConnectionPool.js";
+import type { LoadReport } from "../../connection/linkMessage.js";
+import { computeFingerprint } from "../../request/action.js";
+import type { Dialect } from "../../request/dialect.js";
+import { copyEndToEndHeaders } from "../../request/dialect.js";
+import type { RunRequest } from "../../request/runRequest.js";
+import { Cancellation } from "../base/cancellation.js";
+import type { Clock, Timer } from "../base/clock.js";
+import type { FailureCause, RefusalCause, RunOutcome } from "../load/runOutcome.js";
+import { RunPacer } from "../load/runPacer.js";
+import type { Candidate } from "../load/runQueue.js";
+import { RunQueue } from "../load/runQueue.js";
+import type { RunInProgress, RunsInProgress } from "../load/runsInProgress.js";
+import { RunTimeMonitor } from "../load/runTimeMonitor.js";
+import type { Logger } from "../telemetry/logger.js";
 import type { CrashDetector } from "./crashDetector.js";
 import type { EndpointState } from "./endpointState.js";
-import type { Logger } from "./logger.js";
 import type { Quarantine } from "./quarantine.js";
-import type { FailureCause, RefusalCause, RunOutcome } from "./runOutcome.js";
-import { RunPacer } from "./runPacer.js";
-import type { Candidate } from "./runQueue.js";
-import { RunQueue } from "./runQueue.js";
-import type { RunInProgress, RunsInProgress } from "./runsInProgress.js";
-import { RunTimeMonitor } from "./runTimeMonitor.js";
 
 /**
  * Share of the endpoint's slots that is used, since endpoints get slower when nearly full. The slots are the
--- a/src/process/endpointState.ts
+++ b/src/process/endpoint/endpointState.ts
@@ -5,8 +5,8 @@
  * Reports are ordered within an incarnation by their number. A late report of an incarnation that was replaced does not
  * make it current again. Once an incarnation has stated that it drains or leaves, it gets no more requests.
  */
-import type { Clock } from "./clock.js";
-import { NamedLimit } from "./namedLimit.js";
+import type { Clock } from "../base/clock.js";
+import { NamedLimit } from "../load/namedLimit.js";
 
 /** Report of an endpoint about itself. */
 export interface EndpointReport {
--- a/src/process/localEndpoint.ts
+++ b/src/process/endpoint/localEndpoint.ts
@@ -2,18 +2,18 @@
  * The local endpoint: its announcements, and the requests that run at it. Routed nodes use EndpointState and
  * EndpointRunner instead.
  */
-import { isEndpointRunning } from "../connection/endpointLiveness.js";
-import type { HttpFailure } from "../connection/httpPool.js";
-import { findLowerCaseHeader, HttpPool } from "../connection/httpPool.js";
-import type { Answer } from "../request/answer.js";
-import { createNotRunAnswer, createUnknownAnswer } from "../request/answer.js";
-import type { Call } from "../request/call.js";
-import type { CallRunner } from "../request/dispatcher.js";
-import { copyForwardedHeaders, headerNames } from "../request/headers.js";
-import type { Admission, Release } from "./admission.js";
-import type { Clock } from "./clock.js";
-import type { LearnedThresholds } from "./learnedThresholds.js";
-import type { Logger } from "./logger.js";
+import { isEndpointRunning } from "../../connection/endpointLiveness.js";
+import type { HttpFailure } from "../../connection/httpPool.js";
+import { findLowerCaseHeader, HttpPool } from "../../connection/httpPool.js";
+import type { Answer } from "../../request/answer.js";
+import { createNotRunAnswer, createUnknownAnswer } from "../../request/answer.js";
+import type { Call } from "../../request/call.js";
+import type { CallRunner } from "../../request/dispatcher.js";
+import { copyForwardedHeaders, headerNames } from "../../request/headers.js";
+import type { Clock } from "../base/clock.js";
+import type { Admission, Release } from "../load/admission.js";
+import type { LearnedThresholds } from "../load/learnedThresholds.js";
+import type { Logger } from "../telemetry/logger.js";
 import type { Quarantine } from "./quarantine.js";
 import type { RunTable } from "./runTable.js";
 import { Run } from "./runTable.js";
--- a/src/process/quarantine.ts
+++ b/src/process/endpoint/quarantine.ts
@@ -7,7 +7,7 @@
  * unrelated request is cleared by its next run. A request that was in progress at two crashes is under quarantine: it
  * is refused on all nodes.
  */
-import type { Clock } from "./clock.js";
+import type { Clock } from "../base/clock.js";
 
 /** Number of crashes at which a request was in progress before it is refused. */
 export const crashThreshold = 2;
--- a/src/process/remoteRuns.ts
+++ b/src/process/endpoint/remoteRuns.ts
@@ -3,13 +3,13 @@
  * asks for that or no link waits for it any more. {@link EndpointRunner.run} says what cancellation ends. A send is
  * one transmission of a request to an instance.
  */
-import type { RunMessage } from "../connection/linkMessage.js";
-import type { AcceptedLink } from "../connection/linkServer.js";
-import type { RunRequest } from "../request/runRequest.js";
-import { Cancellation } from "./cancellation.js";
-import type { Clock } from "./clock.js";
+import type { RunMessage } from "../../connection/linkMessage.js";
+import type { AcceptedLink } from "../../connection/linkServer.js";
+import type { RunRequest } from "../../request/runRequest.js";
+import { Cancellation } from "../base/cancellation.js";
+import type { Clock } from "../base/clock.js";
+import type { RunOutcome } from "../load/runOutcome.js";
 import type { EndpointRunner } from "./endpointRunner.js";
-import type { RunOutcome } from "./runOutcome.js";
 import { SendDeduplicator } from "./sendDeduplicator.js";
 
 /**
--- a/src/process/runTable.ts
+++ b/src/process/endpoint/runTable.ts
@@ -3,9 +3,9 @@
  * carries the token of its run.
  */
 import { randomUUID } from "node:crypto";
-import type { ActionContext } from "../request/action.js";
-import { RetryBudget } from "../request/retryBudget.js";
-import type { Clock } from "./clock.js";
+import type { ActionContext } from "../../request/action.js";
+import { RetryBudget } from "../../request/retryBudget.js";
+import type { Clock } from "../base/clock.js";
 
 /** One run of a request at the local endpoint. */
 export class Run {
--- a/src/process/sendDeduplicator.ts
+++ b/src/process/endpoint/sendDeduplicator.ts
@@ -5,8 +5,8 @@
  * its outcome; otherwise the second runs. The records last only as long as the process, so before it sends again, a
  * sender compares the incarnation (start time of the process) of this node with the one it sent to.
  */
-import type { Clock } from "./clock.js";
-import type { RunOutcome } from "./runOutcome.js";
+import type { Clock } from "../base/clock.js";
+import type { RunOutcome } from "../load/runOutcome.js";
 
 /** Time for which an outcome is kept for a sender that lost its link, in milliseconds. */
 const outcomeRetentionMs = 2500;
--- a/src/process/admission.ts
+++ b/src/process/load/admission.ts
@@ -3,8 +3,8 @@
  * and a priority threshold. A request that can't finish in time is refused at once, with the time after which a retry
  * makes sense.
  */
-import { updateAverage } from "./average.js";
-import type { Clock } from "./clock.js";
+import { updateAverage } from "../base/average.js";
+import type { Clock } from "../base/clock.js";
 import { ConcurrencyLimit } from "./concurrencyLimit.js";
 import { PriorityThreshold, thresholdWindowMs } from "./priorityThreshold.js";
 
--- a/src/process/balancer.ts
+++ b/src/process/load/balancer.ts
@@ -5,10 +5,10 @@
  * (counting this one) times 1 ms plus the average answer time. One instance of the local data centre and one of the
  * others are chosen in this way; the call leaves the data centre when the cost of the local one is much higher.
  */
-import type { Member, SlotName } from "../version/member.js";
-import { formatSlot } from "../version/member.js";
-import { updateAverage } from "./average.js";
-import type { Clock } from "./clock.js";
+import type { Member, SlotName } from "../../version/member.js";
+import { formatSlot } from "../../version/member.js";
+import { updateAverage } from "../base/average.js";
+import type { Clock } from "../base/clock.js";
 
 /** Weight of a new sample in the average answer time. */
 const sampleWeight = 0.2;
--- a/src/process/concurrencyLimit.ts
+++ b/src/process/load/concurrencyLimit.ts
@@ -7,8 +7,8 @@
  * become slower: fewer concurrent runs would only waste its capacity, so the limit is restored and the new run time
  * becomes the baseline.
  */
-import { updateAverage } from "./average.js";
-import type { Clock } from "./clock.js";
+import { updateAverage } from "../base/average.js";
+import type { Clock } from "../base/clock.js";
 
 /** Lowest limit, in concurrent runs. */
 const minLimit = 1;
--- a/src/process/entryThrottle.ts
+++ b/src/process/load/entryThrottle.ts
@@ -12,8 +12,8 @@
  * - Many nodes with few requests each. One answer says little, but each carries the utilisation of the fullest
  *   downstream service; near full utilisation the fraction rises slowly.
  */
+import type { Clock } from "../base/clock.js";
 import type { Random } from "./balancer.js";
-import type { Clock } from "./clock.js";
 
 /** Shortest time between two changes of a route's admitted fraction, in milliseconds. */
 const minWindowMs = 300;
--- a/src/process/instanceSelector.ts
+++ b/src/process/load/instanceSelector.ts
@@ -2,14 +2,14 @@
  * Selects the instance for a request among hundreds: usually from this node's subset of the service, after the loads
  * that decide were refreshed, and from the others when the subset has no room.
  */
-import type { InstanceRecord } from "../version/instanceRecord.js";
+import type { InstanceRecord } from "../../version/instanceRecord.js";
+import { pickSome } from "../base/randomSample.js";
+import type { InstanceRegistry } from "../membership/instanceRegistry.js";
+import type { LinkKeeper } from "../membership/linkKeeper.js";
 import type { Random } from "./balancer.js";
-import type { InstanceRegistry } from "./instanceRegistry.js";
 import type { InstanceSubsets } from "./instanceSubset.js";
-import type { LinkKeeper } from "./linkKeeper.js";
 import type { LoadRefresher } from "./loadRefresher.js";
 import type { Placement } from "./placement.js";
-import { pickSome } from "./randomSample.js";
 
 /** Instances outside of the subset among which one is chosen when the subset has no room. */
 const sampledOthers = 6;
--- a/src/process/instanceSubset.ts
+++ b/src/process/load/instanceSubset.ts
@@ -11,7 +11,7 @@
  *   them and its links are in use.
  * - A data centre without enough instances: each subset holds instances of other data centres too.
  */
-import type { InstanceRecord } from "../version/instanceRecord.js";
+import type { InstanceRecord } from "../../version/instanceRecord.js";
 
 /** Instances of the own data centre in a subset. */
 const localSubsetSize = 8;
--- a/src/process/learnedThresholds.ts
+++ b/src/process/load/learnedThresholds.ts
@@ -5,9 +5,9 @@
  * A node keeps them for the calls of its endpoint to downstream services, and for the requests that enter here. An
  * entry node that knows them refuses at once what the service would refuse in the end, before any work is spent on it.
  */
-import type { ActionContext } from "../request/action.js";
-import type { Answer, Reason } from "../request/answer.js";
-import type { Clock } from "./clock.js";
+import type { ActionContext } from "../../request/action.js";
+import type { Answer, Reason } from "../../request/answer.js";
+import type { Clock } from "../base/clock.js";
 
 /** Time for which a threshold applies in full after the last answer that carried it, in milliseconds. */
 const thresholdValidMs = 500;
--- a/src/process/loadRefresher.ts
+++ b/src/process/load/loadRefresher.ts
@@ -10,9 +10,9 @@
  * - Instances that were lost without a sign: they don't answer the ping, so that a request that must not run twice is not
  *   sent there.
  */
-import type { InstanceRecord } from "../version/instanceRecord.js";
+import type { InstanceRecord } from "../../version/instanceRecord.js";
+import type { Clock } from "../base/clock.js";
 import type { Random } from "./balancer.js";
-import type { Clock } from "./clock.js";
 
 /** Age of a load from which on it is refreshed, in milliseconds. */
 const refreshAgeMs = 1000;
--- a/src/process/placement.ts
+++ b/src/process/load/placement.ts
@@ -14,10 +14,10 @@
  * - A new instance: while its run times are long, its measured slowness raises its cost, so its slots fill slowly.
  * - Nodes that are stopped and started in turn: instances whose nodes stay up are preferred.
  */
-import type { LoadReport } from "../connection/linkMessage.js";
-import type { InstanceRecord } from "../version/instanceRecord.js";
+import type { LoadReport } from "../../connection/linkMessage.js";
+import type { InstanceRecord } from "../../version/instanceRecord.js";
+import type { Clock } from "../base/clock.js";
 import type { Random } from "./balancer.js";
-import type { Clock } from "./clock.js";
 
 /** Weight of a new sample in the average slowness of an instance. */
 const slownessWeight = 0.1;
--- a/src/process/priorityThreshold.ts
+++ b/src/process/load/priorityThreshold.ts
@@ -7,7 +7,7 @@
  * as many more are expected. It falls faster with each further window without excess, so that it ends soon after the
  * overload.
  */
-import { maxPriority } from "../request/callMetadata.js";
+import { maxPriority } from "../../request/callMetadata.js";
 
 /** Interval (window) at which the threshold is adjusted, in milliseconds. */
 export const thresholdWindowMs = 200;
--- a/src/process/runOutcome.ts
+++ b/src/process/load/runOutcome.ts
@@ -1,5 +1,5 @@
 /** Outcome of one send of a request to an instance. */
-import type { HeaderList } from "../request/headers.js";
+import type { HeaderList } from "../../request/headers.js";
 import type { DownstreamProblem } from "./runsInProgress.js";
 
 /**
--- a/src/process/runPacer.ts
+++ b/src/process/load/runPacer.ts
@@ -5,8 +5,8 @@
  * Load pattern handled: an endpoint in need takes a fraction of what it has slots for. Requests wait for their turn as
  * long as that is worth it, and the rest is refused at once, so that their entry nodes send them elsewhere.
  */
-import type { Clock } from "./clock.js";
-import { TokenBucket } from "./rateLimit.js";
+import type { Clock } from "../base/clock.js";
+import { TokenBucket } from "../base/rateLimit.js";
 
 /** Requests that may start together after a pause. */
 const burst = 2;
--- a/src/process/runTimeMonitor.ts
+++ b/src/process/load/runTimeMonitor.ts
@@ -2,7 +2,7 @@
  * Measures how long runs take at the local endpoint. The node beside an endpoint sees all of its runs, so it notices a
  * slow endpoint long before any of its many callers could.
  */
-import type { Clock } from "./clock.js";
+import type { Clock } from "../base/clock.js";
 
 /** Weight of a new run in the average. */
 const runWeight = 0.1;
--- a/src/process/serviceRetryBudget.ts
+++ b/src/process/load/serviceRetryBudget.ts
@@ -10,7 +10,7 @@
  * window ago; the largest count applies. Older windows count because, when a service refuses much, call chains end
  * early and fewer requests reach it, just when retries are worth most.
  */
-import type { Clock } from "./clock.js";
+import type { Clock } from "../base/clock.js";
 import type { Origin } from "./runsInProgress.js";
 
 /** Slices of a window, which expire one by one. */
--- a/src/process/weightedRoundRobin.ts
+++ b/src/process/load/weightedRoundRobin.ts
@@ -5,7 +5,7 @@
  * as the route has services. Each node starts at a random position of the round, so that many nodes with few requests
  * each keep the shares too. The choice ignores load, so a service that is overloaded keeps its share.
  */
-import type { RouteContract } from "../version/configuration.js";
+import type { RouteContract } from "../../version/configuration.js";
 import type { Random } from "./balancer.js";
 
 /** Most requests of a round that are skipped at the start. */
--- a/src/process/announcer.ts
+++ b/src/process/membership/announcer.ts
@@ -3,12 +3,12 @@
  *
  * A node slot is the address and control port of a node. Successive processes in a slot have increasing incarnations.
  */
-import type { LogService } from "../connection/logService.js";
-import type { Member } from "../version/member.js";
-import { formatSlot } from "../version/member.js";
-import { formatMemberRecord, isAnnounced } from "../version/memberStream.js";
-import type { Clock } from "./clock.js";
-import type { Logger } from "./logger.js";
+import type { LogService } from "../../connection/logService.js";
+import type { Member } from "../../version/member.js";
+import { formatSlot } from "../../version/member.js";
+import { formatMemberRecord, isAnnounced } from "../../version/memberStream.js";
+import type { Clock } from "../base/clock.js";
+import type { Logger } from "../telemetry/logger.js";
 import type { MemberReplica } from "./streams.js";
 
 /** Delay before an append that has not taken effect is retried, in milliseconds. */
--- a/src/process/clusterState.ts
+++ b/src/process/membership/clusterState.ts
@@ -3,18 +3,18 @@
  * nodes. A routed node works by the operator's configuration; a node that is not routed works by the contracts and
  * members on the shared log.
  */
-import type { KeyedLog, KeyedPage } from "../connection/keyedLog.js";
-import type { LinkMessage, LogPosition } from "../connection/linkMessage.js";
-import type { AdoptionResult } from "../version/configurationHolder.js";
-import { ConfigurationHolder } from "../version/configurationHolder.js";
-import type { InstanceDescription, InstanceRecord } from "../version/instanceRecord.js";
-import { formatInstanceRecord, parseInstanceRecord } from "../version/instanceRecord.js";
-import type { Random } from "./balancer.js";
-import type { Clock } from "./clock.js";
+import type { KeyedLog, KeyedPage } from "../../connection/keyedLog.js";
+import type { LinkMessage, LogPosition } from "../../connection/linkMessage.js";
+import type { AdoptionResult } from "../../version/configurationHolder.js";
+import { ConfigurationHolder } from "../../version/configurationHolder.js";
+import type { InstanceDescription, InstanceRecord } from "../../version/instanceRecord.js";
+import { formatInstanceRecord, parseInstanceRecord } from "../../version/instanceRecord.js";
+import type { Clock } from "../base/clock.js";
+import type { Random } from "../load/balancer.js";
+import type { Logger } from "../telemetry/logger.js";
 import { InstancePublisher } from "./instancePublisher.js";
 import type { RecordSource } from "./instanceRegistry.js";
 import { InstanceRegistry } from "./instanceRegistry.js";
-import type { Logger } from "./logger.js";
 import { LogReaders } from "./logReaders.js";
 import { LogReading, topics } from "./logReading.js";
 import { OwnInstanceRecord } from "./ownInstanceRecord.js";
--- a/src/process/directory.ts
+++ b/src/process/membership/directory.ts
@@ -4,12 +4,12 @@
  * Health only affects the choice of instances. A faulty member stays in the directory and is probed again, so a network
  * partition removes nobody; only the log removes a member.
  */
-import type { MemberUpdate, StreamOffsets } from "../connection/control.js";
-import { maxUpdatesPerMessage } from "../connection/control.js";
-import type { Member, SlotName } from "../version/member.js";
-import { formatSlot, isSameMember } from "../version/member.js";
-import type { MemberState } from "../version/memberStream.js";
-import type { Clock } from "./clock.js";
+import type { MemberUpdate, StreamOffsets } from "../../connection/control.js";
+import { maxUpdatesPerMessage } from "../../connection/control.js";
+import type { Member, SlotName } from "../../version/member.js";
+import { formatSlot, isSameMember } from "../../version/member.js";
+import type { MemberState } from "../../version/memberStream.js";
+import type { Clock } from "../base/clock.js";
 
 /** Time after which a suspect that has not refuted the suspicion becomes faulty, in milliseconds. */
 const suspicionTimeoutMs = 3000;
--- a/src/process/instancePublisher.ts
+++ b/src/process/membership/instancePublisher.ts
@@ -1,9 +1,9 @@
 /** Publishes the record of this instance on the keyed log. */
-import type { AppendedRecord, KeyedLog, KeyedPage } from "../connection/keyedLog.js";
-import { describeKeyedLogError } from "../connection/keyedLog.js";
-import type { Random } from "./balancer.js";
-import type { Clock } from "./clock.js";
-import type { Logger } from "./logger.js";
+import type { AppendedRecord, KeyedLog, KeyedPage } from "../../connection/keyedLog.js";
+import { describeKeyedLogError } from "../../connection/keyedLog.js";
+import type { Clock } from "../base/clock.js";
+import type { Random } from "../load/balancer.js";
+import type { Logger } from "../telemetry/logger.js";
 
 /** Shortest delay of a retry after a failed append, in milliseconds. */
 const minBackoffMs = 400;
--- a/src/process/instanceRegistry.ts
+++ b/src/process/membership/instanceRegistry.ts
@@ -4,7 +4,7 @@
  *
  * Records of one address arrive by several ways in any order; the one with the highest revision counts.
  */
-import type { InstanceRecord } from "../version/instanceRecord.js";
+import type { InstanceRecord } from "../../version/instanceRecord.js";
 
 /** Source of a record: the newest records of the keyed log, its later ones, or another node. */
 export type RecordSource = "snapshot" | "log" | "peer";
--- a/src/process/linkKeeper.ts
+++ b/src/process/membership/linkKeeper.ts
@@ -2,9 +2,9 @@
  * Decides which links a node keeps open: those to its subset of its own service and of the services that it sends to,
  * the readers of the log, and a few others, so that all nodes are connected. The number doesn't grow with the number of nodes.
  */
-import type { Clock } from "./clock.js";
+import type { Clock } from "../base/clock.js";
+import type { InstanceSubsets } from "../load/instanceSubset.js";
 import type { InstanceRegistry } from "./instanceRegistry.js";
-import type { InstanceSubsets } from "./instanceSubset.js";
 
 /** Time after the last request to a service for which the links to it are kept, in milliseconds. */
 const serviceInUseMs = 30_000;
--- a/src/process/logReaders.ts
+++ b/src/process/membership/logReaders.ts
@@ -5,10 +5,10 @@
  * The readers of a data centre are its reachable instances of the lowest ranks, by rendezvous hashing. Each node decides
  * for itself, so two nodes may disagree for a while; then there is a reader more or, until the others miss it, one less.
  */
-import type { InstanceRecord } from "../version/instanceRecord.js";
-import type { Clock } from "./clock.js";
+import type { InstanceRecord } from "../../version/instanceRecord.js";
+import type { Clock } from "../base/clock.js";
+import { computeRank } from "../load/instanceSubset.js";
 import type { InstanceRegistry } from "./instanceRegistry.js";
-import { computeRank } from "./instanceSubset.js";
 
 /** Readers of each data centre. One is enough, since each node hears of several data centres' readers. */
 const readersPerDataCentre = 1;
--- a/src/process/logReading.ts
+++ b/src/process/membership/logReading.ts
@@ -2,11 +2,11 @@
  * Reads the keyed log as far as this node's part requires: the configuration until one is known, all instance records once
  * and again from time to time, and what is appended while this node is a reader of the log.
  */
-import type { KeyedLog, KeyedPage, LogEra } from "../connection/keyedLog.js";
-import { KeyedLogFollower } from "../connection/keyedLogFollower.js";
-import type { Random } from "./balancer.js";
-import type { Clock } from "./clock.js";
-import type { Logger } from "./logger.js";
+import type { KeyedLog, KeyedPage, LogEra } from "../../connection/keyedLog.js";
+import { KeyedLogFollower } from "../../connection/keyedLogFollower.js";
+import type { Clock } from "../base/clock.js";
+import type { Random } from "../load/balancer.js";
+import type { Logger } from "../telemetry/logger.js";
 import type { LogReaders } from "./logReaders.js";
 
 /** Topics of the keyed log. */
--- a/src/process/logWriter.ts
+++ b/src/process/membership/logWriter.ts
@@ -5,9 +5,9 @@
  * rate, and lines logged while the reader of the output does not keep up, are dropped. A `linesDropped` event reports
  * their number.
  */
-import type { Clock } from "./clock.js";
-import type { LogFields, Logger, LogLevel } from "./logger.js";
-import { formatLogLine, logLevels } from "./logger.js";
+import type { Clock } from "../base/clock.js";
+import type { LogFields, Logger, LogLevel } from "../telemetry/logger.js";
+import { formatLogLine, logLevels } from "../telemetry/logger.js";
 
 /** Most lines that are accepted in a second; further ones are dropped. */
 const maxLinesPerSecond = 400;
--- a/src/process/ownInstanceRecord.ts
+++ b/src/process/membership/ownInstanceRecord.ts
@@ -2,8 +2,8 @@
  * Record of this node's instance. Its revision rises with each change, and above that of any other record of its address,
  * such as one of an earlier process whose clock was ahead.
  */
-import type { InstanceDescription, InstanceRecord } from "../version/instanceRecord.js";
-import { formatInstanceRecord, parseInstanceRecord } from "../version/instanceRecord.js";
+import type { InstanceDescription, InstanceRecord } from "../../version/instanceRecord.js";
+import { formatInstanceRecord, parseInstanceRecord } from "../../version/instanceRecord.js";
 
 /** Current record of this node's instance. */
 export class OwnInstanceRecord {
--- a/src/process/peerGossip.ts
+++ b/src/process/membership/peerGossip.ts
@@ -6,15 +6,15 @@
  * record, other than with the newest records of the whole log, forwards it to a few others. Besides, each node keeps in
  * contact with a few readers of the log and asks them for their version several times a second.
  */
-import type { HelloMessage } from "../connection/link.js";
-import type { LinkMessage, LogPosition } from "../connection/linkMessage.js";
-import type { AdoptionResult, ConfigurationHolder } from "../version/configurationHolder.js";
-import type { InstanceRecord } from "../version/instanceRecord.js";
-import { formatInstanceRecord } from "../version/instanceRecord.js";
-import type { Random } from "./balancer.js";
-import type { Clock } from "./clock.js";
+import type { HelloMessage } from "../../connection/link.js";
+import type { LinkMessage, LogPosition } from "../../connection/linkMessage.js";
+import type { AdoptionResult, ConfigurationHolder } from "../../version/configurationHolder.js";
+import type { InstanceRecord } from "../../version/instanceRecord.js";
+import { formatInstanceRecord } from "../../version/instanceRecord.js";
+import type { Clock } from "../base/clock.js";
+import { pickSome } from "../base/randomSample.js";
+import type { Random } from "../load/balancer.js";
 import type { InstanceRegistry } from "./instanceRegistry.js";
-import { pickSome } from "./randomSample.js";
 
 /** Number of nodes to which a new version is announced at once. */
 const versionFanout = 3;
--- a/src/process/snapshots.ts
+++ b/src/process/membership/snapshots.ts
@@ -4,13 +4,13 @@
  * Any node may write a snapshot at any time: readers use the newest complete one, so neither concurrent writers nor a
  * writer that was paused do harm. Nodes wait according to their rank by hash, so that they don't all write at once.
  */
-import type { LogService } from "../connection/logService.js";
-import { formatSlot } from "../version/member.js";
-import { hashText } from "../version/memberStream.js";
-import { formatSnapshot } from "../version/streamReducer.js";
-import type { Clock } from "./clock.js";
+import type { LogService } from "../../connection/logService.js";
+import { formatSlot } from "../../version/member.js";
+import { hashText } from "../../version/memberStream.js";
+import { formatSnapshot } from "../../version/streamReducer.js";
+import type { Clock } from "../base/clock.js";
+import type { Logger } from "../telemetry/logger.js";
 import type { Directory } from "./directory.js";
-import type { Logger } from "./logger.js";
 import type { Streams } from "./streams.js";
 import { streamKeys } from "./streams.js";
 
--- a/src/process/streams.ts
+++ b/src/process/membership/streams.ts
@@ -1,14 +1,14 @@
 /** This node's replicas of the three streams of the shared log. */
-import type { StreamOffsets } from "../connection/control.js";
-import type { LogService } from "../connection/logService.js";
-import type { ContractState, Publication } from "../version/contractStream.js";
-import { contractReducer, contractStreamName } from "../version/contractStream.js";
-import type { MemberRecord, MemberState } from "../version/memberStream.js";
-import { memberReducer, memberStreamName } from "../version/memberStream.js";
-import type { QuarantineRecord, QuarantineState } from "../version/quarantineStream.js";
-import { quarantineReducer, quarantineStreamName } from "../version/quarantineStream.js";
-import { Replica } from "../version/replica.js";
-import type { Logger } from "./logger.js";
+import type { StreamOffsets } from "../../connection/control.js";
+import type { LogService } from "../../connection/logService.js";
+import type { ContractState, Publication } from "../../version/contractStream.js";
+import { contractReducer, contractStreamName } from "../../version/contractStream.js";
+import type { MemberRecord, MemberState } from "../../version/memberStream.js";
+import { memberReducer, memberStreamName } from "../../version/memberStream.js";
+import type { QuarantineRecord, QuarantineState } from "../../version/quarantineStream.js";
+import { quarantineReducer, quarantineStreamName } from "../../version/quarantineStream.js";
+import { Replica } from "../../version/replica.js";
+import type { Logger } from "../telemetry/logger.js";
 
 /** Replica of the `members` stream. */
 export type MemberReplica = Replica<MemberState, MemberRecord>;
--- a/src/process/admin.ts
+++ b/src/process/node/admin.ts
@@ -1,11 +1,11 @@
 /** Admin listener: health, metrics and status pages for operators, and announcements of the local endpoint. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import * as v from "valibot";
-import { sendJson } from "../connection/httpServer.js";
-import { readBody } from "../request/body.js";
-import { createIntegerSchema, parseJson, parseWith, shortTextSchema } from "../version/schema.js";
+import { sendJson } from "../../connection/httpServer.js";
+import { readBody } from "../../request/body.js";
+import { createIntegerSchema, parseJson, parseWith, shortTextSchema } from "../../version/schema.js";
+import { getOffsets } from "../membership/streams.js";
 import type { NodeView } from "./nodeView.js";
-import { getOffsets } from "./streams.js";
 
 /** Largest request body on this listener, in bytes. */
 const maxBodyBytes = 4096;
--- a/src/process/controlHandlers.ts
+++ b/src/process/node/controlHandlers.ts
@@ -1,15 +1,15 @@
 /** Handlers of the control calls that peers make to this node. */
-import type { ControlHandlers, ControlReply, ControlRequest, StreamOffsets } from "../connection/control.js";
-import type { LogFollower } from "../connection/logFollower.js";
-import type { Prober } from "../connection/prober.js";
-import { findContract } from "../version/contractStream.js";
-import type { Directory } from "./directory.js";
-import type { Ownership } from "./ownership.js";
-import type { Quarantine } from "./quarantine.js";
-import type { ShareCoordinator } from "./shareCoordinator.js";
-import { poolShare } from "./shareCoordinator.js";
-import type { Streams } from "./streams.js";
-import { streamKeys } from "./streams.js";
+import type { ControlHandlers, ControlReply, ControlRequest, StreamOffsets } from "../../connection/control.js";
+import type { LogFollower } from "../../connection/logFollower.js";
+import type { Prober } from "../../connection/prober.js";
+import { findContract } from "../../version/contractStream.js";
+import type { ShareCoordinator } from "../customers/shareCoordinator.js";
+import { poolShare } from "../customers/shareCoordinator.js";
+import type { Quarantine } from "../endpoint/quarantine.js";
+import type { Directory } from "../membership/directory.js";
+import type { Streams } from "../membership/streams.js";
+import { streamKeys } from "../membership/streams.js";
+import type { Ownership } from "../ownership/ownership.js";
 
 /** Dependencies of {@link createControlHandlers}. */
 export interface ControlDependencies {
--- a/src/process/inFlightRequests.ts
+++ b/src/process/node/inFlightRequests.ts
@@ -1,6 +1,6 @@
 /** Counts the requests in progress on a node's listeners, so that a graceful stop can wait for them. */
-import type { RequestHandler } from "../connection/httpServer.js";
-import type { Clock } from "./clock.js";
+import type { RequestHandler } from "../../connection/httpServer.js";
+import type { Clock } from "../base/clock.js";
 
 /** Interval at which a drain checks whether requests are in progress, in milliseconds. */
 const drainPollMs = 50;
--- a/src/process/nodeView.ts
+++ b/src/process/node/nodeView.ts
@@ -1,15 +1,15 @@
 /** View of a node for the admin pages and the gauges. */
-import type { LogFollower } from "../connection/logFollower.js";
-import type { Member } from "../version/member.js";
-import type { Admission } from "./admission.js";
-import type { Claims } from "./claims.js";
-import type { Directory } from "./directory.js";
-import type { Keys } from "./keys.js";
-import type { LocalEndpoint } from "./localEndpoint.js";
-import type { Metrics } from "./metrics.js";
-import type { Ownership } from "./ownership.js";
-import type { Quarantine } from "./quarantine.js";
-import type { Streams } from "./streams.js";
+import type { LogFollower } from "../../connection/logFollower.js";
+import type { Member } from "../../version/member.js";
+import type { LocalEndpoint } from "../endpoint/localEndpoint.js";
+import type { Quarantine } from "../endpoint/quarantine.js";
+import type { Admission } from "../load/admission.js";
+import type { Directory } from "../membership/directory.js";
+import type { Streams } from "../membership/streams.js";
+import type { Keys } from "../operators/keys.js";
+import type { Claims } from "../ownership/claims.js";
+import type { Ownership } from "../ownership/ownership.js";
+import type { Metrics } from "../telemetry/metrics.js";
 
 /** Components of a node that the admin pages and the gauges read, and whether it is ready and announced. */
 export interface NodeView {
--- a/src/process/pauseGuard.ts
+++ b/src/process/node/pauseGuard.ts
@@ -4,8 +4,8 @@
  * A paused node may have missed a contract that is in force everywhere else. After a pause it serves no request until
  * it has caught up with the shared log, or with a peer while the log can't be read.
  */
-import type { Clock } from "./clock.js";
-import type { Logger } from "./logger.js";
+import type { Clock } from "../base/clock.js";
+import type { Logger } from "../telemetry/logger.js";
 
 /** Interval of the checks for pauses, in milliseconds. */
 const tickIntervalMs = 200;
--- a/src/process/routedListeners.ts
+++ b/src/process/node/routedListeners.ts
@@ -1,14 +1,14 @@
 /** The HTTP listeners of a routed node. */
-import type { RequestHandler } from "../connection/httpServer.js";
-import { HttpListener } from "../connection/httpServer.js";
-import type { RoutedEntryDependencies } from "../request/routedEntry.js";
-import { serveRoutedRequest } from "../request/routedEntry.js";
-import type { ReportHandlers } from "./endpointReports.js";
-import { serveEndpointReport } from "./endpointReports.js";
+import type { RequestHandler } from "../../connection/httpServer.js";
+import { HttpListener } from "../../connection/httpServer.js";
+import type { RoutedEntryDependencies } from "../../request/routedEntry.js";
+import { serveRoutedRequest } from "../../request/routedEntry.js";
+import type { ReportHandlers } from "../endpoint/endpointReports.js";
+import { serveEndpointReport } from "../endpoint/endpointReports.js";
+import type { RoutedSettings } from "../settings/routedSettings.js";
+import type { Logger } from "../telemetry/logger.js";
+import type { RoutedMetrics } from "../telemetry/routedMetrics.js";
 import type { InFlightRequests } from "./inFlightRequests.js";
-import type { Logger } from "./logger.js";
-import type { RoutedMetrics } from "./routedMetrics.js";
-import type { RoutedSettings } from "./routedSettings.js";
 
 /** Longest header section of a request, in bytes; longer ones are refused. */
 const maxHeaderBytes = 65_536;
--- a/src/process/contractCommands.ts
+++ b/src/process/operators/contractCommands.ts
@@ -1,11 +1,11 @@
 /** The `contract` commands of the command-line tool. Each prints its result and returns the exit code. */
 import { readFileSync } from "node:fs";
-import type { Contract } from "../version/contract.js";
-import { formatContractError, parseContract } from "../version/contract.js";
-import type { ContractState } from "../version/contractStream.js";
-import { findContract, findContractVersion } from "../version/contractStream.js";
-import { createContractReplica, formatReplicaError, publishContract } from "../version/publisher.js";
-import { SystemClock } from "./clock.js";
+import type { Contract } from "../../version/contract.js";
+import { formatContractError, parseContract } from "../../version/contract.js";
+import type { ContractState } from "../../version/contractStream.js";
+import { findContract, findContractVersion } from "../../version/contractStream.js";
+import { createContractReplica, formatReplicaError, publishContract } from "../../version/publisher.js";
+import { SystemClock } from "../base/clock.js";
 import type { ToolOptions } from "./tool.js";
 import { createLogClient, exitCodes, openLogForAppend, printError, printResult } from "./tool.js";
 
--- a/src/process/operatorCommands.ts
+++ b/src/process/operators/operatorCommands.ts
@@ -1,13 +1,13 @@
 /** Commands of the command-line tool on the running system. Each prints its result and returns the exit code. */
 import { request } from "undici";
-import type { AuditEvent } from "../version/audit.js";
-import { readAudit } from "../version/audit.js";
-import type { Member } from "../version/member.js";
-import { formatSlot } from "../version/member.js";
-import { formatMemberRecord, memberReducer, memberStreamName } from "../version/memberStream.js";
-import { formatReplicaError } from "../version/publisher.js";
-import { formatQuarantineRecord, quarantineStreamName } from "../version/quarantineStream.js";
-import { Replica } from "../version/replica.js";
+import type { AuditEvent } from "../../version/audit.js";
+import { readAudit } from "../../version/audit.js";
+import type { Member } from "../../version/member.js";
+import { formatSlot } from "../../version/member.js";
+import { formatMemberRecord, memberReducer, memberStreamName } from "../../version/memberStream.js";
+import { formatReplicaError } from "../../version/publisher.js";
+import { formatQuarantineRecord, quarantineStreamName } from "../../version/quarantineStream.js";
+import { Replica } from "../../version/replica.js";
 import type { SecretKey } from "./keys.js";
 import type { ToolOptions } from "./tool.js";
 import { createLogClient, exitCodes, openLogForAppend, printError, printResult } from "./tool.js";
--- a/src/process/routedCommands.ts
+++ b/src/process/operators/routedCommands.ts
@@ -1,10 +1,14 @@
 /** Commands of the command-line tool for routed nodes: checks of files, and the log lines of a request. */
 import { readFileSync } from "node:fs";
 import { createInterface } from "node:readline";
-import { formatConfigurationError, formatConfigurationWarning, parseConfiguration } from "../version/configuration.js";
+import {
+    formatConfigurationError,
+    formatConfigurationWarning,
+    parseConfiguration,
+} from "../../version/configuration.js";
+import { readRoutedSettings } from "../settings/routedSettings.js";
+import { formatSettingsError } from "../settings/settingsFile.js";
 import { findRequestLines } from "./explain.js";
-import { readRoutedSettings } from "./routedSettings.js";
-import { formatSettingsError } from "./settingsFile.js";
 import { exitCodes } from "./tool.js";
 
 /**
--- a/src/process/tool.ts
+++ b/src/process/operators/tool.ts
@@ -1,12 +1,12 @@
 /** Options, exit codes, output and access to the shared log for all commands of the command-line tool. */
-import type { LogRecord, LogService } from "../connection/logService.js";
-import { createLogService } from "../connection/signedLog.js";
-import { memberReducer, memberStreamName } from "../version/memberStream.js";
-import { parseJson } from "../version/schema.js";
-import { isSnapshot } from "../version/streamReducer.js";
+import type { LogRecord, LogService } from "../../connection/logService.js";
+import { createLogService } from "../../connection/signedLog.js";
+import { memberReducer, memberStreamName } from "../../version/memberStream.js";
+import { parseJson } from "../../version/schema.js";
+import { isSnapshot } from "../../version/streamReducer.js";
+import type { Result } from "../base/result.js";
+import { createFailure, createSuccess } from "../base/result.js";
 import type { Keys } from "./keys.js";
-import type { Result } from "./result.js";
-import { createFailure, createSuccess } from "./result.js";
 
 /** Exit codes. `unknown` means that an append may have taken effect, or that no log line of a request was found. */
 export const exitCodes = {
--- a/src/process/claim.ts
+++ b/src/process/ownership/claim.ts
@@ -4,9 +4,9 @@
  * An action is what a caller requests under one key. A send is one request of the caller for it: the first one or a
  * resend, with its attempt number. A run is one execution of the action at an endpoint.
  */
-import type { ClaimTransfer } from "../connection/control.js";
-import type { Answer, CompletedAnswer } from "../request/answer.js";
-import type { Call } from "../request/call.js";
+import type { ClaimTransfer } from "../../connection/control.js";
+import type { Answer, CompletedAnswer } from "../../request/answer.js";
+import type { Call } from "../../request/call.js";
 
 /**
  * Relation of this node to a key partition. `owned`: it has all claims of the partition. `inherited`: it owns the
--- a/src/process/claims.ts
+++ b/src/process/ownership/claims.ts
@@ -7,12 +7,13 @@
  * paper that has this rule). The claim of an idempotent action becomes `repeatable` instead, and resends run again
  * within its bound of retries.
  */
-import type { ClaimTransfer } from "../connection/control.js";
-import type { Answer, CompletedAnswer } from "../request/answer.js";
-import { createNotRunAnswer, createUnknownAnswer } from "../request/answer.js";
-import type { Call } from "../request/call.js";
-import { RetryBudget } from "../request/retryBudget.js";
-import { findPartition } from "../version/memberStream.js";
+import type { ClaimTransfer } from "../../connection/control.js";
+import type { Answer, CompletedAnswer } from "../../request/answer.js";
+import { createNotRunAnswer, createUnknownAnswer } from "../../request/answer.js";
+import type { Call } from "../../request/call.js";
+import { RetryBudget } from "../../request/retryBudget.js";
+import { findPartition } from "../../version/memberStream.js";
+import type { Clock } from "../base/clock.js";
 import type { Claim, PartitionStatus } from "./claim.js";
 import {
     createAdoptedClaim,
@@ -22,7 +23,6 @@
     isStaleAttempt,
     takeRetry,
 } from "./claim.js";
-import type { Clock } from "./clock.js";
 
 /** Delay after which a caller may resend an action that the owner refused, in milliseconds. */
 const retryAfterMs = 1000;
--- a/src/process/ownership.ts
+++ b/src/process/ownership/ownership.ts
@@ -5,12 +5,12 @@
  * partitions and sends their claims to the new owner. It resumes serving them only if the append provably had no
  * effect. The result of a run that was in progress at the handover is sent to the new owner when the run ends.
  */
-import type { ClaimTransfer, ControlCaller, ControlRequest } from "../connection/control.js";
-import { maxTransferClaims } from "../connection/control.js";
-import type { LogService } from "../connection/logService.js";
-import type { Member } from "../version/member.js";
-import { formatSlot, isSameMember } from "../version/member.js";
-import type { MemberState, Ownership as PartitionOwnership } from "../version/memberStream.js";
+import type { ClaimTransfer, ControlCaller, ControlRequest } from "../../connection/control.js";
+import { maxTransferClaims } from "../../connection/control.js";
+import type { LogService } from "../../connection/logService.js";
+import type { Member } from "../../version/member.js";
+import { formatSlot, isSameMember } from "../../version/member.js";
+import type { MemberState, Ownership as PartitionOwnership } from "../../version/memberStream.js";
 import {
     chooseByRendezvousHash,
     createSlotIncarnation,
@@ -21,14 +21,14 @@
     listOwnedPartitions,
     listServiceMembers,
     partitionCount,
-} from "../version/memberStream.js";
-import type { Random } from "./balancer.js";
+} from "../../version/memberStream.js";
+import type { Clock } from "../base/clock.js";
+import type { Random } from "../load/balancer.js";
+import type { Directory } from "../membership/directory.js";
+import type { MemberReplica } from "../membership/streams.js";
+import type { Logger } from "../telemetry/logger.js";
 import type { PartitionStatus } from "./claim.js";
 import type { Claims } from "./claims.js";
-import type { Clock } from "./clock.js";
-import type { Directory } from "./directory.js";
-import type { Logger } from "./logger.js";
-import type { MemberReplica } from "./streams.js";
 
 /** Mean interval at which the balance of partitions is checked, in milliseconds. */
 const balanceIntervalMs = 500;
--- a/src/process/routedSettings.ts
+++ b/src/process/settings/routedSettings.ts
@@ -1,8 +1,8 @@
 /** Settings of a routed node: one TOML file, checked before anything starts. */
 import * as v from "valibot";
-import { createIntegerSchema, shortTextSchema } from "../version/schema.js";
-import { logLevels } from "./logger.js";
-import type { Result } from "./result.js";
+import { createIntegerSchema, shortTextSchema } from "../../version/schema.js";
+import type { Result } from "../base/result.js";
+import { logLevels } from "../telemetry/logger.js";
 import type { SettingsError } from "./settingsFile.js";
 import { parseSettingsText, readSettingsText } from "./settingsFile.js";
 
--- a/src/process/settings.ts
+++ b/src/process/settings/settings.ts
@@ -1,10 +1,10 @@
 /** Settings of the daemon: one TOML file, checked before anything starts. */
 import { isIP } from "node:net";
 import * as v from "valibot";
-import { createIntegerSchema, shortTextSchema } from "../version/schema.js";
-import { admissionModes } from "./admission.js";
-import { logLevels } from "./logger.js";
-import type { Result } from "./result.js";
+import { createIntegerSchema, shortTextSchema } from "../../version/schema.js";
+import type { Result } from "../base/result.js";
+import { admissionModes } from "../load/admission.js";
+import { logLevels } from "../telemetry/logger.js";
 import type { SettingsError } from "./settingsFile.js";
 import { parseSettingsText, readSettingsText } from "./settingsFile.js";
 
--- a/src/process/settingsFile.ts
+++ b/src/process/settings/settingsFile.ts
@@ -2,9 +2,9 @@
 import { readFileSync } from "node:fs";
 import { parse as parseToml, TomlError } from "smol-toml";
 import * as v from "valibot";
-import { formatAllowed } from "../version/schema.js";
-import type { Result } from "./result.js";
-import { createFailure, createSuccess } from "./result.js";
+import { formatAllowed } from "../../version/schema.js";
+import type { Result } from "../base/result.js";
+import { createFailure, createSuccess } from "../base/result.js";
 
 /** Error in a settings file: it can't be read, isn't TOML, or has a value that the schema refuses. */
 export type SettingsError =
--- a/src/process/settingsWatcher.ts
+++ b/src/process/settings/settingsWatcher.ts
@@ -1,7 +1,7 @@
 /** Reads the settings file at intervals and on demand, such as after SIGHUP, and applies valid changes. */
 import { readFileSync } from "node:fs";
-import type { Clock } from "./clock.js";
-import type { Logger } from "./logger.js";
+import type { Clock } from "../base/clock.js";
+import type { Logger } from "../telemetry/logger.js";
 import type { RoutedSettings } from "./routedSettings.js";
 import { parseRoutedSettings } from "./routedSettings.js";
 import { formatSettingsError } from "./settingsFile.js";
--- a/src/process/logger.ts
+++ b/src/process/telemetry/logger.ts
@@ -1,6 +1,6 @@
 /** Structured log output: one line of key=value pairs for each event. The daemon writes it through loglevel. */
 import loglevel from "loglevel";
-import type { Clock } from "./clock.js";
+import type { Clock } from "../base/clock.js";
 
 /** Levels that the settings accept, from most to least verbose. */
 export const logLevels = ["trace", "debug", "info", "warn", "error", "silent"] as const;
--- a/src/process/metrics.ts
+++ b/src/process/telemetry/metrics.ts
@@ -1,7 +1,7 @@
 /** Metrics of a node, in the Prometheus format. Label values are names from contracts or come from fixed sets. */
 import { Counter, Histogram, Registry } from "prom-client";
-import type { Action } from "../request/action.js";
-import type { Answer } from "../request/answer.js";
+import type { Action } from "../../request/action.js";
+import type { Answer } from "../../request/answer.js";
 import { addGauge } from "./gauge.js";
 
 /** Upper bounds of the buckets of request times, in seconds. */
--- a/src/request/action.ts
+++ b/src/request/action.ts
@@ -6,8 +6,8 @@
  */
 import { createHash, randomUUID } from "node:crypto";
 import type { IncomingHttpHeaders } from "node:http";
-import type { Result } from "../process/result.js";
-import { createFailure, createSuccess } from "../process/result.js";
+import type { Result } from "../process/base/result.js";
+import { createFailure, createSuccess } from "../process/base/result.js";
 import type { Contract } from "../version/contract.js";
 import type { ContractState } from "../version/contractStream.js";
 import { findContract } from "../version/contractStream.js";
--- a/src/request/dispatcher.ts
+++ b/src/request/dispatcher.ts
@@ -1,12 +1,12 @@
 /** Routes a call to an instance of its service, retries it where that is safe, and determines its final answer. */
 import type { PeerAnswer, PeerCaller } from "../connection/peerCaller.js";
-import type { Balancer, CallOutcome } from "../process/balancer.js";
-import { canRunWithoutOwner, isCountedRetry } from "../process/claim.js";
-import type { Claims } from "../process/claims.js";
-import type { Clock } from "../process/clock.js";
-import type { Directory } from "../process/directory.js";
-import type { LearnedThresholds } from "../process/learnedThresholds.js";
-import type { RetryLimiter } from "../process/rateLimit.js";
+import type { Clock } from "../process/base/clock.js";
+import type { RetryLimiter } from "../process/base/rateLimit.js";
+import type { Balancer, CallOutcome } from "../process/load/balancer.js";
+import type { LearnedThresholds } from "../process/load/learnedThresholds.js";
+import type { Directory } from "../process/membership/directory.js";
+import { canRunWithoutOwner, isCountedRetry } from "../process/ownership/claim.js";
+import type { Claims } from "../process/ownership/claims.js";
 import type { Member } from "../version/member.js";
 import { formatSlot, isSameMember } from "../version/member.js";
 import type { MemberState } from "../version/memberStream.js";
--- a/src/request/entry.ts
+++ b/src/request/entry.ts
@@ -1,12 +1,12 @@
 /** Serves requests of outside callers: checks them against the contracts and refuses excess load early. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createDisconnectSignal, sendAnswer, sendFailureOutcome } from "../connection/httpServer.js";
-import { computeFirstSendBudget } from "../process/claim.js";
-import type { Clock } from "../process/clock.js";
-import type { CustomerRateLimiter } from "../process/customerRateLimiter.js";
-import type { LearnedThresholds } from "../process/learnedThresholds.js";
-import type { Metrics } from "../process/metrics.js";
-import type { Quarantine } from "../process/quarantine.js";
+import type { Clock } from "../process/base/clock.js";
+import type { CustomerRateLimiter } from "../process/customers/customerRateLimiter.js";
+import type { Quarantine } from "../process/endpoint/quarantine.js";
+import type { LearnedThresholds } from "../process/load/learnedThresholds.js";
+import { computeFirstSendBudget } from "../process/ownership/claim.js";
+import type { Metrics } from "../process/telemetry/metrics.js";
 import type { ContractState } from "../version/contractStream.js";
 import type { Action } from "./action.js";
 import { computeFingerprint, parseAction } from "./action.js";
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -8,13 +8,13 @@
  * Load pattern handled: endpoints that refuse a large part of the requests though they have room. Once a request has
  * reached as many endpoints as its route allows, it is offered to the same ones again, within the retry budget.
  */
-import type { Clock } from "../process/clock.js";
-import type { InstanceSelector } from "../process/instanceSelector.js";
-import type { Logger } from "../process/logger.js";
-import type { Placement } from "../process/placement.js";
-import type { RunOutcome } from "../process/runOutcome.js";
-import type { DownstreamProblem } from "../process/runsInProgress.js";
-import type { ServiceRetryBudget } from "../process/serviceRetryBudget.js";
+import type { Clock } from "../process/base/clock.js";
+import type { InstanceSelector } from "../process/load/instanceSelector.js";
+import type { Placement } from "../process/load/placement.js";
+import type { RunOutcome } from "../process/load/runOutcome.js";
+import type { DownstreamProblem } from "../process/load/runsInProgress.js";
+import type { ServiceRetryBudget } from "../process/load/serviceRetryBudget.js";
+import type { Logger } from "../process/telemetry/logger.js";
 import type { InstanceRecord } from "../version/instanceRecord.js";
 import type { HeaderList } from "./headers.js";
 import type { RoutedCall } from "./routedCall.js";
--- a/src/request/outbound.ts
+++ b/src/request/outbound.ts
@@ -1,11 +1,11 @@
 /** Serves calls of the local endpoint to other services. Each call continues the action of the run that makes it. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createDisconnectSignal, sendAnswer, sendFailureOutcome } from "../connection/httpServer.js";
-import type { Clock } from "../process/clock.js";
-import type { Directory } from "../process/directory.js";
-import type { LearnedThresholds } from "../process/learnedThresholds.js";
-import type { Metrics } from "../process/metrics.js";
-import type { Run, RunTable } from "../process/runTable.js";
+import type { Clock } from "../process/base/clock.js";
+import type { Run, RunTable } from "../process/endpoint/runTable.js";
+import type { LearnedThresholds } from "../process/load/learnedThresholds.js";
+import type { Directory } from "../process/membership/directory.js";
+import type { Metrics } from "../process/telemetry/metrics.js";
 import type { ContractState } from "../version/contractStream.js";
 import { findContract } from "../version/contractStream.js";
 import { computeFingerprint, deriveCallKey, findSingleHeader } from "./action.js";
--- a/src/request/peerRequest.ts
+++ b/src/request/peerRequest.ts
@@ -1,10 +1,10 @@
 /** Serves requests that other nodes forward to this one. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createDisconnectSignal, sendFailureOutcome } from "../connection/httpServer.js";
-import type { Claims } from "../process/claims.js";
-import type { Clock } from "../process/clock.js";
-import type { SecretKey } from "../process/keys.js";
-import type { LocalEndpoint } from "../process/localEndpoint.js";
+import type { Clock } from "../process/base/clock.js";
+import type { LocalEndpoint } from "../process/endpoint/localEndpoint.js";
+import type { SecretKey } from "../process/operators/keys.js";
+import type { Claims } from "../process/ownership/claims.js";
 import { findSingleHeader } from "./action.js";
 import type { Answer } from "./answer.js";
 import { reasonStatus } from "./answer.js";
--- a/src/request/routedCall.ts
+++ b/src/request/routedCall.ts
@@ -2,8 +2,8 @@
  * A request that its entry node forwards to an instance of its service. `RoutedNode` uses it, which takes its routes
  * from the operator's configuration; the node with customers' contracts uses `call.ts`.
  */
-import type { Cancellation } from "../process/cancellation.js";
-import type { Origin } from "../process/runsInProgress.js";
+import type { Cancellation } from "../process/base/cancellation.js";
+import type { Origin } from "../process/load/runsInProgress.js";
 import type { RouteContract } from "../version/configuration.js";
 import type { HeaderList } from "./headers.js";
 
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -1,13 +1,13 @@
 /** Serves requests of callers and of the local endpoint: finds the route, forwards, and answers by the deadline. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { Cancellation } from "../process/cancellation.js";
-import type { Clock } from "../process/clock.js";
-import type { EntryThrottle } from "../process/entryThrottle.js";
-import type { Logger } from "../process/logger.js";
-import type { RoutedMetrics } from "../process/routedMetrics.js";
-import type { DownstreamProblem, Origin, RunInProgress, RunsInProgress } from "../process/runsInProgress.js";
-import { overloadedWaitShare } from "../process/runsInProgress.js";
-import type { WeightedRoundRobin } from "../process/weightedRoundRobin.js";
+import { Cancellation } from "../process/base/cancellation.js";
+import type { Clock } from "../process/base/clock.js";
+import type { EntryThrottle } from "../process/load/entryThrottle.js";
+import type { DownstreamProblem, Origin, RunInProgress, RunsInProgress } from "../process/load/runsInProgress.js";
+import { overloadedWaitShare } from "../process/load/runsInProgress.js";
+import type { WeightedRoundRobin } from "../process/load/weightedRoundRobin.js";
+import type { Logger } from "../process/telemetry/logger.js";
+import type { RoutedMetrics } from "../process/telemetry/routedMetrics.js";
 import type { RouteContract } from "../version/configuration.js";
 import type { ConfigurationHolder } from "../version/configurationHolder.js";
 import { readBody } from "./body.js";
--- a/src/request/runRequest.ts
+++ b/src/request/runRequest.ts
@@ -1,5 +1,5 @@
 /** A request to run at the endpoint of an instance, either the local one or one reached over a link. */
-import type { Origin } from "../process/runsInProgress.js";
+import type { Origin } from "../process/load/runsInProgress.js";
 import type { HeaderList } from "./headers.js";
 
 /** A request for an endpoint. Times are monotonic, in milliseconds. */
--- a/src/request/sender.ts
+++ b/src/request/sender.ts
@@ -5,11 +5,11 @@
  * upstream run.
  */
 import type { PeerLinks } from "../connection/peerLinks.js";
-import { Cancellation } from "../process/cancellation.js";
-import type { Clock } from "../process/clock.js";
-import type { EndpointRunner } from "../process/endpointRunner.js";
-import type { Placement } from "../process/placement.js";
-import type { RunOutcome } from "../process/runOutcome.js";
+import { Cancellation } from "../process/base/cancellation.js";
+import type { Clock } from "../process/base/clock.js";
+import type { EndpointRunner } from "../process/endpoint/endpointRunner.js";
+import type { Placement } from "../process/load/placement.js";
+import type { RunOutcome } from "../process/load/runOutcome.js";
 import type { InstanceRecord } from "../version/instanceRecord.js";
 import type { RoutedCall } from "./routedCall.js";
 import type { PeerRunRequest } from "./runRequest.js";
--- a/src/version/audit.ts
+++ b/src/version/audit.ts
@@ -1,7 +1,7 @@
 /** Audit trail: all changes on the shared log in order of time. Publications of contracts include their outcome. */
 import type { LogRecord, LogService } from "../connection/logService.js";
-import type { Result } from "../process/result.js";
-import { createFailure, createSuccess } from "../process/result.js";
+import type { Result } from "../process/base/result.js";
+import { createFailure, createSuccess } from "../process/base/result.js";
 import type { ContractState } from "./contractStream.js";
 import { contractReducer, contractStreamName, findVerdict } from "./contractStream.js";
 import { memberReducer, memberStreamName } from "./memberStream.js";
--- a/src/version/configuration.ts
+++ b/src/version/configuration.ts
@@ -5,8 +5,8 @@
  * and at how many instances one request may run. Times are in milliseconds.
  */
 import * as v from "valibot";
-import type { Result } from "../process/result.js";
-import { createFailure, createSuccess } from "../process/result.js";
+import type { Result } from "../process/base/result.js";
+import { createFailure, createSuccess } from "../process/base/result.js";
 import { createIntegerSchema, formatAllowed, parseJson } from "./schema.js";
 
 /** Whether a request of a route may run more than once. */
--- a/src/version/contract.ts
+++ b/src/version/contract.ts
@@ -5,8 +5,8 @@
  */
 import { parse as parseToml, TomlError } from "smol-toml";
 import * as v from "valibot";
-import type { Result } from "../process/result.js";
-import { createFailure, createSuccess } from "../process/result.js";
+import type { Result } from "../process/base/result.js";
+import { createFailure, createSuccess } from "../process/base/result.js";
 import { createIntegerSchema, formatAllowed } from "./schema.js";
 
 /** Longest name of a customer or class, in characters. */
--- a/src/version/publisher.ts
+++ b/src/version/publisher.ts
@@ -1,7 +1,7 @@
 /** Publishes a contract with one append, and reads its outcome back from the shared log. */
 import { randomUUID } from "node:crypto";
 import type { LogService } from "../connection/logService.js";
-import type { Clock } from "../process/clock.js";
+import type { Clock } from "../process/base/clock.js";
 import type { Contract } from "./contract.js";
 import type { ContractState, Publication, Verdict } from "./contractStream.js";
 import {
--- a/src/version/replica.ts
+++ b/src/version/replica.ts
@@ -1,7 +1,7 @@
 /** Local replica of one log stream's state. The shared log and peers update it; its offset never decreases. */
 import type { LogError, LogService } from "../connection/logService.js";
-import type { Result } from "../process/result.js";
-import { createFailure, createSuccess } from "../process/result.js";
+import type { Result } from "../process/base/result.js";
+import { createFailure, createSuccess } from "../process/base/result.js";
 import type { StreamReducer, StreamState } from "./streamReducer.js";
 import { applyPage } from "./streamReducer.js";
 
--- a/test/admission.test.ts
+++ b/test/admission.test.ts
@@ -1,8 +1,8 @@
 import { expect } from "chai";
-import type { AdmissionResult } from "../src/process/admission.js";
-import { Admission } from "../src/process/admission.js";
-import { ConcurrencyLimit } from "../src/process/concurrencyLimit.js";
-import { PriorityThreshold } from "../src/process/priorityThreshold.js";
+import type { AdmissionResult } from "../src/process/load/admission.js";
+import { Admission } from "../src/process/load/admission.js";
+import { ConcurrencyLimit } from "../src/process/load/concurrencyLimit.js";
+import { PriorityThreshold } from "../src/process/load/priorityThreshold.js";
 import { createRandom } from "../standin/random.js";
 import { FakeClock } from "./fakes.js";
 
--- a/test/balancer.test.ts
+++ b/test/balancer.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { Balancer } from "../src/process/balancer.js";
+import { Balancer } from "../src/process/load/balancer.js";
 import type { Member } from "../src/version/member.js";
 import { formatSlot } from "../src/version/member.js";
 import { createRandom } from "../standin/random.js";
--- a/test/customerRateLimiter.test.ts
+++ b/test/customerRateLimiter.test.ts
@@ -7,10 +7,10 @@
     ControlReply,
     ControlRequest,
 } from "../src/connection/control.js";
-import { CustomerRateLimiter } from "../src/process/customerRateLimiter.js";
-import type { Result } from "../src/process/result.js";
-import { createFailure, createSuccess } from "../src/process/result.js";
-import { computeFairShare, poolShare, ShareCoordinator } from "../src/process/shareCoordinator.js";
+import type { Result } from "../src/process/base/result.js";
+import { createFailure, createSuccess } from "../src/process/base/result.js";
+import { CustomerRateLimiter } from "../src/process/customers/customerRateLimiter.js";
+import { computeFairShare, poolShare, ShareCoordinator } from "../src/process/customers/shareCoordinator.js";
 import type { Member } from "../src/version/member.js";
 import { formatSlot } from "../src/version/member.js";
 import { createContract, FakeClock } from "./fakes.js";
--- a/test/dispatcher.test.ts
+++ b/test/dispatcher.test.ts
@@ -1,9 +1,9 @@
 import { expect } from "chai";
 import type { PeerCaller } from "../src/connection/peerCaller.js";
-import { Balancer } from "../src/process/balancer.js";
-import type { Claims } from "../src/process/claims.js";
-import { LearnedThresholds } from "../src/process/learnedThresholds.js";
-import { RetryLimiter } from "../src/process/rateLimit.js";
+import { RetryLimiter } from "../src/process/base/rateLimit.js";
+import { Balancer } from "../src/process/load/balancer.js";
+import { LearnedThresholds } from "../src/process/load/learnedThresholds.js";
+import type { Claims } from "../src/process/ownership/claims.js";
 import type { Answer, Reason } from "../src/request/answer.js";
 import { createNotRunAnswer } from "../src/request/answer.js";
 import { Dispatcher } from "../src/request/dispatcher.js";
--- a/test/examples.test.ts
+++ b/test/examples.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { readdirSync, readFileSync } from "node:fs";
-import { parseSettings } from "../src/process/settings.js";
+import { parseSettings } from "../src/process/settings/settings.js";
 import { parseContract } from "../src/version/contract.js";
 
 const folder = "examples";
--- a/test/fakes.ts
+++ b/test/fakes.ts
@@ -1,10 +1,10 @@
 /** Small fakes at the interfaces of the product. */
 import type { LogError, LogPage, LogService } from "../src/connection/logService.js";
-import type { Clock, Timer } from "../src/process/clock.js";
-import { Directory, unknownOffsets } from "../src/process/directory.js";
-import type { Logger } from "../src/process/logger.js";
-import type { Result } from "../src/process/result.js";
-import { createFailure, createSuccess } from "../src/process/result.js";
+import type { Clock, Timer } from "../src/process/base/clock.js";
+import type { Result } from "../src/process/base/result.js";
+import { createFailure, createSuccess } from "../src/process/base/result.js";
+import { Directory, unknownOffsets } from "../src/process/membership/directory.js";
+import type { Logger } from "../src/process/telemetry/logger.js";
 import type { Call } from "../src/request/call.js";
 import { RetryBudget } from "../src/request/retryBudget.js";
 import type { Contract } from "../src/version/contract.js";
--- a/test/ownershipModel.ts
+++ b/test/ownershipModel.ts
@@ -10,14 +10,14 @@
     ControlRequest,
 } from "../src/connection/control.js";
 import type { PeerAnswer, PeerCaller } from "../src/connection/peerCaller.js";
-import { Balancer } from "../src/process/balancer.js";
-import { Claims } from "../src/process/claims.js";
-import { Directory, unknownOffsets } from "../src/process/directory.js";
-import { LearnedThresholds } from "../src/process/learnedThresholds.js";
-import { Ownership } from "../src/process/ownership.js";
-import { RetryLimiter } from "../src/process/rateLimit.js";
-import type { Result } from "../src/process/result.js";
-import { createFailure, createSuccess } from "../src/process/result.js";
+import { RetryLimiter } from "../src/process/base/rateLimit.js";
+import type { Result } from "../src/process/base/result.js";
+import { createFailure, createSuccess } from "../src/process/base/result.js";
+import { Balancer } from "../src/process/load/balancer.js";
+import { LearnedThresholds } from "../src/process/load/learnedThresholds.js";
+import { Directory, unknownOffsets } from "../src/process/membership/directory.js";
+import { Claims } from "../src/process/ownership/claims.js";
+import { Ownership } from "../src/process/ownership/ownership.js";
 import type { Answer } from "../src/request/answer.js";
 import { createNotRunAnswer, createUnknownAnswer } from "../src/request/answer.js";
 import type { Call } from "../src/request/call.js";
--- a/test/parsers.test.ts
+++ b/test/parsers.test.ts
@@ -3,7 +3,7 @@
 import { Packr } from "msgpackr";
 import { controlMethods, decodeControlRequest } from "../src/connection/control.js";
 import type { LogRecord } from "../src/connection/logService.js";
-import { parseSettings } from "../src/process/settings.js";
+import { parseSettings } from "../src/process/settings/settings.js";
 import { parseAction } from "../src/request/action.js";
 import { decodeCallMetadata, decodeReplyMetadata } from "../src/request/callMetadata.js";
 import { headerNames } from "../src/request/headers.js";
--- a/test/routed/crashDetector.test.ts
+++ b/test/routed/crashDetector.test.ts
@@ -1,7 +1,7 @@
 /** Crashes of the endpoint beside a node, told from lost answers. */
 import { expect } from "chai";
-import { CrashDetector } from "../../src/process/crashDetector.js";
-import { Quarantine } from "../../src/process/quarantine.js";
+import { CrashDetector } from "../../src/process/endpoint/crashDetector.js";
+import { Quarantine } from "../../src/process/endpoint/quarantine.js";
 import { FakeClock, silentLogger } from "../fakes.js";
 
 describe("watch for crashes", () => {
--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -2,11 +2,11 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import type { LoadReport } from "../../src/connection/linkMessage.js";
-import { EndpointState } from "../../src/process/endpointState.js";
-import { InstanceRegistry } from "../../src/process/instanceRegistry.js";
-import { Placement } from "../../src/process/placement.js";
-import { RunsInProgress } from "../../src/process/runsInProgress.js";
-import { WeightedRoundRobin } from "../../src/process/weightedRoundRobin.js";
+import { EndpointState } from "../../src/process/endpoint/endpointState.js";
+import { Placement } from "../../src/process/load/placement.js";
+import { RunsInProgress } from "../../src/process/load/runsInProgress.js";
+import { WeightedRoundRobin } from "../../src/process/load/weightedRoundRobin.js";
+import { InstanceRegistry } from "../../src/process/membership/instanceRegistry.js";
 import { createRandom } from "../../standin/random.js";
 import { FakeClock, readPropertyOptions } from "../fakes.js";
 import { createRecord, createRoute } from "./samples.js";
--- a/test/routed/deepServiceReplay.ts
+++ b/test/routed/deepServiceReplay.ts
@@ -1,7 +1,7 @@
 /** Replay of an overloaded service several calls deep, in virtual time, with the product's own decisions. */
-import { EntryThrottle } from "../../src/process/entryThrottle.js";
-import type { Candidate } from "../../src/process/runQueue.js";
-import { RunQueue } from "../../src/process/runQueue.js";
+import { EntryThrottle } from "../../src/process/load/entryThrottle.js";
+import type { Candidate } from "../../src/process/load/runQueue.js";
+import { RunQueue } from "../../src/process/load/runQueue.js";
 import type { Random } from "../../standin/random.js";
 import { FakeClock } from "../fakes.js";
 
--- a/test/routed/deploy.test.ts
+++ b/test/routed/deploy.test.ts
@@ -2,8 +2,8 @@
 import { expect } from "chai";
 import { readdirSync, readFileSync } from "node:fs";
 import { parse as parseToml } from "smol-toml";
-import { parseRoutedSettings } from "../../src/process/routedSettings.js";
-import { formatSettingsError } from "../../src/process/settingsFile.js";
+import { parseRoutedSettings } from "../../src/process/settings/routedSettings.js";
+import { formatSettingsError } from "../../src/process/settings/settingsFile.js";
 import { formatConfigurationError, parseConfiguration } from "../../src/version/configuration.js";
 
 /** Names that only platform/ may know. */
--- a/test/routed/endpointConnection.test.ts
+++ b/test/routed/endpointConnection.test.ts
@@ -4,8 +4,8 @@
 import { createServer } from "node:net";
 import { PlatformDialect } from "../../platform/headers.js";
 import { EndpointConnectionPool } from "../../src/connection/endpointConnectionPool.js";
-import { Cancellation } from "../../src/process/cancellation.js";
-import { SystemClock } from "../../src/process/clock.js";
+import { Cancellation } from "../../src/process/base/cancellation.js";
+import { SystemClock } from "../../src/process/base/clock.js";
 import { sleep, waitFor } from "../../standin/processes.js";
 
 /** Creates a cancellation that comes after a time, in milliseconds. */
--- a/test/routed/entryThrottle.test.ts
+++ b/test/routed/entryThrottle.test.ts
@@ -1,6 +1,6 @@
 /** The gate at the entry, alone and with the line of a deep service that is full, in virtual time. */
 import { expect } from "chai";
-import { EntryThrottle } from "../../src/process/entryThrottle.js";
+import { EntryThrottle } from "../../src/process/load/entryThrottle.js";
 import { createRandom } from "../../standin/random.js";
 import { FakeClock } from "../fakes.js";
 import type { RequestKind } from "./deepServiceReplay.js";
--- a/test/routed/explain.test.ts
+++ b/test/routed/explain.test.ts
@@ -1,7 +1,7 @@
 /** The story of a request, from the lines that nodes write. */
 import { expect } from "chai";
-import { findRequestLines } from "../../src/process/explain.js";
-import { LogWriter } from "../../src/process/logWriter.js";
+import { LogWriter } from "../../src/process/membership/logWriter.js";
+import { findRequestLines } from "../../src/process/operators/explain.js";
 import { FakeClock } from "../fakes.js";
 
 /** Sink that keeps what is written and looks as full as a test says. */
--- a/test/routed/fleetPlacement.test.ts
+++ b/test/routed/fleetPlacement.test.ts
@@ -1,14 +1,14 @@
 /** Choice among many instances by many nodes with few requests each, in virtual time. */
 import { expect } from "chai";
 import type { LoadReport } from "../../src/connection/linkMessage.js";
-import { CrashFlood } from "../../src/process/crashFlood.js";
-import { InstanceRegistry } from "../../src/process/instanceRegistry.js";
-import { InstanceSelector } from "../../src/process/instanceSelector.js";
-import { InstanceSubsets } from "../../src/process/instanceSubset.js";
-import { LinkKeeper } from "../../src/process/linkKeeper.js";
-import { LoadRefresher } from "../../src/process/loadRefresher.js";
-import { Placement } from "../../src/process/placement.js";
-import { RunTimeMonitor } from "../../src/process/runTimeMonitor.js";
+import { CrashFlood } from "../../src/process/endpoint/crashFlood.js";
+import { InstanceSelector } from "../../src/process/load/instanceSelector.js";
+import { InstanceSubsets } from "../../src/process/load/instanceSubset.js";
+import { LoadRefresher } from "../../src/process/load/loadRefresher.js";
+import { Placement } from "../../src/process/load/placement.js";
+import { RunTimeMonitor } from "../../src/process/load/runTimeMonitor.js";
+import { InstanceRegistry } from "../../src/process/membership/instanceRegistry.js";
+import { LinkKeeper } from "../../src/process/membership/linkKeeper.js";
 import type { InstanceRecord } from "../../src/version/instanceRecord.js";
 import { createRandom } from "../../standin/random.js";
 import { FakeClock } from "../fakes.js";
--- a/test/routed/forwarder.test.ts
+++ b/test/routed/forwarder.test.ts
@@ -1,10 +1,10 @@
 /** What becomes of a request whose sends end in each way, in the order in which they end. */
 import { expect } from "chai";
-import { Cancellation } from "../../src/process/cancellation.js";
-import { InstanceRegistry } from "../../src/process/instanceRegistry.js";
-import { Placement } from "../../src/process/placement.js";
-import type { RunOutcome } from "../../src/process/runOutcome.js";
-import { ServiceRetryBudget } from "../../src/process/serviceRetryBudget.js";
+import { Cancellation } from "../../src/process/base/cancellation.js";
+import { Placement } from "../../src/process/load/placement.js";
+import type { RunOutcome } from "../../src/process/load/runOutcome.js";
+import { ServiceRetryBudget } from "../../src/process/load/serviceRetryBudget.js";
+import { InstanceRegistry } from "../../src/process/membership/instanceRegistry.js";
 import type { ForwardOutcome } from "../../src/request/forwarder.js";
 import { Forwarder } from "../../src/request/forwarder.js";
 import type { RoutedCall } from "../../src/request/routedCall.js";
--- a/test/routed/gracefulStop.test.ts
+++ b/test/routed/gracefulStop.test.ts
@@ -1,6 +1,6 @@
 /** Steps of a graceful stop, in virtual time. */
 import { expect } from "chai";
-import { decideStopStep } from "../../src/process/gracefulStop.js";
+import { decideStopStep } from "../../src/process/node/gracefulStop.js";
 
 /** A stop, as a list of what holds until when. */
 interface StopCase {
--- a/test/routed/leavingEndpoint.test.ts
+++ b/test/routed/leavingEndpoint.test.ts
@@ -1,8 +1,8 @@
 /** What a node knows of an endpoint that leaves, whoever says so and in whatever order it hears of it. */
 import { expect } from "chai";
-import { EndpointState } from "../../src/process/endpointState.js";
-import { InstanceRegistry } from "../../src/process/instanceRegistry.js";
-import { OwnInstanceRecord } from "../../src/process/ownInstanceRecord.js";
+import { EndpointState } from "../../src/process/endpoint/endpointState.js";
+import { InstanceRegistry } from "../../src/process/membership/instanceRegistry.js";
+import { OwnInstanceRecord } from "../../src/process/membership/ownInstanceRecord.js";
 import { formatInstanceRecord, parseInstanceRecord } from "../../src/version/instanceRecord.js";
 import { FakeClock } from "../fakes.js";
 import { createRecord } from "./samples.js";
--- a/test/routed/logReaders.test.ts
+++ b/test/routed/logReaders.test.ts
@@ -1,9 +1,9 @@
 /** Which nodes follow the log, and how records and versions reach the others. */
 import { expect } from "chai";
 import type { LinkMessage } from "../../src/connection/linkMessage.js";
-import { InstanceRegistry } from "../../src/process/instanceRegistry.js";
-import { LogReaders } from "../../src/process/logReaders.js";
-import { PeerGossip } from "../../src/process/peerGossip.js";
+import { InstanceRegistry } from "../../src/process/membership/instanceRegistry.js";
+import { LogReaders } from "../../src/process/membership/logReaders.js";
+import { PeerGossip } from "../../src/process/membership/peerGossip.js";
 import { ConfigurationHolder } from "../../src/version/configurationHolder.js";
 import type { InstanceRecord } from "../../src/version/instanceRecord.js";
 import { parseInstanceRecord } from "../../src/version/instanceRecord.js";
--- a/test/routed/routedMetrics.test.ts
+++ b/test/routed/routedMetrics.test.ts
@@ -1,6 +1,6 @@
 /** Metrics that are counted before the library for their format is loaded. */
 import { expect } from "chai";
-import { RoutedMetrics } from "../../src/process/routedMetrics.js";
+import { RoutedMetrics } from "../../src/process/telemetry/routedMetrics.js";
 
 describe("metrics of a routed node", () => {
     it("count what ended before they were first read, and after", async () => {
--- a/test/routed/runPacer.test.ts
+++ b/test/routed/runPacer.test.ts
@@ -1,10 +1,10 @@
 /** Endpoints that name how many requests a second they take, replayed in virtual time. */
 import { expect } from "chai";
-import { EndpointState } from "../../src/process/endpointState.js";
-import { NamedLimit } from "../../src/process/namedLimit.js";
-import { RunPacer } from "../../src/process/runPacer.js";
-import type { Candidate } from "../../src/process/runQueue.js";
-import { RunQueue } from "../../src/process/runQueue.js";
+import { EndpointState } from "../../src/process/endpoint/endpointState.js";
+import { NamedLimit } from "../../src/process/load/namedLimit.js";
+import { RunPacer } from "../../src/process/load/runPacer.js";
+import type { Candidate } from "../../src/process/load/runQueue.js";
+import { RunQueue } from "../../src/process/load/runQueue.js";
 import { createRandom } from "../../standin/random.js";
 import { FakeClock } from "../fakes.js";
 
--- a/test/routed/runQueue.test.ts
+++ b/test/routed/runQueue.test.ts
@@ -1,7 +1,7 @@
 /** Load patterns at one endpoint, replayed in virtual time. */
 import { expect } from "chai";
-import type { Candidate } from "../../src/process/runQueue.js";
-import { RunQueue } from "../../src/process/runQueue.js";
+import type { Candidate } from "../../src/process/load/runQueue.js";
+import { RunQueue } from "../../src/process/load/runQueue.js";
 
 /** A request of a replay. */
 interface Arrival extends Candidate {
--- a/test/routed/sendDeduplicator.test.ts
+++ b/test/routed/sendDeduplicator.test.ts
@@ -1,8 +1,8 @@
 /** A send that arrives more than once runs once. */
 import { expect } from "chai";
 import fc from "fast-check";
-import type { RunOutcome } from "../../src/process/runOutcome.js";
-import { SendDeduplicator } from "../../src/process/sendDeduplicator.js";
+import { SendDeduplicator } from "../../src/process/endpoint/sendDeduplicator.js";
+import type { RunOutcome } from "../../src/process/load/runOutcome.js";
 import { FakeClock, readPropertyOptions } from "../fakes.js";
 
 describe("memory of sends", () => {
--- a/test/routed/serviceRetryBudget.test.ts
+++ b/test/routed/serviceRetryBudget.test.ts
@@ -1,7 +1,7 @@
 /** The bound on repeats, and what a service that turns much away gets from it, in virtual time. */
 import { expect } from "chai";
-import type { RetryLimits } from "../../src/process/serviceRetryBudget.js";
-import { ServiceRetryBudget } from "../../src/process/serviceRetryBudget.js";
+import type { RetryLimits } from "../../src/process/load/serviceRetryBudget.js";
+import { ServiceRetryBudget } from "../../src/process/load/serviceRetryBudget.js";
 import type { Random } from "../../standin/random.js";
 import { createRandom } from "../../standin/random.js";
 import { FakeClock } from "../fakes.js";
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
-import { parseSettings } from "../src/process/settings.js";
-import { formatSettingsError } from "../src/process/settingsFile.js";
+import { parseSettings } from "../src/process/settings/settings.js";
+import { formatSettingsError } from "../src/process/settings/settingsFile.js";
 
 const validText = `service = "katalog"
 dataCentre = "klaten"
