Keep the direction of imports between the folders of the process

Cause: shared types lay in files of higher parts, so that lower ones imported upwards, and prometheusMetrics and routedMetrics imported each other. Change: the source of random numbers, the secret keys and the sample of a request have files of their own lower down; instance subsets lie with membership; a lint rule lists the folders and refuses an import from a higher one.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -27,14 +27,45 @@
     },
 };
 
+/** Folders of src/process/, lowest first: a file imports from its own folder and from lower ones. */
+const processLayers = [
+    "base",
+    "telemetry",
+    "membership",
+    "load",
+    "customers",
+    "ownership",
+    "endpoint",
+    "settings",
+    "operators",
+    "node",
+];
+
+const layers = {
+    meta: { type: "problem", schema: [] },
+    create(context) {
+        const ownFolder = /src\/process\/(\w+)\//.exec(context.filename.replaceAll("\\", "/"))?.[1];
+        const ownIndex = processLayers.indexOf(ownFolder);
+        return {
+            ImportDeclaration(node) {
+                const folder = /^\.\.\/(\w+)\//.exec(node.source.value)?.[1];
+                if (ownIndex !== -1 && processLayers.indexOf(folder) > ownIndex) {
+                    context.report({ node, message: `src/process/${ownFolder} may not import from ${folder}` });
+                }
+            },
+        };
+    },
+};
+
 export default typescript.config(
     { ignores: ["dist", "target", "node_modules", "reports"] },
     js.configs.recommended,
     ...typescript.configs.strict,
     {
-        plugins: { turmericspoke: { rules: { "function-names": functionNames } } },
+        plugins: { turmericspoke: { rules: { "function-names": functionNames, layers } } },
         rules: {
             "turmericspoke/function-names": "error",
+            "turmericspoke/layers": "error",
             "@typescript-eslint/consistent-type-imports": "error",
             "no-duplicate-imports": "off",
             "@typescript-eslint/no-non-null-assertion": "off",
--- a/src/cli.ts
+++ b/src/cli.ts
@@ -3,6 +3,8 @@
 import yargs from "yargs";
 import type { Argv } from "yargs";
 import { hideBin } from "yargs/helpers";
+import type { KeySource } from "./process/base/keys.js";
+import { formatKeyError, readKeys } from "./process/base/keys.js";
 import {
     checkContractFile,
     diffContract,
@@ -10,8 +12,6 @@
     publishContractFile,
     showContract,
 } from "./process/operators/contractCommands.js";
-import type { KeySource } from "./process/operators/keys.js";
-import { formatKeyError, readKeys } from "./process/operators/keys.js";
 import {
     releaseQuarantine,
     retireSlot,
--- a/src/connection/control.ts
+++ b/src/connection/control.ts
@@ -8,9 +8,9 @@
 import { Client, credentials, Metadata, Server, ServerCredentials, status } from "@grpc/grpc-js";
 import { Packr } from "msgpackr";
 import * as v from "valibot";
+import type { SecretKey } from "../process/base/keys.js";
 import type { Result } from "../process/base/result.js";
 import { createFailure, createSuccess } from "../process/base/result.js";
-import type { SecretKey } from "../process/operators/keys.js";
 import { memberSchema } from "../version/member.js";
 import { partitionCount } from "../version/memberStream.js";
 import { createIntegerSchema, shortTextSchema } from "../version/schema.js";
--- a/src/connection/keyedLogFollower.ts
+++ b/src/connection/keyedLogFollower.ts
@@ -6,7 +6,7 @@
  * the same time. The first failure and the recovery are logged once each.
  */
 import type { Clock } from "../process/base/clock.js";
-import type { Random } from "../process/load/balancer.js";
+import type { Random } from "../process/base/random.js";
 import type { Logger } from "../process/telemetry/logger.js";
 import type { KeyedLog, KeyedLogError, KeyedPage, LogEra } from "./keyedLog.js";
 import { describeKeyedLogError } from "./keyedLog.js";
--- a/src/connection/peerCaller.ts
+++ b/src/connection/peerCaller.ts
@@ -1,6 +1,6 @@
 /** HTTP client for calls to the peer listeners of other nodes. */
 import type { Clock } from "../process/base/clock.js";
-import type { SecretKey } from "../process/operators/keys.js";
+import type { SecretKey } from "../process/base/keys.js";
 import type { Answer } from "../request/answer.js";
 import { createNotRunAnswer, createUnknownAnswer } from "../request/answer.js";
 import type { Call } from "../request/call.js";
--- a/src/connection/peerLinks.ts
+++ b/src/connection/peerLinks.ts
@@ -5,7 +5,7 @@
  */
 import type { Cancellation } from "../process/base/cancellation.js";
 import type { Clock } from "../process/base/clock.js";
-import type { Random } from "../process/load/balancer.js";
+import type { Random } from "../process/base/random.js";
 import type { Logger } from "../process/telemetry/logger.js";
 import type { PeerRunRequest } from "../request/runRequest.js";
 import type { InstanceRecord } from "../version/instanceRecord.js";
--- a/src/connection/prober.ts
+++ b/src/connection/prober.ts
@@ -4,7 +4,7 @@
  * piggybacked on probes and their replies (gossip), so the load on a node doesn't grow with the number of members.
  */
 import type { Clock } from "../process/base/clock.js";
-import type { Random } from "../process/load/balancer.js";
+import type { Random } from "../process/base/random.js";
 import type { Directory } from "../process/membership/directory.js";
 import type { Member } from "../version/member.js";
 import { formatSlot } from "../version/member.js";
--- a/src/connection/signedLog.ts
+++ b/src/connection/signedLog.ts
@@ -6,9 +6,9 @@
  * valid signature is returned with an empty body, which the reducer of every stream skips as malformed.
  */
 import * as v from "valibot";
+import type { SecretKey } from "../process/base/keys.js";
 import type { Result } from "../process/base/result.js";
 import { createSuccess } from "../process/base/result.js";
-import type { SecretKey } from "../process/operators/keys.js";
 import { parseJson, parseWith } from "../version/schema.js";
 import type { LogError, LogPage, LogRecord, LogService } from "./logService.js";
 import { HttpLogService } from "./logService.js";
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -8,8 +8,8 @@
  */
 import { parseArgs } from "node:util";
 import { SystemClock } from "./process/base/clock.js";
+import { formatKeyError, keyNames, readKeys } from "./process/base/keys.js";
 import { Node } from "./process/node/node.js";
-import { formatKeyError, keyNames, readKeys } from "./process/operators/keys.js";
 import { readSettings } from "./process/settings/settings.js";
 import { formatSettingsError } from "./process/settings/settingsFile.js";
 import { createLogger } from "./process/telemetry/logger.js";
--- a/src/process/operators/keys.ts
+++ b/src/process/base/keys.ts
@@ -1,8 +1,8 @@
 /** Shared keys, read at startup from files or environment variables. They are compared in constant time and never logged. */
 import { createHash, createHmac, timingSafeEqual } from "node:crypto";
 import { readFileSync } from "node:fs";
-import type { Result } from "../base/result.js";
-import { createFailure, createSuccess } from "../base/result.js";
+import type { Result } from "./result.js";
+import { createFailure, createSuccess } from "./result.js";
 
 /** Shortest key, in characters. */
 export const minKeyLength = 16;
--- a/src/process/base/randomSample.ts
+++ b/src/process/base/random.ts
@@ -1,5 +1,7 @@
-/** Random samples. */
-import type { Random } from "../load/balancer.js";
+/** Source of random numbers, and random samples. */
+
+/** Source of random numbers in [0, 1). */
+export type Random = () => number;
 
 /** Picks up to `count` different items at random. */
 export function pickSome<T>(items: readonly T[], count: number, random: Random): T[] {
--- a/src/process/load/balancer.ts
+++ b/src/process/load/balancer.ts
@@ -9,6 +9,7 @@
 import { formatSlot } from "../../version/member.js";
 import { updateAverage } from "../base/average.js";
 import type { Clock } from "../base/clock.js";
+import type { Random } from "../base/random.js";
 
 /** Weight of a new sample in the average answer time. */
 const sampleWeight = 0.2;
@@ -34,9 +35,6 @@
  */
 export type CallOutcome = "completed" | "refused" | "failed";
 
-/** Source of random numbers in [0, 1). */
-export type Random = () => number;
-
 /** Chooses instances by the calls in flight and the answer times that this node has measured. */
 export class Balancer {
     /** Measurements by the name of the node's slot, `address:controlPort`. */
--- a/src/process/load/entryThrottle.ts
+++ b/src/process/load/entryThrottle.ts
@@ -13,7 +13,7 @@
  *   downstream service; near full utilisation the fraction rises slowly.
  */
 import type { Clock } from "../base/clock.js";
-import type { Random } from "./balancer.js";
+import type { Random } from "../base/random.js";
 
 /** Shortest time between two changes of a route's admitted fraction, in milliseconds. */
 const minWindowMs = 300;
--- a/src/process/load/instanceSelector.ts
+++ b/src/process/load/instanceSelector.ts
@@ -3,11 +3,11 @@
  * that decide were refreshed, and from the others when the subset has no room.
  */
 import type { InstanceRecord } from "../../version/instanceRecord.js";
-import { pickSome } from "../base/randomSample.js";
+import { pickSome } from "../base/random.js";
+import type { Random } from "../base/random.js";
 import type { InstanceRegistry } from "../membership/instanceRegistry.js";
+import type { InstanceSubsets } from "../membership/instanceSubset.js";
 import type { LinkKeeper } from "../membership/linkKeeper.js";
-import type { Random } from "./balancer.js";
-import type { InstanceSubsets } from "./instanceSubset.js";
 import type { LoadRefresher } from "./loadRefresher.js";
 import type { Placement } from "./placement.js";
 
--- a/src/process/load/loadRefresher.ts
+++ b/src/process/load/loadRefresher.ts
@@ -12,7 +12,7 @@
  */
 import type { InstanceRecord } from "../../version/instanceRecord.js";
 import type { Clock } from "../base/clock.js";
-import type { Random } from "./balancer.js";
+import type { Random } from "../base/random.js";
 
 /** Age of a load from which on it is refreshed, in milliseconds. */
 const refreshAgeMs = 1000;
--- a/src/process/load/placement.ts
+++ b/src/process/load/placement.ts
@@ -17,7 +17,7 @@
 import type { LoadReport } from "../../connection/linkMessage.js";
 import type { InstanceRecord } from "../../version/instanceRecord.js";
 import type { Clock } from "../base/clock.js";
-import type { Random } from "./balancer.js";
+import type { Random } from "../base/random.js";
 
 /** Weight of a new sample in the average slowness of an instance. */
 const slownessWeight = 0.1;
--- a/src/process/load/weightedRoundRobin.ts
+++ b/src/process/load/weightedRoundRobin.ts
@@ -6,7 +6,7 @@
  * each keep the shares too. The choice ignores load, so a service that is overloaded keeps its share.
  */
 import type { RouteContract } from "../../version/configuration.js";
-import type { Random } from "./balancer.js";
+import type { Random } from "../base/random.js";
 
 /** Most requests of a round that are skipped at the start. */
 const maxSkippedTurns = 1000;
--- a/src/process/membership/clusterState.ts
+++ b/src/process/membership/clusterState.ts
@@ -10,7 +10,7 @@
 import type { InstanceDescription, InstanceRecord } from "../../version/instanceRecord.js";
 import { formatInstanceRecord, parseInstanceRecord } from "../../version/instanceRecord.js";
 import type { Clock } from "../base/clock.js";
-import type { Random } from "../load/balancer.js";
+import type { Random } from "../base/random.js";
 import type { Logger } from "../telemetry/logger.js";
 import { InstancePublisher } from "./instancePublisher.js";
 import type { RecordSource } from "./instanceRegistry.js";
--- a/src/process/membership/instancePublisher.ts
+++ b/src/process/membership/instancePublisher.ts
@@ -2,7 +2,7 @@
 import type { AppendedRecord, KeyedLog, KeyedPage } from "../../connection/keyedLog.js";
 import { describeKeyedLogError } from "../../connection/keyedLog.js";
 import type { Clock } from "../base/clock.js";
-import type { Random } from "../load/balancer.js";
+import type { Random } from "../base/random.js";
 import type { Logger } from "../telemetry/logger.js";
 
 /** Shortest delay of a retry after a failed append, in milliseconds. */
--- a/src/process/membership/linkKeeper.ts
+++ b/src/process/membership/linkKeeper.ts
@@ -3,8 +3,8 @@
  * the readers of the log, and a few others, so that all nodes are connected. The number doesn't grow with the number of nodes.
  */
 import type { Clock } from "../base/clock.js";
-import type { InstanceSubsets } from "../load/instanceSubset.js";
 import type { InstanceRegistry } from "./instanceRegistry.js";
+import type { InstanceSubsets } from "./instanceSubset.js";
 
 /** Time after the last request to a service for which the links to it are kept, in milliseconds. */
 const serviceInUseMs = 30_000;
--- a/src/process/membership/logReaders.ts
+++ b/src/process/membership/logReaders.ts
@@ -7,8 +7,8 @@
  */
 import type { InstanceRecord } from "../../version/instanceRecord.js";
 import type { Clock } from "../base/clock.js";
-import { computeRank } from "../load/instanceSubset.js";
 import type { InstanceRegistry } from "./instanceRegistry.js";
+import { computeRank } from "./instanceSubset.js";
 
 /** Readers of each data centre. One is enough, since each node hears of several data centres' readers. */
 const readersPerDataCentre = 1;
--- a/src/process/membership/logReading.ts
+++ b/src/process/membership/logReading.ts
@@ -5,7 +5,7 @@
 import type { KeyedLog, KeyedPage, LogEra } from "../../connection/keyedLog.js";
 import { KeyedLogFollower } from "../../connection/keyedLogFollower.js";
 import type { Clock } from "../base/clock.js";
-import type { Random } from "../load/balancer.js";
+import type { Random } from "../base/random.js";
 import type { Logger } from "../telemetry/logger.js";
 import type { LogReaders } from "./logReaders.js";
 
--- a/src/process/membership/peerGossip.ts
+++ b/src/process/membership/peerGossip.ts
@@ -12,8 +12,8 @@
 import type { InstanceRecord } from "../../version/instanceRecord.js";
 import { formatInstanceRecord } from "../../version/instanceRecord.js";
 import type { Clock } from "../base/clock.js";
-import { pickSome } from "../base/randomSample.js";
-import type { Random } from "../load/balancer.js";
+import { pickSome } from "../base/random.js";
+import type { Random } from "../base/random.js";
 import type { InstanceRegistry } from "./instanceRegistry.js";
 
 /** Number of nodes to which a new version is announced at once. */
--- a/src/process/node/nodeView.ts
+++ b/src/process/node/nodeView.ts
@@ -1,12 +1,12 @@
 /** View of a node for the admin pages and the gauges. */
 import type { LogFollower } from "../../connection/logFollower.js";
 import type { Member } from "../../version/member.js";
+import type { Keys } from "../base/keys.js";
 import type { LocalEndpoint } from "../endpoint/localEndpoint.js";
 import type { Quarantine } from "../endpoint/quarantine.js";
 import type { Admission } from "../load/admission.js";
 import type { Directory } from "../membership/directory.js";
 import type { Streams } from "../membership/streams.js";
-import type { Keys } from "../operators/keys.js";
 import type { Claims } from "../ownership/claims.js";
 import type { Ownership } from "../ownership/ownership.js";
 import type { Metrics } from "../telemetry/metrics.js";
--- a/src/process/operators/operatorCommands.ts
+++ b/src/process/operators/operatorCommands.ts
@@ -8,7 +8,7 @@
 import { formatReplicaError } from "../../version/publisher.js";
 import { formatQuarantineRecord, quarantineStreamName } from "../../version/quarantineStream.js";
 import { Replica } from "../../version/replica.js";
-import type { SecretKey } from "./keys.js";
+import type { SecretKey } from "../base/keys.js";
 import type { ToolOptions } from "./tool.js";
 import { createLogClient, exitCodes, openLogForAppend, printError, printResult } from "./tool.js";
 
--- a/src/process/operators/tool.ts
+++ b/src/process/operators/tool.ts
@@ -4,9 +4,9 @@
 import { memberReducer, memberStreamName } from "../../version/memberStream.js";
 import { parseJson } from "../../version/schema.js";
 import { isSnapshot } from "../../version/streamReducer.js";
+import type { Keys } from "../base/keys.js";
 import type { Result } from "../base/result.js";
 import { createFailure, createSuccess } from "../base/result.js";
-import type { Keys } from "./keys.js";
 
 /** Exit codes. `unknown` means that an append may have taken effect, or that no log line of a request was found. */
 export const exitCodes = {
--- a/src/process/ownership/ownership.ts
+++ b/src/process/ownership/ownership.ts
@@ -23,7 +23,7 @@
     partitionCount,
 } from "../../version/memberStream.js";
 import type { Clock } from "../base/clock.js";
-import type { Random } from "../load/balancer.js";
+import type { Random } from "../base/random.js";
 import type { Directory } from "../membership/directory.js";
 import type { MemberReplica } from "../membership/streams.js";
 import type { Logger } from "../telemetry/logger.js";
--- a/src/process/telemetry/prometheusMetrics.ts
+++ b/src/process/telemetry/prometheusMetrics.ts
@@ -1,7 +1,7 @@
 /** Metrics of a routed node in the Prometheus format; loaded by {@link RoutedMetrics} when they are needed. */
 import { Counter, Histogram, Registry } from "prom-client";
 import { addGauge } from "./gauge.js";
-import type { RequestSample } from "./routedMetrics.js";
+import type { RequestSample } from "./requestSample.js";
 
 /** Upper bounds of the buckets of request times, in seconds. */
 const secondsBuckets = [0.005, 0.025, 0.1, 0.25, 0.5, 1, 2.5, 5];
--- a/src/process/telemetry/routedMetrics.ts
+++ b/src/process/telemetry/routedMetrics.ts
@@ -5,19 +5,11 @@
  * reads their metrics. So it is loaded when they are first read, or when many requests wait to be counted.
  */
 import type { PrometheusMetrics } from "./prometheusMetrics.js";
+import type { RequestSample } from "./requestSample.js";
 
 /** Most requests that are held until the library is loaded. */
 const maxPendingSamples = 10_000;
 
-/** A request that has ended. */
-export interface RequestSample {
-    readonly route: string;
-    readonly outcome: string;
-    readonly cause: string;
-    /** Time from the request's headers to its final answer. */
-    readonly milliseconds: number;
-}
-
 /** A gauge whose value is read when the metrics are. */
 interface GaugeSource {
     readonly name: string;
--- a/src/request/peerRequest.ts
+++ b/src/request/peerRequest.ts
@@ -2,8 +2,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createDisconnectSignal, sendFailureOutcome } from "../connection/httpServer.js";
 import type { Clock } from "../process/base/clock.js";
+import type { SecretKey } from "../process/base/keys.js";
 import type { LocalEndpoint } from "../process/endpoint/localEndpoint.js";
-import type { SecretKey } from "../process/operators/keys.js";
 import type { Claims } from "../process/ownership/claims.js";
 import { findSingleHeader } from "./action.js";
 import type { Answer } from "./answer.js";
--- a/standin/cluster.ts
+++ b/standin/cluster.ts
@@ -9,7 +9,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
-import type { KeyName } from "../src/process/operators/keys.js";
+import type { KeyName } from "../src/process/base/keys.js";
 import type { Contract } from "../src/version/contract.js";
 import type { RunRecord } from "./endpoint.js";
 import { Instance, ports, readyTimeoutMs } from "./instance.js";
--- a/test/cluster/keys.test.ts
+++ b/test/cluster/keys.test.ts
@@ -3,7 +3,7 @@
 import { join } from "node:path";
 import { request } from "undici";
 import { ControlClient } from "../../src/connection/control.js";
-import { SecretKey } from "../../src/process/operators/keys.js";
+import { SecretKey } from "../../src/process/base/keys.js";
 import { sendOnce } from "../../standin/caller.js";
 import { Cluster } from "../../standin/cluster.js";
 import { waitFor } from "../../standin/processes.js";
