Know the customer of a request by its key, and name it to the endpoint

Change: customers, keys, priorities, quotas and public routes are read from the configuration; a request without a known key gets 401 unless its route is public; the endpoint gets the customer's name and never the key; the customer's priority goes before the route's and travels with the request's origin over links. A kind with large answers counts as idempotent.

--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -282,17 +282,18 @@
 }
 
 function encodeOrigin(origin: Origin): unknown[] {
-    return [origin.route, origin.priority, origin.isRepeated, origin.depth, origin.servedBefore];
+    return [origin.route, origin.priority, origin.isRepeated, origin.depth, origin.servedBefore, origin.customer];
 }
 
 function decodeOrigin(value: unknown): Origin {
-    const [route, priority, isRepeated, depth, servedBefore] = Array.isArray(value) ? value as unknown[] : [];
+    const [route, priority, isRepeated, depth, servedBefore, customer] = Array.isArray(value) ? value as unknown[] : [];
     return {
         route: String(route ?? ""),
         priority: Number(priority ?? 0),
         isRepeated: isRepeated === true,
         depth: Number(depth ?? 0),
         servedBefore: Number(servedBefore ?? 0),
+        customer: typeof customer === "string" ? customer : undefined,
     };
 }
 
--- a/src/process/endpoint/endpointRunner.ts
+++ b/src/process/endpoint/endpointRunner.ts
@@ -252,9 +252,11 @@
         cancellation: Cancellation,
     ): Promise<SendResult> {
         const { dialect, pool, endpoint } = this.dependencies;
-        const { method, path, body, attemptId, callerService } = request;
+        const { method, path, body, attemptId, callerService, origin } = request;
         const endpointId = endpoint.getIncarnationId();
-        const runHeaders = dialect.createRunHeaders({ attemptId, timeLeftMs, callerService, endpointId });
+        // A call that a run makes carries no key, so the endpoint is not told a customer.
+        const customer = origin.depth === 0 ? origin.customer : undefined;
+        const runHeaders = dialect.createRunHeaders({ attemptId, timeLeftMs, callerService, endpointId, customer });
         const headers = [...request.headers, ...runHeaders];
         const result = await pool.send(
             { method, path, headers, body, attemptId },
--- a/src/process/load/runsInProgress.ts
+++ b/src/process/load/runsInProgress.ts
@@ -15,6 +15,8 @@
     readonly route: string;
     /** Priority of its route; 0 is the most urgent (in `Admission`, 0 is the lowest priority). */
     readonly priority: number;
+    /** Customer that sent it; `undefined` if it came without a customer's key. */
+    readonly customer: string | undefined;
     /** Whether this run or call, or one that led to it, is a retry. */
     readonly isRepeated: boolean;
     /** Calls from the client's request to this one, counting this one; 0 for the client's request itself. */
--- a/src/request/dialect.ts
+++ b/src/request/dialect.ts
@@ -13,6 +13,8 @@
     readonly attemptId: string | undefined;
     /** Time for which the caller waits, in milliseconds; `undefined` if the caller sent none. */
     readonly deadlineMs: number | undefined;
+    /** Key of the customer that sends the request; `undefined` if the caller sent none. */
+    readonly key: string | undefined;
 }
 
 /** Metadata that an endpoint receives with a request. */
@@ -24,6 +26,8 @@
     readonly callerService: string;
     /** Id of the endpoint's process that may run the request; any other process refuses it. */
     readonly endpointId: string | undefined;
+    /** Name of the customer whose key came with the request; `undefined` for calls of runs and requests without one. */
+    readonly customer: string | undefined;
 }
 
 /** Load that an endpoint reports: runs in progress, requests waiting, and its concurrency limit. */
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -10,6 +10,7 @@
 import type { RoutedMetrics } from "../process/telemetry/routedMetrics.js";
 import type { RouteContract } from "../version/configuration.js";
 import type { ConfigurationHolder } from "../version/configurationHolder.js";
+import type { Customer, CustomerTable } from "../version/customer.js";
 import { readBody } from "./body.js";
 import type { Dialect, RequestMetadata } from "./dialect.js";
 import type { Forwarder, ForwardOutcome, ForwardResult } from "./forwarder.js";
@@ -69,6 +70,8 @@
     readonly startedAt: number;
     /** The run that makes the call; `undefined` for a request of an outside caller. */
     readonly parent: RunInProgress | undefined;
+    /** Customer whose key came with the request; `undefined` for a call of a run or without a key. */
+    readonly customer: Customer | undefined;
 }
 
 /**
@@ -116,7 +119,29 @@
         return;
     }
     const parent = dependencies.runs.find(dependencies.dialect.findParentAttempt(metadata.attemptId));
-    const routedRequest: RoutedRequest = { request, response, metadata, route, version, body, startedAt, parent };
+    const customer = parent === undefined ? findCustomer(table.customers, metadata.key) : undefined;
+    if (parent === undefined && customer === undefined && !route.isPublic && !table.customers.isEmpty()) {
+        sendEmptyAnswer(response, 401, undefined);
+        logRequest(dependencies, "refused", {
+            request: metadata.attemptId,
+            route: route.name,
+            cause: "unknownKey",
+            version,
+            status: 401,
+        });
+        return;
+    }
+    const routedRequest: RoutedRequest = {
+        request,
+        response,
+        metadata,
+        route,
+        version,
+        body,
+        startedAt,
+        parent,
+        customer,
+    };
     if (parent === undefined && !dependencies.entryThrottle.admit(route.name)) {
         const refusal = { kind: "refused", cause: "crowdedBehind", retryAfterMs: overloadedRetryMs } as const;
         const status = sendOutcome(dependencies, response, routedRequest, refusal);
@@ -245,12 +270,24 @@
     response.end();
 }
 
+function findCustomer(customers: CustomerTable, key: string | undefined): Customer | undefined {
+    return key === undefined ? undefined : customers.findByKey(key);
+}
+
 /** Creates the origin of a request. A call of a run inherits the route and priority of the outside request. */
 function createOrigin(routedRequest: RoutedRequest): Origin {
-    const { route, parent } = routedRequest;
-    return parent === undefined
-        ? { route: route.name, priority: route.priority, isRepeated: false, depth: 0, servedBefore: 0 }
-        : { ...parent.origin, depth: parent.origin.depth + 1, servedBefore: parent.getServedCalls() };
+    const { route, parent, customer } = routedRequest;
+    if (parent !== undefined) {
+        return { ...parent.origin, depth: parent.origin.depth + 1, servedBefore: parent.getServedCalls() };
+    }
+    return {
+        route: route.name,
+        priority: customer?.priority ?? route.priority,
+        customer: customer?.name,
+        isRepeated: false,
+        depth: 0,
+        servedBefore: 0,
+    };
 }
 
 /** Reports to the run that made the call, or to the entry throttle, whether a downstream service was overloaded. */
--- a/src/version/configuration.ts
+++ b/src/version/configuration.ts
@@ -7,16 +7,18 @@
 import * as v from "valibot";
 import type { Result } from "../process/base/result.js";
 import { createFailure, createSuccess } from "../process/base/result.js";
+import type { CustomerEntry } from "./customer.js";
 import { createIntegerSchema, formatAllowed, parseJson } from "./schema.js";
 
 /** Whether a request of a route may run more than once. */
 export type Repetition = "idempotent" | "atMostOnce";
 
-/** Words for {@link Repetition} in a configuration. Uploads have large bodies; they too run at most once. */
+/** Words for {@link Repetition} in a configuration. Uploads have large bodies, downloads large answers. */
 const repetitionsByWord: ReadonlyMap<string, Repetition> = new Map([
     ["idempotent", "idempotent"],
     ["atMostOnce", "atMostOnce"],
     ["atMostOnceUpload", "atMostOnce"],
+    ["idempotentDownload", "idempotent"],
 ]);
 
 /** One service of a route and its share of the route's requests. */
@@ -44,6 +46,8 @@
      * in `request/priority.ts`.
      */
     readonly priority: number;
+    /** Whether requests need no key of a customer. */
+    readonly isPublic: boolean;
     readonly shares: readonly ServiceShare[];
 }
 
@@ -67,6 +71,8 @@
     readonly routes: readonly RouteContract[];
     readonly services: ReadonlyMap<string, ServiceConfiguration>;
     readonly limits: CallerLimits;
+    /** Customers and their keys; without any, requests need no key. */
+    readonly customers: readonly CustomerEntry[];
     /** Words that this build does not know, and what is assumed in their place. The configuration is in force. */
     readonly warnings: readonly ConfigurationWarning[];
 }
@@ -88,7 +94,8 @@
 
 const nameSchema = v.pipe(v.string(), v.minLength(1), v.maxLength(256));
 const millisecondsSchema = v.pipe(v.number(), v.minValue(0), v.maxValue(86_400_000));
-const shareSchema = v.object({ service: nameSchema, weight: v.pipe(v.number(), v.minValue(0)) });
+const nonNegativeNumberSchema = v.pipe(v.number(), v.minValue(0));
+const shareSchema = v.object({ service: nameSchema, weight: nonNegativeNumberSchema });
 const routeSchema = v.object({
     name: nameSchema,
     host: nameSchema,
@@ -98,6 +105,7 @@
     targetLatencyMs: v.optional(millisecondsSchema, 60_000),
     maxRuns: v.optional(createIntegerSchema(1, 1000), 1),
     priority: v.optional(createIntegerSchema(0, 1_000_000), 0),
+    isPublic: v.nullish(v.boolean(), false),
     service: v.nullish(nameSchema),
     shares: v.nullish(v.pipe(v.array(shareSchema), v.minLength(1))),
 });
@@ -111,11 +119,19 @@
     headerTimeoutMs: v.optional(millisecondsSchema, 10_000),
     idleTimeoutMs: v.optional(millisecondsSchema, 15_000),
 });
+const customerSchema = v.object({
+    name: nameSchema,
+    keys: v.nullish(v.array(v.pipe(v.string(), v.minLength(1), v.maxLength(4096))), []),
+    priority: v.nullish(createIntegerSchema(0, 1_000_000)),
+    requestsPerSecond: v.nullish(nonNegativeNumberSchema, 0),
+    burst: v.nullish(nonNegativeNumberSchema, 0),
+});
 const configurationSchema = v.object({
     version: createIntegerSchema(0, Number.MAX_SAFE_INTEGER),
     routes: v.array(routeSchema),
     services: v.array(serviceSchema),
     limits: v.optional(limitsSchema, {}),
+    customers: v.nullish(v.array(customerSchema), []),
 });
 
 /** Parses a configuration from JSON. It is invalid if a route names an unknown service or has no positive weight. */
@@ -154,7 +170,15 @@
         }
         routes.push({ ...route, repetition, host: route.host.toLowerCase(), shares: routeShares });
     }
-    return createSuccess({ version, routes, services, limits, warnings });
+    const customers = parsed.output.customers.map(createCustomerEntry);
+    return createSuccess({ version, routes, services, limits, customers, warnings });
+}
+
+/** A rate of 0 means that the rate is not limited. */
+function createCustomerEntry(customer: v.InferOutput<typeof customerSchema>): CustomerEntry {
+    const { name, keys, priority, requestsPerSecond, burst } = customer;
+    const quota = requestsPerSecond === 0 ? undefined : { requestsPerSecond, burst };
+    return { name, keys, priority: priority ?? undefined, quota };
 }
 
 /** Formats a warning as one line. */
--- a/src/version/routeTable.ts
+++ b/src/version/routeTable.ts
@@ -1,12 +1,17 @@
-/** Finds the route of a request: among the routes of its host, the one with the longest matching path prefix. */
+/** Routes and customers of one version of the configuration. The route of a request is, among the routes of its host, the one with the longest matching path prefix. */
 import type { Configuration, RouteContract } from "./configuration.js";
+import { CustomerTable } from "./customer.js";
 
 /** Routes of one version of the configuration. */
 export class RouteTable {
     /** Routes by host, longest prefix first. */
     private readonly routesByHost = new Map<string, RouteContract[]>();
 
+    /** Customers of this version. */
+    readonly customers: CustomerTable;
+
     constructor(readonly configuration: Configuration) {
+        this.customers = new CustomerTable(configuration.customers);
         for (const route of configuration.routes) {
             const routes = this.routesByHost.get(route.host) ?? [];
             routes.push(route);
--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -56,7 +56,14 @@
 describe("runs in progress", () => {
     it("tell that a call met a crowded service, and how full it was, whatever else its calls met", () => {
         const runs = new RunsInProgress();
-        const run = runs.start("a", { route: "page", priority: 2, isRepeated: false, depth: 0, servedBefore: 0 });
+        const run = runs.start("a", {
+            route: "page",
+            priority: 2,
+            isRepeated: false,
+            depth: 0,
+            servedBefore: 0,
+            customer: undefined,
+        });
         runs.find("a")?.recordCall("failure", 10, 0.5);
         runs.find("a")?.recordCall("crowd", 20, 1.25);
         runs.find("a")?.recordCall("none", 5, 0.25);
--- a/test/routed/forwarder.test.ts
+++ b/test/routed/forwarder.test.ts
@@ -74,7 +74,7 @@
         path: "/loom/1",
         headers: [],
         body: Buffer.alloc(0),
-        origin: { route: "r", priority: 0, isRepeated: false, depth: 0, servedBefore: 0 },
+        origin: { route: "r", priority: 0, isRepeated: false, depth: 0, servedBefore: 0, customer: undefined },
         deadline: now + 1000,
         target: now + 500,
         cancellation: new Cancellation(),
--- a/test/routed/linkMessage.test.ts
+++ b/test/routed/linkMessage.test.ts
@@ -21,7 +21,7 @@
         headers: ["Host", "katalog.example"],
         body: Buffer.from("body"),
         isIdempotent: true,
-        origin: { route: "r", priority: 2, isRepeated: true, depth: 3, servedBefore: 2 },
+        origin: { route: "r", priority: 2, isRepeated: true, depth: 3, servedBefore: 2, customer: "weavers" },
         timeLeftMs: 812.5,
         targetLeftMs: -3,
         callerService: "ekspor",
--- a/test/routed/links.test.ts
+++ b/test/routed/links.test.ts
@@ -168,7 +168,7 @@
                 headers: [],
                 body: Buffer.alloc(0),
                 isIdempotent: false,
-                origin: { route: "r", priority: 0, isRepeated: false, depth: 0, servedBefore: 0 },
+                origin: { route: "r", priority: 0, isRepeated: false, depth: 0, servedBefore: 0, customer: undefined },
                 deadline: now + 4000,
                 target: now + 4000,
                 callerService: "ekspor",
--- a/test/routed/samples.ts
+++ b/test/routed/samples.ts
@@ -11,6 +11,7 @@
         repetition: "idempotent",
         timeoutMs: 1000,
         targetLatencyMs: 500,
+        isPublic: false,
         maxRuns: 2,
         priority: 1,
         shares: [{ service: "katalog", weight: 1 }],
