Test the kind with large answers

Cause: a kind that a build does not know is in force as not idempotent, so a wrong word would cost retries unseen. Change: a row in the table of kinds. Result: the table passes with the build.

--- a/test/routed/configuration.test.ts
+++ b/test/routed/configuration.test.ts
@@ -63,6 +63,7 @@
         { word: "idempotent", repetition: "idempotent", warnings: [] },
         { word: "atMostOnce", repetition: "atMostOnce", warnings: [] },
         { word: "atMostOnceUpload", repetition: "atMostOnce", warnings: [] },
+        { word: "idempotentDownload", repetition: "idempotent", warnings: [] },
         {
             word: "often",
             repetition: "atMostOnce",
