Let a node's run times follow what its endpoint states of its machine

Cause: the fourth figure of the load header was not read; machines are shared, and slow down and recover several times a second, faster than an average with a weight of 0.1 can follow, so entries chose instances by a past speed. Change: runs are averaged as if the machine were as usual, and the published run time is that average times the slowness stated within the last 0.5 s. Endpoints that state none are measured as before.

--- a/src/process/endpoint/endpointRunner.ts
+++ b/src/process/endpoint/endpointRunner.ts
@@ -275,6 +275,9 @@
         if (endpointId === undefined) {
             return;
         }
+        if (metadata.load?.slowness !== undefined) {
+            this.runTimes.recordSlowness(metadata.load.slowness);
+        }
         if (metadata.isLeaving) {
             this.dependencies.recordLeaving(endpointId);
         }
--- a/src/request/dialect.ts
+++ b/src/request/dialect.ts
@@ -36,6 +36,8 @@
     readonly waiting: number;
     /** Concurrency limit, in requests. Not related to the slots of nodes. */
     readonly slots: number;
+    /** How long work takes on the endpoint's machine at this moment; 1 is as usual. `undefined` if it does not say. */
+    readonly slowness: number | undefined;
 }
 
 /** Metadata that an endpoint sends with an answer. */
--- a/test/routed/fleetPlacement.test.ts
+++ b/test/routed/fleetPlacement.test.ts
@@ -252,6 +252,40 @@
             },
             averageMs: 0,
         },
+        {
+            name: "follow at once what the endpoint states of its machine",
+            play: (monitor, clock) => {
+                const end = monitor.start();
+                clock.addTime(200);
+                end();
+                monitor.recordSlowness(2.5);
+            },
+            averageMs: 500,
+        },
+        {
+            name: "are averaged as if the machine were as usual, so that a short slowdown leaves no trace",
+            play: (monitor, clock) => {
+                monitor.recordSlowness(2.5);
+                const end = monitor.start();
+                clock.addTime(400);
+                monitor.recordSlowness(2.5);
+                clock.addTime(100);
+                end();
+                monitor.recordSlowness(1);
+            },
+            averageMs: 200,
+        },
+        {
+            name: "do not follow an old statement",
+            play: (monitor, clock) => {
+                const end = monitor.start();
+                clock.addTime(200);
+                end();
+                monitor.recordSlowness(2.5);
+                clock.addTime(600);
+            },
+            averageMs: 200,
+        },
     ];
     for (const { name, play, averageMs } of cases) {
         it(name, () => {
