Test customers and their keys, and close what an empty list of customers left open

Cause: a configuration that lists customers but has none left let in every request; the rest of the customers' part had no tests. Change: requests need a key wherever the configuration has a list of customers, an empty one included; the log line of a request names customer and version; refusals for an unknown key are counted.

--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -49,7 +49,7 @@
     readonly dialect: Dialect;
     readonly configurationHolder: ConfigurationHolder;
     readonly serviceSelector: WeightedRoundRobin;
-    readonly forwarder: Forwarder;
+    readonly forwarder: Pick<Forwarder, "forward">;
     /** Runs of the local endpoint, whose calls enter here too. */
     readonly runs: RunsInProgress;
     /** Refuses a share of the outside requests to routes whose downstream services are overloaded. */
@@ -120,8 +120,9 @@
     }
     const parent = dependencies.runs.find(dependencies.dialect.findParentAttempt(metadata.attemptId));
     const customer = parent === undefined ? findCustomer(table.customers, metadata.key) : undefined;
-    if (parent === undefined && customer === undefined && !route.isPublic && !table.customers.isEmpty()) {
+    if (parent === undefined && customer === undefined && !route.isPublic && table.configuration.needsKeys) {
         sendEmptyAnswer(response, 401, undefined);
+        dependencies.metrics.recordRequestOutcome(route.name, "refused", "unknownKey", 0);
         logRequest(dependencies, "refused", {
             request: metadata.attemptId,
             route: route.name,
@@ -150,6 +151,8 @@
         logRequest(dependencies, "refused", {
             request: metadata.attemptId,
             route: route.name,
+            customer: customer?.name,
+            version,
             cause: refusal.cause,
             share,
             status,
@@ -344,6 +347,7 @@
         route: call.route.name,
         service: call.service,
         version: routedRequest.version,
+        customer: call.origin.customer,
         origin: call.origin.route,
         depth: call.origin.depth,
         ...describeSends(result),
--- a/src/version/configuration.ts
+++ b/src/version/configuration.ts
@@ -71,7 +71,8 @@
     readonly routes: readonly RouteContract[];
     readonly services: ReadonlyMap<string, ServiceConfiguration>;
     readonly limits: CallerLimits;
-    /** Customers and their keys; without any, requests need no key. */
+    /** Whether requests need a customer's key. They do where customers are listed, even if the list is empty. */
+    readonly needsKeys: boolean;
     readonly customers: readonly CustomerEntry[];
     /** Words that this build does not know, and what is assumed in their place. The configuration is in force. */
     readonly warnings: readonly ConfigurationWarning[];
@@ -131,7 +132,7 @@
     routes: v.array(routeSchema),
     services: v.array(serviceSchema),
     limits: v.optional(limitsSchema, {}),
-    customers: v.nullish(v.array(customerSchema), []),
+    customers: v.nullish(v.array(customerSchema)),
 });
 
 /** Parses a configuration from JSON. It is invalid if a route names an unknown service or has no positive weight. */
@@ -170,8 +171,9 @@
         }
         routes.push({ ...route, repetition, host: route.host.toLowerCase(), shares: routeShares });
     }
-    const customers = parsed.output.customers.map(createCustomerEntry);
-    return createSuccess({ version, routes, services, limits, customers, warnings });
+    const needsKeys = Array.isArray(parsed.output.customers);
+    const customers = (parsed.output.customers ?? []).map(createCustomerEntry);
+    return createSuccess({ version, routes, services, limits, needsKeys, customers, warnings });
 }
 
 /** A rate of 0 means that the rate is not limited. */
--- a/src/version/customer.ts
+++ b/src/version/customer.ts
@@ -40,11 +40,6 @@
         }
     }
 
-    /** Whether the configuration lists customers. Without any, requests need no key. */
-    isEmpty(): boolean {
-        return this.customersByName.size === 0;
-    }
-
     /** Finds the customer that holds a key; `undefined` if none does. */
     findByKey(key: string): Customer | undefined {
         return this.customersByDigest.get(computeKeyDigest(key));
--- a/standin/platformCluster.ts
+++ b/standin/platformCluster.ts
@@ -94,8 +94,9 @@
         deadlineMs = 2000,
         body = "",
         signal?: AbortSignal,
+        otherHeaders: Readonly<Record<string, string>> = {},
     ): Promise<CallerAnswer> {
-        const headers = { Host: host, "Attempt-Id": attempt, "Deadline-Ms": String(deadlineMs) };
+        const headers = { Host: host, "Attempt-Id": attempt, "Deadline-Ms": String(deadlineMs), ...otherHeaders };
         return send(this.address, ports.caller, method, path, headers, body, signal);
     }
 }
@@ -112,6 +113,8 @@
         services: readonly PlatformServicePlan[],
         private readonly graceSeconds = 4,
         private readonly nodeFlags: readonly string[] = [],
+        /** Level of the nodes' log. */
+        private readonly logLevel = "info",
     ) {
         this.store = new PlatformStore(this.createAddress(1), ports.store);
         for (const service of services) {
@@ -200,6 +203,8 @@
             "retryRatio = 0.2",
             "retrySlack = 1000",
             "retryWindowSeconds = 10",
+            "[logging]",
+            `level = "${this.logLevel}"`,
             "",
         ].join("\n");
     }
--- a/standin/platformUpstream.ts
+++ b/standin/platformUpstream.ts
@@ -35,6 +35,8 @@
     readonly runs: string[] = [];
     /** Headers of the last request. */
     lastHeaders: readonly string[] = [];
+    /** Headers of the last request of each attempt. */
+    readonly headersByAttempt = new Map<string, readonly string[]>();
     running = 0;
     mostRunning = 0;
     /** Runs whose caller's connection closed before the answer. */
@@ -136,6 +138,7 @@
             return;
         }
         this.lastHeaders = request.rawHeaders;
+        this.headersByAttempt.set(String(attempt), request.rawHeaders);
         await this.run(String(attempt), echo, Buffer.concat(chunks), response);
     }
 
--- a/test/routed/linkMessage.test.ts
+++ b/test/routed/linkMessage.test.ts
@@ -80,6 +80,29 @@
         expect(new MessageReader().read(framed)).deep.equals([{ ...samples[0]!, leavingEndpoint: undefined }]);
     });
 
+    for (const field of ["customer", "servedBefore"] as const) {
+        it(`of an earlier build, whose origin ends before ${field}, are taken`, () => {
+            const packr = new Packr({ useRecords: false });
+            const items = packr.unpack(encodeMessage(samples[0]!).subarray(4)) as unknown[];
+            const origin = items.find(item => Array.isArray(item) && item.includes("weavers")) as unknown[];
+            const end = field === "customer" ? 5 : 4;
+            const packed = packr.pack(items.map(item => item === origin ? origin.slice(0, end) : item));
+            const framed = Buffer.concat([Buffer.alloc(4), packed]);
+            framed.writeUInt32BE(packed.length, 0);
+            const [message] = new MessageReader().read(framed) ?? expect.fail();
+            const read = message?.kind === "run" ? message.origin : expect.fail();
+            const servedBefore = field === "customer" ? 2 : 0;
+            const lacking = { customer: undefined, servedBefore };
+            expect(read).deep.equals({ route: "r", priority: 2, isRepeated: true, depth: 3, ...lacking });
+        });
+    }
+
+    it("with a request without a customer arrive as they were sent", () => {
+        const { origin, ...rest } = samples[0] as Extract<LinkMessage, { readonly kind: "run"; }>;
+        const sent: LinkMessage = { ...rest, origin: { ...origin, customer: undefined } };
+        expect(new MessageReader().read(encodeMessage(sent))).deep.equals([sent]);
+    });
+
     it("that are malformed never fail the reader", () => {
         fc.assert(
             fc.property(fc.uint8Array({ maxLength: 200 }), bytes => {
--- a/test/routed/samples.ts
+++ b/test/routed/samples.ts
@@ -33,10 +33,17 @@
     };
 }
 
-/** Text of a configuration, as an operator would publish it. */
-export function formatConfiguration(version: number, routes: readonly RouteContract[]): string {
+/** Customers of a configuration, in one of the shapes that an operator may write. */
+export type CustomerSample = Readonly<Record<string, unknown>>;
+
+/** Text of a configuration, as an operator would publish it; `customers` stay out if there are none. */
+export function formatConfiguration(
+    version: number,
+    routes: readonly RouteContract[],
+    customers?: readonly CustomerSample[],
+): string {
     const names = new Set(routes.flatMap(route => route.shares.map(share => share.service)));
     const services = [...names].map(name => ({ name, healthPath: "/healthz", maxConnections: 100 }));
     const limits: Configuration["limits"] = { maxBodyBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 };
-    return JSON.stringify({ version, routes, services, limits });
+    return JSON.stringify({ version, routes, services, limits, customers });
 }
