--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -121,14 +121,10 @@
     const parent = dependencies.runs.find(dependencies.dialect.findParentAttempt(metadata.attemptId));
     const customer = parent === undefined ? findCustomer(table.customers, metadata.key) : undefined;
     if (parent === undefined && customer === undefined && !route.isPublic && table.configuration.needsKeys) {
-        sendEmptyAnswer(response, 401, undefined);
-        dependencies.metrics.recordRequestOutcome(route.name, "refused", "unknownKey", 0);
-        logRequest(dependencies, "refused", {
+        refuseUnknownCaller(dependencies, response, metadata, {
             request: metadata.attemptId,
             route: route.name,
-            cause: "unknownKey",
             version,
-            status: 401,
         });
         return;
     }
@@ -277,6 +273,24 @@
     return key === undefined ? undefined : customers.findByKey(key);
 }
 
+/**
+ * Refuses a request that comes without a known key. A call of a run that is not known here carries none: the node was
+ * started again while the endpoint ran on, or the run was given up. That says nothing against the caller, so it is told
+ * to come again.
+ */
+function refuseUnknownCaller(
+    dependencies: RoutedEntryDependencies,
+    response: ServerResponse,
+    { attemptId, key }: RequestMetadata,
+    fields: { readonly request: string; readonly route: string; readonly version: number; },
+): void {
+    const isCall = key === undefined && dependencies.dialect.findParentAttempt(attemptId ?? "") !== undefined;
+    const [status, cause] = isCall ? [503, "unknownRun"] as const : [401, "unknownKey"] as const;
+    sendEmptyAnswer(response, status, isCall ? notReadyRetryMs : undefined);
+    dependencies.metrics.recordRequestOutcome(fields.route, "refused", cause, 0);
+    logRequest(dependencies, "refused", { ...fields, cause, status });
+}
+
 /** Creates the origin of a request. A call of a run inherits the route and priority of the outside request. */
 function createOrigin(routedRequest: RoutedRequest): Origin {
     const { route, parent, customer } = routedRequest;
--- a/src/version/customer.ts
+++ b/src/version/customer.ts
@@ -3,7 +3,7 @@
  *
  * Keys are kept as digests, so that they are found in constant time and no dump of the table shows one.
  */
-import { createHash } from "node:crypto";
+import { hash } from "node:crypto";
 
 /** Rate at which all nodes together admit a customer's requests. */
 export interface Quota {
@@ -52,5 +52,5 @@
 }
 
 function computeKeyDigest(key: string): string {
-    return createHash("sha256").update(key).digest("base64");
+    return hash("sha256", key, "base64");
 }
