--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -49,7 +49,7 @@
     readonly dialect: Dialect;
     readonly configurationHolder: ConfigurationHolder;
     readonly serviceSelector: WeightedRoundRobin;
-    readonly forwarder: Forwarder;
+    readonly forwarder: Pick<Forwarder, "forward">;
     /** Runs of the local endpoint, whose calls enter here too. */
     readonly runs: RunsInProgress;
     /** Refuses a share of the outside requests to routes whose downstream services are overloaded. */
@@ -120,14 +120,11 @@
     }
     const parent = dependencies.runs.find(dependencies.dialect.findParentAttempt(metadata.attemptId));
     const customer = parent === undefined ? findCustomer(table.customers, metadata.key) : undefined;
-    if (parent === undefined && customer === undefined && !route.isPublic && !table.customers.isEmpty()) {
-        sendEmptyAnswer(response, 401, undefined);
-        logRequest(dependencies, "refused", {
+    if (parent === undefined && customer === undefined && !route.isPublic && table.configuration.needsKeys) {
+        refuseUnknownCaller(dependencies, response, metadata, {
             request: metadata.attemptId,
             route: route.name,
-            cause: "unknownKey",
             version,
-            status: 401,
         });
         return;
     }
@@ -150,6 +147,8 @@
         logRequest(dependencies, "refused", {
             request: metadata.attemptId,
             route: route.name,
+            customer: customer?.name,
+            version,
             cause: refusal.cause,
             share,
             status,
@@ -274,6 +273,24 @@
     return key === undefined ? undefined : customers.findByKey(key);
 }
 
+/**
+ * Refuses a request that comes without a known key. A call of a run that is not known here carries none: the node was
+ * started again while the endpoint ran on, or the run was given up. That says nothing against the caller, so it is told
+ * to come again.
+ */
+function refuseUnknownCaller(
+    dependencies: RoutedEntryDependencies,
+    response: ServerResponse,
+    { attemptId, key }: RequestMetadata,
+    fields: { readonly request: string; readonly route: string; readonly version: number; },
+): void {
+    const isCall = key === undefined && dependencies.dialect.findParentAttempt(attemptId ?? "") !== undefined;
+    const [status, cause] = isCall ? [503, "unknownRun"] as const : [401, "unknownKey"] as const;
+    sendEmptyAnswer(response, status, isCall ? notReadyRetryMs : undefined);
+    dependencies.metrics.recordRequestOutcome(fields.route, "refused", cause, 0);
+    logRequest(dependencies, "refused", { ...fields, cause, status });
+}
+
 /** Creates the origin of a request. A call of a run inherits the route and priority of the outside request. */
 function createOrigin(routedRequest: RoutedRequest): Origin {
     const { route, parent, customer } = routedRequest;
@@ -344,6 +361,7 @@
         route: call.route.name,
         service: call.service,
         version: routedRequest.version,
+        customer: call.origin.customer,
         origin: call.origin.route,
         depth: call.origin.depth,
         ...describeSends(result),
--- a/src/version/customer.ts
+++ b/src/version/customer.ts
@@ -3,7 +3,7 @@
  *
  * Keys are kept as digests, so that they are found in constant time and no dump of the table shows one.
  */
-import { createHash } from "node:crypto";
+import { hash } from "node:crypto";
 
 /** Rate at which all nodes together admit a customer's requests. */
 export interface Quota {
@@ -40,11 +40,6 @@
         }
     }
 
-    /** Whether the configuration lists customers. Without any, requests need no key. */
-    isEmpty(): boolean {
-        return this.customersByName.size === 0;
-    }
-
     /** Finds the customer that holds a key; `undefined` if none does. */
     findByKey(key: string): Customer | undefined {
         return this.customersByDigest.get(computeKeyDigest(key));
@@ -57,5 +52,5 @@
 }
 
 function computeKeyDigest(key: string): string {
-    return createHash("sha256").update(key).digest("base64");
+    return hash("sha256", key, "base64");
 }
