Hold customers to their quotas over all nodes

Change: each group of customers has a grantor, to which every node lends its fixed part of the limits; requests take a unit before they are forwarded, 429 with Retry-After without one. On where a customer of the configuration has a quota; bound from bounds.quota* of the settings.

--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -7,6 +7,7 @@
  * two machines don't need to be synchronised.
  */
 import { Packr } from "msgpackr";
+import type { AskUnitsMessage, GrantUnitsMessage } from "../process/customers/unitMessages.js";
 import type { AnsweredRun, FailedRun, RefusedRun } from "../process/load/runOutcome.js";
 import type { Origin } from "../process/load/runsInProgress.js";
 import type { HeaderList } from "../request/headers.js";
@@ -107,7 +108,9 @@
     | { readonly kind: "configuration"; readonly text: string; }
     | { readonly kind: "instances"; readonly records: readonly string[]; }
     /** Reports a crash of the sender's endpoint: the fingerprints of the requests lost in it, and its identifier. */
-    | { readonly kind: "crashes"; readonly fingerprints: readonly string[]; readonly incident: string; };
+    | { readonly kind: "crashes"; readonly fingerprints: readonly string[]; readonly incident: string; }
+    | AskUnitsMessage
+    | GrantUnitsMessage;
 
 /** Message kinds; the index of a kind is its number on the wire. */
 const kinds = [
@@ -124,6 +127,8 @@
     "configuration",
     "instances",
     "crashes",
+    "askUnits",
+    "grantUnits",
 ] as const satisfies readonly LinkMessage["kind"][];
 
 /** Fields of each message kind, in their order on the wire. */
@@ -158,6 +163,8 @@
     configuration: ["text"],
     instances: ["records"],
     crashes: ["fingerprints", "incident"],
+    askUnits: ["group", "session", "number", "stamp", "isSupporting", "nodes", "items"],
+    grantUnits: ["group", "session", "number", "stamp", "items"],
 };
 
 /** Number of the last fields of a kind that a message of an earlier build lacks. */
--- a/src/connection/peerLinks.ts
+++ b/src/connection/peerLinks.ts
@@ -122,6 +122,11 @@
         return [...this.peers.values()].filter(peer => peer.link !== undefined).map(peer => peer.address);
     }
 
+    /** Whether a link to an address is open. */
+    isLinked(address: string): boolean {
+        return this.peers.get(address)?.link !== undefined;
+    }
+
     /** Asks a node for its load and version; false if there is no open link to it. */
     ping(address: string): boolean {
         const link = this.peers.get(address)?.link;
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -7,6 +7,7 @@
 import { isEndpointRunning } from "../../connection/endpointLiveness.js";
 import type { KeyedLog } from "../../connection/keyedLog.js";
 import type { HelloMessage } from "../../connection/link.js";
+import type { AcceptedLink } from "../../connection/linkServer.js";
 import { LinkServer } from "../../connection/linkServer.js";
 import { PeerLinks } from "../../connection/peerLinks.js";
 import type { Dialect } from "../../request/dialect.js";
@@ -15,6 +16,9 @@
 import { Sender } from "../../request/sender.js";
 import type { InstanceDescription } from "../../version/instanceRecord.js";
 import type { Clock } from "../base/clock.js";
+import { CustomerQuotas } from "../customers/customerQuotas.js";
+import type { QuotaBounds } from "../customers/quotaBound.js";
+import type { AskUnitsMessage } from "../customers/unitMessages.js";
 import { CrashDetector } from "../endpoint/crashDetector.js";
 import type { CrashReport } from "../endpoint/crashFlood.js";
 import { CrashFlood } from "../endpoint/crashFlood.js";
@@ -81,6 +85,7 @@
     private readonly links: PeerLinks;
     private readonly linkServer: LinkServer;
     private readonly retryBudget: ServiceRetryBudget;
+    private readonly quotas: CustomerQuotas;
     private readonly inFlightRequests: InFlightRequests;
     private readonly listeners: RoutedListeners;
     /**
@@ -166,6 +171,7 @@
             () => registry.count(),
             settings.isFirstStart,
         );
+        this.quotas = this.createQuotas();
         this.listeners = new RoutedListeners({
             settings,
             logger,
@@ -181,6 +187,7 @@
         configurationHolder.addListener(() =>
             this.listeners.setCallerIdleTimeout(configurationHolder.getTable()!.configuration.limits.idleTimeoutMs)
         );
+        configurationHolder.addListener(() => this.quotas.updateQuotas());
         this.addGauges();
     }
 
@@ -194,6 +201,7 @@
         void this.links.runLivenessChecks();
         void this.pool.runPruning(signal);
         void this.runHousekeeping(signal);
+        void this.quotas.run(signal);
         if (!isFirstStart) {
             void this.endpointLifecycle.restore(signal);
         }
@@ -204,6 +212,7 @@
     applySettings(settings: RoutedSettings): void {
         this.graceMs = settings.bounds.graceSeconds * 1000;
         this.retryBudget.setLimits(createRetryLimits(settings.bounds));
+        this.quotas.setBounds(createQuotaBounds(settings.bounds));
     }
 
     /**
@@ -323,10 +332,28 @@
             runs,
             entryThrottle: new EntryThrottle(clock, Math.random),
             findUtilisation: serviceName => placement.computeUtilisation(registry.listForService(serviceName)),
+            quotas: this.quotas,
             isStopping: () => this.isStopping,
         };
     }
 
+    private createQuotas(): CustomerQuotas {
+        const { clock, settings, links, incarnation } = this;
+        const { configurationHolder, registry } = this.clusterState;
+        return new CustomerQuotas({
+            clock,
+            random: Math.random,
+            address: settings.address,
+            processId: String(incarnation),
+            isFirstStart: settings.isFirstStart,
+            registry,
+            listLimited: () => configurationHolder.getTable()?.customers.listLimited() ?? [],
+            findQuota: customer => configurationHolder.getTable()?.customers.findByName(customer)?.quota,
+            isLinked: peer => links.isLinked(peer),
+            post: (peer, message) => links.post(peer, message),
+        }, createQuotaBounds(settings.bounds));
+    }
+
     private createInstanceSelector(): InstanceSelector {
         const { settings, placement, runner, subsets, loadRefresher, linkKeeper } = this;
         return new InstanceSelector({
@@ -355,7 +382,7 @@
 
     private keepLinks(): void {
         const { address } = this.settings;
-        const kept = new Set(this.linkKeeper.chooseAddresses());
+        const kept = new Set([...this.linkKeeper.chooseAddresses(), ...this.quotas.listLinkedAddresses()]);
         kept.delete(address);
         this.links.keep(kept);
     }
@@ -369,8 +396,12 @@
             getLogPosition: () => this.clusterState.getLogPosition(),
             handleHello: hello =>
                 this.clusterState.gossip.handleHello(hello, message => this.links.post(hello.address, message)),
-            handleMessage: (address, message) =>
-                this.clusterState.gossip.handleMessage(message, reply => this.links.post(address, reply)),
+            handleMessage: (address, message) => {
+                if (message.kind === "grantUnits") {
+                    this.quotas.receive(address, message);
+                }
+                this.clusterState.gossip.handleMessage(message, reply => this.links.post(address, reply));
+            },
             recordLoad: (address, load) => {
                 this.placement.recordLoad(address, load);
                 this.loadRefresher.recordLoad(address);
@@ -393,12 +424,23 @@
                 if (message.kind === "crashes") {
                     this.crashFlood.receive(message);
                 }
+                if (message.kind === "askUnits") {
+                    this.answerUnits(message, link);
+                }
                 this.clusterState.gossip.handleMessage(message, link.post);
             },
             reportFailure: (cause, peer) => this.logger.warn("linkRefused", { cause, peer }),
         });
     }
 
+    private answerUnits(message: AskUnitsMessage, link: AcceptedLink): void {
+        const holder = link.getPeerAddress();
+        const answer = holder === undefined ? undefined : this.quotas.answer(holder, message);
+        if (answer !== undefined) {
+            link.post(answer);
+        }
+    }
+
     private createHello(): HelloMessage {
         return {
             kind: "hello",
@@ -494,3 +536,11 @@
         windowMs: bounds.retryWindowSeconds * 1000,
     };
 }
+
+function createQuotaBounds(bounds: RoutedSettings["bounds"]): QuotaBounds {
+    return {
+        windowMs: bounds.quotaWindowSeconds * 1000,
+        overage: bounds.quotaOverage,
+        slack: bounds.quotaSlack,
+    };
+}
--- a/src/process/settings/routedSettings.ts
+++ b/src/process/settings/routedSettings.ts
@@ -50,6 +50,12 @@
         retrySlack: nonNegativeNumberSchema,
         /** Length of the window in which requests and retries are counted. */
         retryWindowSeconds: v.pipe(v.number(), v.minValue(0.1)),
+        /** Length of the window in which a customer's requests are counted. */
+        quotaWindowSeconds: v.optional(v.pipe(v.number(), v.minValue(0.1)), 5),
+        /** Part by which a customer's limit may be exceeded in one window. */
+        quotaOverage: v.optional(nonNegativeNumberSchema, 0.1),
+        /** Requests of a customer that may run in one window in addition. */
+        quotaSlack: v.optional(nonNegativeNumberSchema, 0),
     }),
     logging: v.optional(v.strictObject({ level: v.optional(v.picklist(logLevels), "info") }), {}),
 });
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -2,6 +2,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Cancellation } from "../process/base/cancellation.js";
 import type { Clock } from "../process/base/clock.js";
+import type { CustomerQuotas } from "../process/customers/customerQuotas.js";
+import type { SpentUnit } from "../process/customers/unitHolder.js";
 import type { EntryThrottle } from "../process/load/entryThrottle.js";
 import type { DownstreamProblem, Origin, RunInProgress, RunsInProgress } from "../process/load/runsInProgress.js";
 import { overloadedWaitShare } from "../process/load/runsInProgress.js";
@@ -32,6 +34,11 @@
 /** Retry-after delay for requests that are refused because a downstream service is overloaded, in milliseconds. */
 const overloadedRetryMs = 900;
 
+/** Longest time for which a request waits for a unit of its customer's quota, in milliseconds. */
+const maxUnitWaitMs = 400;
+/** The same as a part of the time to the route's latency target. */
+const maxUnitWaitShare = 0.4;
+
 /** Result of a request whose outcome did not arrive in time. */
 const timedOutResult: ForwardResult = {
     outcome: { kind: "failed", cause: "timeout" },
@@ -56,6 +63,8 @@
     readonly entryThrottle: EntryThrottle;
     /** Returns the share of a service's concurrency limit that is in use, as far as it is known here. */
     readonly findUtilisation: (service: string) => number;
+    /** Limits the requests of customers with a quota. */
+    readonly quotas: Pick<CustomerQuotas, "take" | "releaseUnit">;
     readonly isStopping: () => boolean;
 }
 
@@ -156,14 +165,57 @@
         });
         return;
     }
-    await forwardRequest(dependencies, routedRequest, metadata.attemptId);
+    if (customer?.quota === undefined) {
+        await forwardRequest(dependencies, routedRequest, metadata.attemptId);
+        return;
+    }
+    const unit = await takeUnit(dependencies, routedRequest, customer.name);
+    if (unit === undefined) {
+        return;
+    }
+    const result = await forwardRequest(dependencies, routedRequest, metadata.attemptId);
+    if (result !== "gone" && result.outcome.kind === "refused" && result.runs === 0) {
+        dependencies.quotas.releaseUnit(unit);
+    }
+}
+
+/**
+ * Takes a unit of the customer's quota. Without one, the request is answered with 429. Returns `undefined` if the request
+ * has ended.
+ */
+async function takeUnit(
+    dependencies: RoutedEntryDependencies,
+    routedRequest: RoutedRequest,
+    customer: string,
+): Promise<SpentUnit | undefined> {
+    const { response, route, metadata, version } = routedRequest;
+    const maxWaitMs = Math.min(maxUnitWaitMs, route.targetLatencyMs * maxUnitWaitShare);
+    const taken = await dependencies.quotas.take(customer, maxWaitMs);
+    if (taken.kind === "granted") {
+        if (!response.destroyed) {
+            return taken.unit;
+        }
+        dependencies.quotas.releaseUnit(taken.unit);
+        return undefined;
+    }
+    sendEmptyAnswer(response, 429, taken.retryAfterMs * (1 + dependencies.random() / 2));
+    dependencies.metrics.recordRequestOutcome(route.name, "refused", "quota", 0);
+    logRequest(dependencies, "refused", {
+        request: metadata.attemptId,
+        route: route.name,
+        customer,
+        cause: "quota",
+        version,
+        status: 429,
+    });
+    return undefined;
 }
 
 async function forwardRequest(
     dependencies: RoutedEntryDependencies,
     routedRequest: RoutedRequest,
     attemptId: string,
-): Promise<void> {
+): Promise<ForwardResult | "gone"> {
     const { request, response, route, startedAt, body } = routedRequest;
     const waitMs = Math.min(routedRequest.metadata.deadlineMs ?? Infinity, route.timeoutMs);
     const call: RoutedCall = {
@@ -183,11 +235,12 @@
     const elapsedMs = dependencies.clock.readMonotonic() - startedAt;
     if (result === "gone") {
         recordRequestEnd(dependencies, routedRequest, call, result, callerGoneStatus, elapsedMs);
-        return;
+        return result;
     }
     recordDownstreamOutcome(dependencies, routedRequest, call, result.outcome);
     const status = sendOutcome(dependencies, response, routedRequest, result.outcome);
     recordRequestEnd(dependencies, routedRequest, call, result, status, elapsedMs);
+    return result;
 }
 
 /**
--- a/src/version/customer.ts
+++ b/src/version/customer.ts
@@ -50,6 +50,11 @@
         return this.customersByDigest.get(computeKeyDigest(key));
     }
 
+    /** Lists the customers with a quota. */
+    listLimited(): readonly Customer[] {
+        return [...this.customersByName.values()].filter(customer => customer.quota !== undefined);
+    }
+
     /** Finds a customer by its name; `undefined` if the configuration does not list it. */
     findByName(name: string): Customer | undefined {
         return this.customersByName.get(name);
--- a/test/routed/deploy.test.ts
+++ b/test/routed/deploy.test.ts
@@ -48,12 +48,24 @@
     });
 });
 
-/** Fills in a template as the platform does, as far as ours needs it: `{{a.b}}` and `{{a.b|json}}`. */
+function findField(fields: unknown, path: string): unknown {
+    return path.split(".").reduce<unknown>((at, key) => (at as Record<string, unknown>)?.[key], fields);
+}
+
+/**
+ * Fills in a template as the platform does, as far as ours needs it: `{{a.b}}`, `{{a.b|json}}` and a section
+ * `{{#a.b}} .. {{/a.b}}`, which is there once if there is a value.
+ */
 function fillTemplate(template: string, fields: unknown): string {
-    return template.replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_match, path: string, isJson: string | undefined) => {
-        const value = path.split(".").reduce<unknown>((at, key) => (at as Record<string, unknown>)?.[key], fields);
-        return isJson === undefined ? String(value ?? "") : JSON.stringify(value);
-    });
+    return template
+        .replace(
+            /\{\{#([\w.]+)\}\}\n([^]*?)\{\{\/\1\}\}\n/g,
+            (_match, path: string, text: string) => findField(fields, path) === undefined ? "" : text,
+        )
+        .replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_match, path: string, isJson: string | undefined) => {
+            const value = findField(fields, path);
+            return isJson === undefined ? String(value ?? "") : JSON.stringify(value);
+        });
 }
 
 describe("files of the deployment", () => {
@@ -78,6 +90,14 @@
         expect(settings.ok && settings.value.bounds.graceSeconds).equals(6);
     });
 
+    it("render the bound on quotas where the deployment has it", () => {
+        const bounds = { ...fields.bounds, quota_window: 5, quota_overage: 0.1, quota_slack: 20 };
+        const text = fillTemplate(readFileSync("deploy/settings.toml", "utf8"), { ...fields, bounds });
+        const settings = parseRoutedSettings("settings.toml", text);
+        expect(settings.ok && settings.value.bounds)
+            .deep.include({ quotaWindowSeconds: 5, quotaOverage: 0.1, quotaSlack: 20 });
+    });
+
     it("name a role whose template and program exist", () => {
         const system = parseToml(readFileSync("deploy/system.toml", "utf8")) as {
             roles: Record<string, { run: string; template: string; }>;
--- a/test/routed/linkMessage.test.ts
+++ b/test/routed/linkMessage.test.ts
@@ -50,6 +50,17 @@
     { kind: "configuration", text: "{}" },
     { kind: "instances", records: ["{}"] },
     { kind: "crashes", fingerprints: ["f"], incident: "i" },
+    {
+        kind: "askUnits",
+        group: 2,
+        session: 4_294_967_295,
+        number: 3,
+        stamp: "1764812345678901 1000",
+        isSupporting: true,
+        nodes: 84,
+        items: [["weavers", 4, 1, 2]],
+    },
+    { kind: "grantUnits", group: 2, session: 7, number: 3, stamp: "", items: [["weavers", 5, -1], ["dyers", 0, 60]] },
 ];
 
 describe("messages between nodes", () => {
