--- a/bench/routedLoad.ts
+++ b/bench/routedLoad.ts
@@ -2,9 +2,10 @@
  * Measures the processor time that routed nodes spend on a request: two services, each run of the first makes calls to the
  * second, callers at a steady rate.
  *
- * Run with `npm run bench:routed -- [--perSecond 300] [--seconds 20] [--calls 4] [--profile FOLDER]`. Processor time is that of
- * the node processes alone, as the operating system counts it; the upstreams, the store and the callers run in the tool's own
- * process. With a folder, each node writes a processor profile there.
+ * Run with `npm run bench:routed -- [--perSecond 300] [--seconds 20] [--warmUp 8] [--calls 4] [--profile FOLDER]
+ * [--flags "--x --y"]`. Processor time is that of the node processes alone, as the operating system counts it; the upstreams,
+ * the store and the callers run in the tool's own process. With a folder, each node writes a processor profile there. With
+ * `--warmUp 0` the last line is the whole life of fresh nodes, from their start to the last answer.
  */
 import { readFileSync } from "node:fs";
 import process from "node:process";
@@ -14,8 +15,6 @@
 import { createRandom } from "../standin/random.js";
 import { computeQuantiles } from "./figures.js";
 
-/** Time before anything is counted, so that connections and compiled code are warm, in seconds. */
-const warmUpSeconds = 8;
 /** Ticks of the operating system's processor times in a second. */
 const ticksPerSecond = 100;
 /** Deadline of a request, in milliseconds. */
@@ -25,12 +24,16 @@
     options: {
         perSecond: { type: "string", default: "300" },
         seconds: { type: "string", default: "20" },
+        // Time before a leg is counted, so that connections and compiled code are warm, in seconds.
+        warmUp: { type: "string", default: "8" },
         calls: { type: "string", default: "4" },
+        flags: { type: "string", default: "" },
         profile: { type: "string" },
     },
 });
 const perSecond = Number(values.perSecond);
 const seconds = Number(values.seconds);
+const warmUpSeconds = Number(values.warmUp);
 const calls = Number(values.calls);
 
 /** Grace period of the nodes, in seconds. */
@@ -86,13 +89,17 @@
         { name: "katalog", instances: 2, slots: 300, runMs: 20, calls: Array.from({ length: calls }, () => lookup) },
         { name: "mutu", instances: 2, slots: 300, runMs: 5 },
     ];
-    const flags = values.profile === undefined ? [] : ["--cpu-prof", `--cpu-prof-dir=${values.profile}`];
+    const flags = values.flags.split(" ").filter(flag => flag !== "");
+    if (values.profile !== undefined) {
+        flags.push("--cpu-prof", `--cpu-prof-dir=${values.profile}`, "--cpu-prof-interval=200");
+    }
     const cluster = new PlatformCluster(services, graceSeconds, flags);
     await cluster.start(formatConfiguration());
     await runLoad(cluster, "warm", warmUpSeconds);
     const before = sumProcessorSeconds(cluster);
     const times = await runLoad(cluster, "load", seconds);
-    const spent = sumProcessorSeconds(cluster) - before;
+    const lifeSeconds = sumProcessorSeconds(cluster);
+    const spent = lifeSeconds - before;
     const requests = perSecond * seconds;
     const legs = requests * (1 + calls);
     const { p50, p99 } = computeQuantiles(times);
@@ -100,7 +107,9 @@
         `requests ${requests}, served ${times.length}, legs ${legs}, p50 ${p50.toFixed(1)} ms, p99 ${
             p99.toFixed(1)
         } ms\n`
-            + `processor time of the nodes: ${spent.toFixed(2)} s, ${(spent * 1000 / legs).toFixed(3)} ms a leg\n`,
+            + `processor time of the nodes: ${spent.toFixed(2)} s, ${
+                (spent * 1000 / legs).toFixed(3)
+            } ms a leg; since their start ${lifeSeconds.toFixed(2)} s\n`,
     );
     await Promise.all(cluster.machines.map(machine => machine.endNode("SIGTERM")));
     await cluster.stop();
