Give the entry test's caller play a quota part

Cause: the quotas and the customers' tests were written side by side; the joined tree did not compile. Change: the play's dependencies have a quota part that grants nothing; its customers have no quota.

--- a/test/routed/entryPlay.ts
+++ b/test/routed/entryPlay.ts
@@ -81,6 +81,10 @@
             forwarder: { forward: (call: RoutedCall) => this.play(call) },
             runs: this.runs,
             entryThrottle: new EntryThrottle(this.clock, Math.random),
+            quotas: {
+                take: () => Promise.resolve({ kind: "none", retryAfterMs: 500 } as const),
+                releaseUnit: () => undefined,
+            },
             findUtilisation: () => 0,
             isStopping: () => this.isStopping,
         };
