Keep the order of requests that are sent ahead, and run nothing behind an answer that closes

Cause: Node.js hands out each request as it is read and answers in order, but without a limit, runs what stands behind an answer that closes the connection, answers 400 in place of a request in work when more follows 'Connection: close', and tells only the first request that its caller left.

--- a/src/connection/httpServer.ts
+++ b/src/connection/httpServer.ts
@@ -1,10 +1,13 @@
 /** HTTP server of a node, and helpers with which request handlers send answers. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
+import type { Socket } from "node:net";
 import type { Answer } from "../request/answer.js";
 import { reasonStatus, unknownStatus } from "../request/answer.js";
 import { headerNames } from "../request/headers.js";
 import { startListening } from "./listening.js";
+import type { PipelineTurn } from "./requestPipeline.js";
+import { RequestPipeline } from "./requestPipeline.js";
 
 /**
  * Idle timeout of a connection, in milliseconds; longer than that of the nodes' clients, so that the client closes
@@ -18,12 +21,27 @@
 /** Maximum number of connections of one listener. */
 const maxConnections = 10_000;
 
-/** Handles one request. A rejection is reported as an error and closes the connection. */
-export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+/**
+ * Handles one request; `turn` is its place among those of its connection. A rejection is reported as an error and closes
+ * the connection.
+ */
+export type RequestHandler = (
+    request: IncomingMessage,
+    response: ServerResponse,
+    turn: PipelineTurn,
+) => Promise<void>;
+
+/** Status of the answer to what can't be read as a request, by the code of the error; 400 for any other. */
+const unreadableStatus: Readonly<Record<string, string>> = {
+    HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+    HPE_CHUNK_EXTENSIONS_OVERFLOW: "413 Payload Too Large",
+    ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
 
 /** HTTP server on one port. */
 export class HttpListener {
     private readonly server: Server;
+    private readonly pipelines = new WeakMap<Socket, RequestPipeline>();
     /** Whether answers ask clients to close their connections. */
     private isClosingConnections = false;
 
@@ -31,15 +49,23 @@
         this.server = createServer(
             { maxHeaderSize: maxHeaderBytes, noDelay: true },
             (request, response) => {
+                const turn = this.findPipeline(request.socket).accept(request, response);
+                if (turn === undefined) {
+                    return;
+                }
                 if (this.isClosingConnections) {
                     response.setHeader("connection", "close");
                 }
-                handler(request, response).catch((error: unknown) => {
+                handler(request, response, turn).catch((error: unknown) => {
                     onError(error);
                     response.destroy();
                 });
             },
         );
+        this.server.on(
+            "clientError",
+            (error: NodeJS.ErrnoException, socket: Socket) => this.handleUnreadable(error, socket),
+        );
         this.server.keepAliveTimeout = keepAliveTimeoutMs;
         this.server.headersTimeout = headersTimeoutMs;
         this.server.requestTimeout = requestTimeoutMs;
@@ -68,6 +94,32 @@
         this.server.closeIdleConnections();
         await closed;
     }
+
+    private findPipeline(socket: Socket): RequestPipeline {
+        const known = this.pipelines.get(socket);
+        if (known !== undefined) {
+            return known;
+        }
+        const pipeline = new RequestPipeline(socket);
+        this.pipelines.set(socket, pipeline);
+        return pipeline;
+    }
+
+    /**
+     * Answers bytes that are no request, as Node.js does by default. Requests that were read before them get their own answers
+     * first; the error counts as none of them.
+     */
+    private handleUnreadable(error: NodeJS.ErrnoException, socket: Socket): void {
+        const pipeline = this.findPipeline(socket);
+        if (pipeline.closeAfterAnswers()) {
+            return;
+        }
+        if (socket.writable && pipeline.isFree()) {
+            const status = unreadableStatus[error.code ?? ""] ?? "400 Bad Request";
+            socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+        }
+        socket.destroy(error);
+    }
 }
 
 /** Creates a signal that aborts if the client disconnects before the complete answer is written. */
--- a/src/process/node/inFlightRequests.ts
+++ b/src/process/node/inFlightRequests.ts
@@ -18,10 +18,10 @@
 
     /** Wraps a handler so that its requests are counted. */
     track(handler: RequestHandler): RequestHandler {
-        return async (request, response) => {
+        return async (request, response, turn) => {
             this.requests += 1;
             try {
-                await handler(request, response);
+                await handler(request, response, turn);
             }
             finally {
                 this.requests -= 1;
--- a/src/process/node/routedListeners.ts
+++ b/src/process/node/routedListeners.ts
@@ -33,7 +33,7 @@
     constructor(private readonly dependencies: RoutedListenersDependencies) {
         const { inFlightRequests, entry } = dependencies;
         this.caller = this.createListener(
-            inFlightRequests.track((request, response) => serveRoutedRequest(entry, request, response)),
+            inFlightRequests.track((request, response, turn) => serveRoutedRequest(entry, request, response, turn)),
         );
     }
 
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -1,5 +1,6 @@
 /** Serves requests of callers and of the local endpoint: finds the route, forwards, and answers by the deadline. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { PipelineTurn } from "../connection/requestPipeline.js";
 import { Cancellation } from "../process/base/cancellation.js";
 import type { Clock } from "../process/base/clock.js";
 import type { EntryThrottle } from "../process/load/entryThrottle.js";
@@ -76,12 +77,13 @@
 
 /**
  * Serves one request and logs its outcome, unless its body is too large. Nothing is sent or logged if the caller
- * disconnects while it sends the body.
+ * disconnects while it sends the body, or if the connection closes before the request's turn has come.
  */
 export async function serveRoutedRequest(
     dependencies: RoutedEntryDependencies,
     request: IncomingMessage,
     response: ServerResponse,
+    turn: PipelineTurn,
 ): Promise<void> {
     const startedAt = dependencies.clock.readMonotonic();
     if (dependencies.isStopping()) {
@@ -100,6 +102,9 @@
         sendEmptyAnswer(response, 413, undefined);
         return;
     }
+    if (!isReadyForWork(dependencies, request, turn) && !await waitForWork(dependencies, request, turn)) {
+        return;
+    }
     const table = dependencies.configurationHolder.getTable();
     if (table === undefined) {
         sendEmptyAnswer(response, 503, notReadyRetryMs);
@@ -158,6 +163,35 @@
     await forwardRequest(dependencies, routedRequest, metadata.attemptId);
 }
 
+/** Whether a request may be worked on beside those before it on its connection. */
+function isReadyForWork(
+    dependencies: RoutedEntryDependencies,
+    request: IncomingMessage,
+    turn: PipelineTurn,
+): boolean {
+    if (turn.isNext()) {
+        return true;
+    }
+    const table = dependencies.configurationHolder.getTable();
+    const route = table?.find(request.headers.host ?? "", request.url ?? "/");
+    return turn.mayWork() && route?.repetition !== "atMostOnce";
+}
+
+/**
+ * Waits until a request may be worked on. One that may run only once waits for all answers before it: if one of them closes
+ * the connection, the caller sends the request again. False if that happens.
+ */
+async function waitForWork(
+    dependencies: RoutedEntryDependencies,
+    request: IncomingMessage,
+    turn: PipelineTurn,
+): Promise<boolean> {
+    if (!await turn.waitForWork()) {
+        return false;
+    }
+    return isReadyForWork(dependencies, request, turn) || turn.waitUntilNext();
+}
+
 async function forwardRequest(
     dependencies: RoutedEntryDependencies,
     routedRequest: RoutedRequest,
--- a/test/routed/entryPlay.ts
+++ b/test/routed/entryPlay.ts
@@ -85,7 +85,7 @@
             isStopping: () => this.isStopping,
         };
         return new HttpListener(
-            (request, response) => serveRoutedRequest(dependencies, request, response),
+            (request, response, turn) => serveRoutedRequest(dependencies, request, response, turn),
             maxHeaderBytes,
             error => this.lines.push(`handlerFailed ${String(error)}`),
         );
