Take an endpoint that starts again under its old id for a new one, and no report that isn't its own

Cause: an endpoint may start again under the id that it had; its reports counted as late and it stayed 'leaving'. A report of another service, or with fields missing, was taken. Change: reports state their start (born); a later start under the same id is another incarnation, an earlier one is stale; what other nodes and later processes keep of an incarnation names its start with its id, as one text. A record under the key of another address, or of bytes that can't be read, names nobody; the others of its page hold.

--- a/src/process/endpoint/endpointLifecycle.ts
+++ b/src/process/endpoint/endpointLifecycle.ts
@@ -59,8 +59,8 @@
     }
 
     /** Applies the message of an incarnation that it leaves for good. */
-    applyLeave(id: string): void {
-        this.applyResult(this.dependencies.endpoint.applyLeave(id), id, "left");
+    applyLeave(id: string, born: number | undefined): void {
+        this.applyResult(this.dependencies.endpoint.applyLeave(id, born), id, "left");
     }
 
     /** Records that an incarnation leaves, as one of its answers or another node says. */
--- a/src/process/endpoint/endpointReports.ts
+++ b/src/process/endpoint/endpointReports.ts
@@ -3,27 +3,39 @@
 import * as v from "valibot";
 import { sendJson } from "../../connection/httpServer.js";
 import { readBody } from "../../request/body.js";
-import { createIntegerSchema, parseJson, parseWith } from "../../version/schema.js";
+import { createIntegerSchema, parseJson, parseWith, shortTextSchema } from "../../version/schema.js";
 import type { EndpointReport } from "./endpointState.js";
 
 /** Maximum size of a report, in bytes. */
 const maxReportBytes = 65_536;
 
+/** Longest id of an incarnation. With the time of its start it has to fit into an instance record. */
+const idPattern = /^\/endpoint\/([^/?\s]{1,100})\/(report|leave)$/;
+
+const bornSchema = v.optional(createIntegerSchema(0, Number.MAX_SAFE_INTEGER));
 const reportSchema = v.object({
+    service: shortTextSchema,
+    address: shortTextSchema,
+    dataCentre: shortTextSchema,
+    version: shortTextSchema,
     slots: createIntegerSchema(0, 1_000_000),
     state: v.picklist(["ready", "draining"]),
     reportNumber: createIntegerSchema(0, Number.MAX_SAFE_INTEGER),
+    born: bornSchema,
 });
+const leaveSchema = v.object({ service: v.optional(shortTextSchema), born: bornSchema });
 
-/** Handlers of a report and of a leave message; `id` names the endpoint's incarnation. */
+/** Handlers of a report and of a leave message; `id` and `born` name the endpoint's incarnation. */
 export interface ReportHandlers {
+    /** Service of the endpoint; reports of any other aren't its own. */
+    readonly service: string;
     readonly report: (report: EndpointReport) => void;
-    readonly leave: (id: string) => void;
+    readonly leave: (id: string, born: number | undefined) => void;
 }
 
 /**
- * Serves one report or leave message. Answers 404 to another method or path and 400 to a malformed or too large report,
- * which has no effect; a request whose body is cut off gets no answer.
+ * Serves one report or leave message. Answers 404 to another method or path and 400 to one that is malformed, too large or
+ * of another service, which has no effect; a request whose body is cut off gets no answer.
  */
 export async function serveEndpointReport(
     handlers: ReportHandlers,
@@ -34,21 +46,32 @@
     if (body === "cut") {
         return;
     }
-    const [, id, operation] = /^\/endpoint\/([^/?]{1,256})\/(report|leave)$/.exec(request.url ?? "") ?? [];
+    const [, id, operation] = idPattern.exec(request.url ?? "") ?? [];
     if (request.method !== "POST" || id === undefined) {
         sendJson(response, 404, { error: "no such call" });
         return;
     }
-    if (operation === "leave") {
-        handlers.leave(id);
-        sendJson(response, 200, {});
-        return;
+    const text = body === "tooLarge" ? undefined : body.toString("utf8");
+    const isTaken = operation === "leave" ? applyLeave(handlers, id, text) : applyReport(handlers, id, text);
+    sendJson(response, isTaken ? 200 : 400, isTaken ? {} : { error: `not a ${operation} message` });
+}
+
+function applyReport(handlers: ReportHandlers, id: string, text: string | undefined): boolean {
+    const message = text === undefined ? undefined : parseWith(reportSchema, parseJson(text));
+    if (message === undefined || message.service !== handlers.service) {
+        return false;
     }
-    const report = body === "tooLarge" ? undefined : parseWith(reportSchema, parseJson(body.toString("utf8")));
-    if (report === undefined) {
-        sendJson(response, 400, { error: "not a report" });
-        return;
+    const { slots, state, reportNumber, born } = message;
+    handlers.report({ id, born, slots, state, reportNumber });
+    return true;
+}
+
+/** A leave message may be empty; what it states has to be its own. */
+function applyLeave(handlers: ReportHandlers, id: string, text: string | undefined): boolean {
+    const message = text === undefined ? undefined : parseWith(leaveSchema, text === "" ? {} : parseJson(text));
+    if (message === undefined || (message.service ?? handlers.service) !== handlers.service) {
+        return false;
     }
-    handlers.report({ id, ...report });
-    sendJson(response, 200, {});
+    handlers.leave(id, message.born);
+    return true;
 }
--- a/src/process/endpoint/endpointState.ts
+++ b/src/process/endpoint/endpointState.ts
@@ -4,14 +4,19 @@
  *
  * Reports are ordered within an incarnation by their number. A late report of an incarnation that was replaced does not
  * make it current again. Once an incarnation has stated that it drains or leaves, it gets no more requests.
+ *
+ * An endpoint may start again under the id that it had. Its reports then state a later start, and nothing that was known of
+ * the id before holds. Other nodes and later processes of this node get the start with the id, as one opaque text.
  */
 import type { Clock } from "../base/clock.js";
 import { NamedLimit } from "../load/namedLimit.js";
 
 /** Report of an endpoint about itself. */
 export interface EndpointReport {
-    /** Identifies the endpoint's incarnation. */
+    /** Identifies the endpoint's incarnation, together with `born` where that is stated. */
     readonly id: string;
+    /** Start of the incarnation, in Unix milliseconds; `undefined` if the report doesn't state it. */
+    readonly born?: number | undefined;
     /** Concurrency slots. */
     readonly slots: number;
     readonly state: "ready" | "draining";
@@ -39,6 +44,8 @@
 /** State of one incarnation. */
 interface Incarnation {
     readonly id: string;
+    /** Start in Unix milliseconds; `undefined` while no report has stated it. */
+    born: number | undefined;
     reportNumber: number;
     slots: number;
     /** Whether it has reported that it drains or leaves. */
@@ -52,7 +59,7 @@
 export class EndpointState {
     private readonly incarnations = new Map<string, Incarnation>();
     private current: Incarnation | undefined;
-    private leavingId: string | undefined;
+    private leaving: Incarnation | undefined;
     /** Monotonic time in milliseconds until which no requests are sent after a refused connection. */
     private unreachableUntil = 0;
 
@@ -68,7 +75,7 @@
      * that a later process of this node doesn't take it for current again.
      */
     getLeavingId(): string | undefined {
-        return this.leavingId;
+        return this.leaving === undefined ? undefined : formatIncarnation(this.leaving);
     }
 
     /** Concurrency slots of the endpoint; 0 while not known. */
@@ -89,7 +96,7 @@
     /** The limit that the current incarnation names or named last; `undefined` if it has never named one. */
     describeNamedLimit(): NamedLimitDescription | undefined {
         return this.current?.namedLimit.isKnown() === true
-            ? { endpoint: this.current.id, perSecond: this.current.namedLimit.get() }
+            ? { endpoint: formatIncarnation(this.current), perSecond: this.current.namedLimit.get() }
             : undefined;
     }
 
@@ -106,9 +113,8 @@
 
     /** Applies a report of the endpoint. */
     applyReport(report: EndpointReport): ReportResult {
-        const known = this.incarnations.get(report.id);
-        const incarnation = known ?? this.addIncarnation(report.id);
-        if (report.reportNumber <= incarnation.reportNumber) {
+        const incarnation = this.findOrAdd(report.id, report.born);
+        if (incarnation === undefined || report.reportNumber <= incarnation.reportNumber) {
             return "stale";
         }
         const wasLeaving = incarnation.isLeaving;
@@ -134,11 +140,14 @@
      * Applies the message of an incarnation that it is leaving for good. If no incarnation is current, this one becomes
      * it, with the result `changed`. If another one is current, this one counts as replaced, with the result `stale`.
      */
-    applyLeave(id: string): ReportResult {
-        const incarnation = this.incarnations.get(id) ?? this.addIncarnation(id);
+    applyLeave(id: string, born?: number): ReportResult {
+        const incarnation = this.findOrAdd(id, born);
+        if (incarnation === undefined) {
+            return "stale";
+        }
         const wasLeaving = incarnation.isLeaving;
         this.markLeaving(incarnation);
-        if (this.current === undefined) {
+        if (this.current === undefined || (this.current.id === id && this.current !== incarnation)) {
             this.setCurrent(incarnation);
         }
         if (incarnation !== this.current) {
@@ -149,11 +158,16 @@
     }
 
     /**
-     * Records that an incarnation leaves, as one of its answers or another node says. It doesn't become the current one
+     * Records that an incarnation leaves, as one of its answers (by its id) or another node (by what {@link getLeavingId}
+     * returned there) says. It doesn't become the current one
      * by that; if it isn't, the result is `stale`.
      */
-    recordLeaving(id: string): ReportResult {
-        const incarnation = this.incarnations.get(id) ?? this.addIncarnation(id);
+    recordLeaving(name: string): ReportResult {
+        const { id, born } = parseIncarnation(name);
+        const incarnation = this.findOrAdd(id, born);
+        if (incarnation === undefined) {
+            return "stale";
+        }
         const wasLeaving = incarnation.isLeaving;
         this.markLeaving(incarnation);
         if (incarnation !== this.current) {
@@ -169,13 +183,13 @@
 
     /** Takes over the limit that an earlier process of this node knew of an incarnation. */
     restoreNamedLimit({ endpoint, perSecond }: NamedLimitDescription): void {
-        const incarnation = this.incarnations.get(endpoint) ?? this.addIncarnation(endpoint);
-        incarnation.namedLimit.restore(perSecond, this.clock.readMonotonic());
+        const { id, born } = parseIncarnation(endpoint);
+        this.findOrAdd(id, born)?.namedLimit.restore(perSecond, this.clock.readMonotonic());
     }
 
     /** Makes the incarnation that answered a request or health check the current one; false if it already was. */
     learnIncarnation(id: string, slots: number | undefined): boolean {
-        const incarnation = this.incarnations.get(id) ?? this.addIncarnation(id);
+        const incarnation = this.incarnations.get(id) ?? this.addIncarnation(id, undefined);
         if (slots !== undefined && slots > 0 && incarnation.slots === 0) {
             incarnation.slots = slots;
         }
@@ -193,8 +207,8 @@
 
     private markLeaving(incarnation: Incarnation): void {
         incarnation.isLeaving = true;
-        if (incarnation === this.current || this.leavingId === undefined) {
-            this.leavingId = incarnation.id;
+        if (incarnation === this.current || this.leaving === undefined) {
+            this.leaving = incarnation;
         }
     }
 
@@ -205,14 +219,28 @@
         incarnation.isReplaced = false;
         this.current = incarnation;
         if (incarnation.isLeaving) {
-            this.leavingId = incarnation.id;
+            this.leaving = incarnation;
         }
         this.unreachableUntil = 0;
     }
 
-    private addIncarnation(id: string): Incarnation {
+    /** Finds the incarnation with an id and a start, or adds it; `undefined` if a later one has the id. */
+    private findOrAdd(id: string, born: number | undefined): Incarnation | undefined {
+        const known = this.incarnations.get(id);
+        if (known === undefined || born === undefined) {
+            return known ?? this.addIncarnation(id, born);
+        }
+        known.born ??= born;
+        if (known.born === born) {
+            return known;
+        }
+        return born > known.born ? this.addIncarnation(id, born) : undefined;
+    }
+
+    private addIncarnation(id: string, born: number | undefined): Incarnation {
         const incarnation: Incarnation = {
             id,
+            born,
             reportNumber: -1,
             slots: 0,
             isLeaving: false,
@@ -227,3 +255,14 @@
         return incarnation;
     }
 }
+
+/** Formats an incarnation as one text; no id of an endpoint contains a space. */
+function formatIncarnation({ id, born }: Pick<Incarnation, "id" | "born">): string {
+    return born === undefined ? id : `${id} ${born}`;
+}
+
+/** Parses what {@link formatIncarnation} returned, or an id alone. */
+function parseIncarnation(text: string): Pick<Incarnation, "id" | "born"> {
+    const [, id, born] = /^(.+) (\d{1,16})$/.exec(text) ?? [];
+    return id === undefined ? { id: text, born: undefined } : { id, born: Number(born) };
+}
--- a/src/process/membership/clusterState.ts
+++ b/src/process/membership/clusterState.ts
@@ -165,7 +165,7 @@
                 this.registry.remove(key);
             }
             else {
-                this.putRecord(value, source);
+                this.putRecord(value, source, key);
             }
         }
     }
@@ -177,17 +177,19 @@
     private refuteRecord(text: string): void {
         this.hasHeardOfItself = true;
         const record = parseInstanceRecord(text);
-        if (record !== undefined) {
-            this.dependencies.restoreFromOwnRecord(record);
+        if (record?.address !== this.dependencies.address) {
+            return;
         }
+        this.dependencies.restoreFromOwnRecord(record);
         if (this.ownRecord.refute(text)) {
             this.publishOwnRecord();
         }
     }
 
-    private putRecord(text: string, source: RecordSource): void {
+    /** Puts a record into the registry. One that can't be read, or stands under the key of another address, names nobody. */
+    private putRecord(text: string, source: RecordSource, key?: string): void {
         const record = parseInstanceRecord(text);
-        if (record === undefined) {
+        if (record === undefined || (key !== undefined && record.address !== key)) {
             this.dependencies.logger.warn("recordSkipped", { source, text: text.slice(0, 100) });
             return;
         }
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -173,8 +173,9 @@
             inFlightRequests: this.inFlightRequests,
             entry: this.createEntryDependencies(),
             reports: {
+                service: settings.service,
                 report: report => this.endpointLifecycle.applyReport(report),
-                leave: id => this.endpointLifecycle.applyLeave(id),
+                leave: (id, born) => this.endpointLifecycle.applyLeave(id, born),
             },
             findNotReadyCause: () => this.findNotReadyCause(),
         });
--- a/standin/platformUpstream.ts
+++ b/standin/platformUpstream.ts
@@ -51,6 +51,8 @@
     /** Requests a second that its answers say it takes; `undefined` if they name no limit. */
     namedLimit: number | undefined;
     id: string;
+    /** Start that its reports state, in Unix milliseconds; `undefined` if they state none. */
+    born: number | undefined;
     private state: "ready" | "draining" = "ready";
     private number = 0;
     private life = 0;
@@ -99,6 +101,11 @@
     async sendHeartbeat(): Promise<boolean> {
         this.number += 1;
         return this.post(`/rpc?call=instances.heartbeat&of=${this.id}`, {
+            service: this.plan.service,
+            address: `${this.plan.address}:${this.plan.port}`,
+            dataCentre: "klaten",
+            version: "v1",
+            ...(this.born === undefined ? {} : { born: this.born }),
             slots: this.slots,
             state: this.state,
             reportNumber: this.number,
