--- a/standin/platformUpstream.ts
+++ b/standin/platformUpstream.ts
@@ -51,6 +51,8 @@
     /** Requests a second that its answers say it takes; `undefined` if they name no limit. */
     namedLimit: number | undefined;
     id: string;
+    /** Id under which it starts again; `undefined` for a new one each time. */
+    fixedId: string | undefined;
     /** Start that its reports state, in Unix milliseconds; `undefined` if they state none. */
     born: number | undefined;
     private state: "ready" | "draining" = "ready";
@@ -113,7 +115,7 @@
     }
 
     private createId(): string {
-        return `i-${this.plan.address}-${this.life}`;
+        return this.fixedId ?? `i-${this.plan.address}-${this.life}`;
     }
 
     private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/test/routed/customerCluster.test.ts
+++ b/test/routed/customerCluster.test.ts
@@ -1,5 +1,6 @@
 /** Customers and keys over node processes: who is served, what upstreams learn, and that no key is ever printed. */
 import { expect } from "chai";
+import { findRequestLines } from "../../src/process/operators/explain.js";
 import type { Machine } from "../../standin/platformCluster.js";
 import { PlatformCluster } from "../../standin/platformCluster.js";
 import { sleep, waitFor } from "../../standin/processes.js";
@@ -107,6 +108,36 @@
         }
     });
 
+    it("say in the story of a request whose it was and which version decided", () => {
+        const lines = cluster.machines.flatMap(machine => machine.log.split("\n"));
+        expect(findRequestLines("serve-known-0", lines).join("\n")).match(/version=1 customer=weavers/);
+        expect(findRequestLines("refuse-unknown-0", lines).join("\n")).match(/cause=unknownKey.*status=401/).and
+            .contains("version=1");
+    });
+
+    it("take an upstream that starts again under its old id for a new one, though it had left", async () => {
+        const { upstream } = kas1!;
+        upstream.fixedId = "i-fixed";
+        upstream.endAbruptly();
+        upstream.born = 1_764_812_345_678;
+        await upstream.start();
+        await cluster.waitForInstances();
+        await upstream.drain();
+        await upstream.leave();
+        expect(await getPage(katalog1!, "left", keys.later)).equals(500);
+        upstream.endAbruptly();
+        const ranBefore = upstream.runs.length;
+        upstream.born += 5000;
+        await upstream.start();
+        await waitFor(
+            async () => await getPage(katalog1!, `again${Math.random()}`.replace(".", ""), keys.later) === 200,
+            3000,
+            "work",
+        );
+        expect(upstream.id).equals("i-fixed");
+        expect(upstream.runs.length).above(ranBefore);
+    });
+
     it("finish what runs when its key is taken away", async () => {
         katalog1!.upstream.runMs = 800;
         katalog2!.upstream.runMs = 800;
