Shorten the gap of a lost grantor, and show quotas in the metrics

Cause: requests were refused at once in the first second of a new grantor, and heartbeats of six groups were most messages. Change: requests wait while the next unit is due within 150 ms; four groups; gauges by customer, at most 20 and their rest.

--- a/src/process/customers/customerQuotas.ts
+++ b/src/process/customers/customerQuotas.ts
@@ -18,7 +18,7 @@
 import type { AskUnitsMessage, GrantUnitsMessage } from "./unitMessages.js";
 
 /** Groups of customers. */
-export const groupCount = 6;
+export const groupCount = 4;
 /** Interval at which what is due is done, in milliseconds. */
 const updateIntervalMs = 100;
 /** Customers that are shown in the metrics of a node; the counts of the others are summed. */
@@ -178,6 +178,11 @@
         return rest.length === 0 ? busiest : [...busiest.slice(0, maxShownCustomers), other];
     }
 
+    /** Part of the limits that this node has to grant, by group. */
+    listShares(): readonly number[] {
+        return this.grantors.map(grantor => grantor.getShare());
+    }
+
     private send(grantor: string, message: AskUnitsMessage): void {
         if (grantor !== this.dependencies.address) {
             this.dependencies.post(grantor, message);
--- a/src/process/customers/unitGrantor.ts
+++ b/src/process/customers/unitGrantor.ts
@@ -24,10 +24,9 @@
 const shareValidMs = 40;
 /** Part of all nodes up to which a grantor has nothing, and that without which it has everything. */
 const lostPart = 0.25;
-/** Time in which the count of units that could not be given falls to a third, in milliseconds. */
-const missedDecayMs = 1000;
-/** Bounds of the time after which a refused request is told to come back, in milliseconds. */
-const minWaitMs = 50;
+/** Time for which units that could not be given to a holder count as wanted, in milliseconds. */
+const wantedValidMs = 200;
+/** Longest time after which a refused request is told to come back, in milliseconds. */
 const maxWaitMs = 3000;
 
 /** Units of one session of a holder, by customer. */
@@ -48,8 +47,8 @@
     /** Units at holders, and until when they may be used there. */
     readonly held: Map<string, { units: number; until: number; }>;
     granted: number;
-    /** Units that could not be given lately. */
-    missed: number;
+    /** Units that holders wanted and could not be given, and until when they count. */
+    readonly wanted: Map<string, { units: number; until: number; }>;
 }
 
 /** Count of one customer's units, for the metrics. */
@@ -223,10 +222,10 @@
         const units = Math.min(missing, Math.floor(pool.free));
         pool.free -= units;
         pool.granted += units;
-        pool.missed += missing - units;
+        pool.wanted.set(holder, { units: missing - units, until: now + wantedValidMs });
         account.granted = gone + held + units;
         pool.held.set(holder, { units: held + units, until: now + unitLeaseMs });
-        return [customer, account.granted, units < missing ? this.computeWaitMs(pool) : 0];
+        return [customer, account.granted, units < missing ? this.computeWaitMs(pool, now) : 0];
     }
 
     private findPool(customer: string, now: number): Pool | undefined {
@@ -246,7 +245,7 @@
             filledAt: this.fullSince,
             held: new Map(),
             granted: 0,
-            missed: 0,
+            wanted: new Map(),
         };
         this.pools.set(customer, pool);
         this.fill(pool, now);
@@ -257,25 +256,17 @@
     private fill(pool: Pool, now: number): void {
         const elapsedMs = Math.max(0, now - pool.filledAt);
         pool.filledAt = now;
-        let held = 0;
-        for (const [holder, { units, until }] of pool.held) {
-            if (units === 0 || until <= now) {
-                pool.held.delete(holder);
-            }
-            else {
-                held += units;
-            }
-        }
+        const held = sumUnits(pool.held, now);
         const { perMs, capacity } = pool.supply;
         const room = Math.max(0, capacity * this.share - held);
         pool.free = Math.min(room, pool.free + elapsedMs * perMs * this.share);
-        pool.missed *= Math.exp(-elapsedMs / missedDecayMs);
     }
 
-    private computeWaitMs(pool: Pool): number {
+    /** Time in which all units that are wanted now accrue, in milliseconds. */
+    private computeWaitMs(pool: Pool, now: number): number {
         const ratePerMs = pool.supply.perMs * this.share;
-        const waitMs = (1 - pool.free + pool.missed) / Math.max(ratePerMs, 1e-6);
-        return Math.round(Math.min(maxWaitMs, Math.max(minWaitMs, waitMs)));
+        const waitMs = (sumUnits(pool.wanted, now) - pool.free) / Math.max(ratePerMs, 1e-6);
+        return Math.ceil(Math.min(maxWaitMs, Math.max(1, waitMs)));
     }
 
     private createStamp(now: number): string {
@@ -283,6 +274,20 @@
     }
 }
 
+/** Sums the units of all holders for which they count, and removes the others. */
+function sumUnits(counts: Map<string, { units: number; until: number; }>, now: number): number {
+    let sum = 0;
+    for (const [holder, { units, until }] of counts) {
+        if (units === 0 || until <= now) {
+            counts.delete(holder);
+        }
+        else {
+            sum += units;
+        }
+    }
+    return sum;
+}
+
 /**
  * Share of the limits that a grantor has by the part of the nodes that support it, both from 0 to 1. For parts that add up
  * to 1 at most the shares do too. A quarter of the nodes can be lost without any loss of the limits.
--- a/src/process/customers/unitHolder.ts
+++ b/src/process/customers/unitHolder.ts
@@ -6,6 +6,7 @@
  *
  * - A customer with few requests at each node: a request waits for its own unit, one round trip.
  * - Many requests at once: those that come while a message is under way share the next one.
+ * - A customer close to its limit, and the first moments of a new grantor: requests wait for units that accrue soon.
  * - A customer over its limit: while no unit is to be had, its requests are refused without a message; every 0.1 s one
  *   message asks for as many units as requests came in that time, at most {@link maxStock}.
  */
@@ -18,13 +19,15 @@
 /** Time after which an unanswered message counts as lost, in milliseconds. */
 const answerTimeoutMs = 400;
 /** Time without a message after which the grantor is told again that this node supports it, in milliseconds. */
-const heartbeatMs = 350;
+const heartbeatMs = 400;
 /** Time for which a grantor that did not answer is not chosen, in milliseconds; it doubles with each time. */
 const minAvoidMs = 1500;
 const maxAvoidMs = 24_000;
 /** Time between messages for a customer that has no unit, in milliseconds, and its random part. */
 const scarceIntervalMs = 80;
 const scarceSpreadMs = 40;
+/** Longest time to the next unit for which requests go on waiting, in milliseconds. */
+const maxHoldMs = 150;
 /** Most units that are asked for ahead of requests. */
 const maxStock = 30;
 /** Time for which units that were asked for ahead are kept, in milliseconds. */
@@ -272,7 +275,7 @@
         const account = this.getAccount(customer);
         account.granted = granted;
         this.serveWaiting(customer, account, now);
-        if (waitMs > 0) {
+        if (waitMs > maxHoldMs) {
             account.scarceUntil = now + scarceIntervalMs + this.dependencies.random() * scarceSpreadMs;
             account.expectedAt = now + waitMs;
             for (const waiter of account.waiting.splice(0)) {
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -495,7 +495,27 @@
         }
     }
 
+    private addQuotaGauges(): void {
+        this.metrics.addLabelledGauge(
+            "customer_quota",
+            "Quotas by customer and kind: limit (requests a second of all nodes), used and refused (requests at this node), "
+                + "granted (units that this node granted).",
+            ["customer", "kind"],
+            () =>
+                this.quotas.listCounts().flatMap(({ customer, ...counts }) =>
+                    Object.entries(counts).map(([kind, value]) => ({ labels: { customer, kind }, value }))
+                ),
+        );
+        this.metrics.addLabelledGauge(
+            "quota_group_share",
+            "Part of the limits that this node has to grant, by group of customers.",
+            ["group"],
+            () => this.quotas.listShares().map((value, group) => ({ labels: { group: String(group) }, value })),
+        );
+    }
+
     private addGauges(): void {
+        this.addQuotaGauges();
         const { metrics, runner, clusterState, links } = this;
         metrics.addGauge(
             "configuration_version",
--- a/src/process/telemetry/prometheusMetrics.ts
+++ b/src/process/telemetry/prometheusMetrics.ts
@@ -1,6 +1,7 @@
 /** Metrics of a routed node in the Prometheus format; loaded by {@link RoutedMetrics} when they are needed. */
 import { Counter, Histogram, Registry } from "prom-client";
-import { addGauge } from "./gauge.js";
+import type { LabelledValue } from "./gauge.js";
+import { addGauge, addLabelledGauge } from "./gauge.js";
 import type { RequestSample } from "./requestSample.js";
 
 /** Upper bounds of the buckets of request times, in seconds. */
@@ -33,4 +34,14 @@
     addGauge(name: string, help: string, read: () => number): void {
         addGauge(this.registry, name, help, read);
     }
+
+    /** Adds a gauge with labels, whose values are read when the metrics are. */
+    addLabelledGauge(
+        name: string,
+        help: string,
+        labelNames: readonly string[],
+        read: () => readonly LabelledValue[],
+    ): void {
+        addLabelledGauge(this.registry, name, help, labelNames, read);
+    }
 }
--- a/src/process/telemetry/routedMetrics.ts
+++ b/src/process/telemetry/routedMetrics.ts
@@ -4,6 +4,7 @@
  * The library for the Prometheus format takes a third of a node's own start, and many nodes are restarted before anybody
  * reads their metrics. So it is loaded when they are first read, or when many requests wait to be counted.
  */
+import type { LabelledValue } from "./gauge.js";
 import type { PrometheusMetrics } from "./prometheusMetrics.js";
 import type { RequestSample } from "./requestSample.js";
 
@@ -17,6 +18,14 @@
     readonly read: () => number;
 }
 
+/** A gauge with labels, whose values are read when the metrics are. */
+interface LabelledGaugeSource {
+    readonly name: string;
+    readonly help: string;
+    readonly labelNames: readonly string[];
+    readonly read: () => readonly LabelledValue[];
+}
+
 /** Text of the metrics and its content type. */
 export interface MetricsPage {
     readonly contentType: string;
@@ -26,6 +35,7 @@
 /** Metrics of one routed node. */
 export class RoutedMetrics {
     private readonly gauges: GaugeSource[] = [];
+    private readonly labelledGauges: LabelledGaugeSource[] = [];
     private pendingSamples: RequestSample[] = [];
     private loading: Promise<PrometheusMetrics> | undefined;
     private loaded: PrometheusMetrics | undefined;
@@ -48,6 +58,16 @@
         this.gauges.push({ name, help, read });
     }
 
+    /** Adds a gauge with labels, whose values are read when the metrics are. Called before the first read. */
+    addLabelledGauge(
+        name: string,
+        help: string,
+        labelNames: readonly string[],
+        read: () => readonly LabelledValue[],
+    ): void {
+        this.labelledGauges.push({ name, help, labelNames, read });
+    }
+
     /** Reads all metrics. */
     async read(): Promise<MetricsPage> {
         const { registry } = await this.load();
@@ -58,6 +78,9 @@
         this.loading ??= import("./prometheusMetrics.js").then(module => {
             const metrics = new module.PrometheusMetrics();
             this.gauges.forEach(({ name, help, read }) => metrics.addGauge(name, help, read));
+            this.labelledGauges.forEach(({ name, help, labelNames, read }) =>
+                metrics.addLabelledGauge(name, help, labelNames, read)
+            );
             this.pendingSamples.forEach(sample => metrics.recordRequest(sample));
             this.pendingSamples = [];
             this.loaded = metrics;
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -35,7 +35,7 @@
 const overloadedRetryMs = 900;
 
 /** Longest time for which a request waits for a unit of its customer's quota, in milliseconds. */
-const maxUnitWaitMs = 400;
+const maxUnitWaitMs = 800;
 /** The same as a part of the time to the route's latency target. */
 const maxUnitWaitShare = 0.4;
 
--- a/test/routed/quotaSimulation.ts
+++ b/test/routed/quotaSimulation.ts
@@ -52,6 +52,7 @@
     messages = 0;
     lossShare = 0;
     maxDelayMs = 3;
+    maxWaitMs = 600;
     /** Part of the admitted requests that run nowhere and give their unit back. */
     unrunShare = 0;
 
@@ -111,7 +112,7 @@
             return;
         }
         const { quotas, lagMs } = place;
-        void quotas.take(customer, 400).then(result => {
+        void quotas.take(customer, this.maxWaitMs).then(result => {
             if (result.kind === "none") {
                 this.refused.set(customer, (this.refused.get(customer) ?? 0) + 1);
                 return;
@@ -166,6 +167,10 @@
         }
     }
 
+    countAdmitted(): number {
+        return [...this.admitted.values()].reduce((sum, times) => sum + times.length, 0);
+    }
+
     /** Windows of a customer in which more requests ran than its largest quota of that time allows, one a line. */
     findExcesses(customer: string): string[] {
         const times = (this.admitted.get(customer) ?? []).sort((a, b) => a - b);
--- a/test/routed/quotas.test.ts
+++ b/test/routed/quotas.test.ts
@@ -1,6 +1,7 @@
 /** Quotas of customers over all nodes, in virtual time: the bound holds in every window, and the limit can be used. */
 import { expect } from "chai";
 import fc from "fast-check";
+import { groupCount } from "../../src/process/customers/customerQuotas.js";
 import { computeMaxRequests, computeSupply, unitLeaseMs } from "../../src/process/customers/quotaBound.js";
 import { computeShare } from "../../src/process/customers/unitGrantor.js";
 import type { Quota } from "../../src/version/customer.js";
@@ -12,11 +13,15 @@
 const nodes = 84;
 const usualUse = 0.62;
 
+function createQuota(requestsPerSecond: number): Quota {
+    return { requestsPerSecond, burst: Math.ceil(requestsPerSecond / 2) };
+}
+
 /** Limits of 84 customers: a few large, most with a few requests a second. */
 function createLimits(): Map<string, Quota> {
     return new Map(Array.from({ length: nodes }, (_, index): [string, Quota] => {
         const requestsPerSecond = Math.max(3, Math.round(380 / (index + 1)));
-        return [`customer${index}`, { requestsPerSecond, burst: Math.ceil(requestsPerSecond / 2) }];
+        return [`customer${index}`, createQuota(requestsPerSecond)];
     }));
 }
 
@@ -73,12 +78,60 @@
     });
 
     it("sends at most a message and its answer for each request that is admitted, and the heartbeats", () => {
-        const admitted = [...simulation.admitted.values()].reduce((sum, times) => sum + times.length, 0);
-        const heartbeats = nodes * 6 * durationMs / 350;
+        const admitted = simulation.countAdmitted();
+        const heartbeats = nodes * groupCount * durationMs / 400;
         expect(simulation.messages).at.most(2 * (admitted + heartbeats));
     });
 });
 
+describe("quotas: a process that has just started", () => {
+    const cases = [
+        { title: "beside others that run", ended: 1, withinMs: 1000 },
+        { title: "when all nodes end at once", ended: 84, withinMs: 2000 },
+    ];
+    for (const { title, ended, withinMs } of cases) {
+        it(`admits requests ${title} within ${withinMs} ms`, async () => {
+            const simulation = new QuotaSimulation(createRandom(9), nodes, new Map([["weavers", createQuota(50)]]));
+            await simulation.run(3000);
+            const restarted = simulation.places.slice(0, ended);
+            restarted.forEach(place => simulation.endLife(place, 1));
+            await simulation.run(2);
+            simulation.maxWaitMs = withinMs;
+            restarted.slice(0, 5).forEach(place => simulation.request("weavers", place));
+            await simulation.run(withinMs);
+            expect(simulation.admitted.get("weavers")?.length).equals(Math.min(5, ended));
+        });
+    }
+});
+
+describe("quotas: the loss of grantors", () => {
+    const limits = createLimits();
+    const cases = [
+        { title: "one of them ends", share: 0, maxRefusedSeconds: 0.4 },
+        { title: "a sixth of the nodes ends for good", share: 1 / 6, maxRefusedSeconds: 1 },
+    ];
+    for (const { title, share, maxRefusedSeconds } of cases) {
+        it(`costs less than ${maxRefusedSeconds} s of the requests when ${title}`, async () => {
+            const simulation = new QuotaSimulation(createRandom(4), nodes, limits);
+            await simulation.run(2500);
+            for (const [customer, { requestsPerSecond }] of limits) {
+                simulation.sendRequests(customer, () => requestsPerSecond * usualUse);
+            }
+            await simulation.run(2000);
+            const grantors = simulation.places.filter(place => place.quotas.listShares().some(each => each > 0.5));
+            const ended = share === 0
+                ? grantors.slice(0, 1)
+                : simulation.places.filter(() => simulation.random() < share);
+            const admittedBefore = simulation.countAdmitted();
+            ended.forEach(place => simulation.endLife(place, 60_000));
+            await simulation.run(5000);
+            const perSecond = (simulation.countAdmitted() - admittedBefore) / 5;
+            const refused = [...simulation.refused.values()].reduce((sum, count) => sum + count, 0);
+            expect(refused / perSecond).below(maxRefusedSeconds);
+        });
+    }
+});
+
 /** What happens in one drawn sequence, at drawn times. */
 type Event =
     | "endOne"
@@ -112,11 +165,14 @@
 ];
 
 function createDrawnLimits(random: Random): Map<string, Quota> {
-    const createQuota = (most: number): Quota => ({
+    const createDrawnQuota = (most: number): Quota => ({
         requestsPerSecond: Math.ceil(random() * most),
         burst: Math.floor(random() * most),
     });
-    return new Map([["small", createQuota(6)], ["middle", createQuota(60)], ["large", createQuota(400)]]);
+    return new Map([["small", createDrawnQuota(6)], ["middle", createDrawnQuota(60)], [
+        "large",
+        createDrawnQuota(400),
+    ]]);
 }
 
 /** Gives each node a new version within a second. */
