--- a/src/process/customers/unitHolder.ts
+++ b/src/process/customers/unitHolder.ts
@@ -45,7 +45,8 @@
 /** Result of {@link UnitHolder.take}. */
 export type TakeResult =
     | { readonly kind: "granted"; readonly unit: SpentUnit; }
-    | { readonly kind: "none"; readonly retryAfterMs: number; };
+    /** `noGrantor`: no node could grant units of the customer, whether its quota is used up or not. */
+    | { readonly kind: "none"; readonly cause: "quota" | "noGrantor"; readonly retryAfterMs: number; };
 
 /** Units of one customer in the session in progress. */
 interface Account {
@@ -59,6 +60,8 @@
     expectedAt: number;
     /** Requests since units were last asked for ahead. */
     missed: number;
+    /** Whether the grantor had units to grant to anybody when it answered last. */
+    hasGrantor: boolean;
     /** Time until which units that no request needs are kept. */
     keptUntil: number;
 }
@@ -122,7 +125,7 @@
         }
         if (now < account.scarceUntil || maxWaitMs <= 0) {
             account.missed += 1;
-            return { kind: "none", retryAfterMs: Math.max(1, account.expectedAt - now) };
+            return { kind: "none", cause: "quota", retryAfterMs: Math.max(1, account.expectedAt - now) };
         }
         return new Promise(resolve => {
             const timer = this.dependencies.clock.startTimer(maxWaitMs, () => this.endWait(account, waiter));
@@ -274,6 +277,7 @@
     private receiveItem([customer, granted, waitMs]: GrantedUnits, now: number): void {
         const account = this.getAccount(customer);
         account.granted = granted;
+        account.hasGrantor = waitMs >= 0;
         this.serveWaiting(customer, account, now);
         if (waitMs > maxHoldMs) {
             account.scarceUntil = now + scarceIntervalMs + this.dependencies.random() * scarceSpreadMs;
@@ -281,7 +285,7 @@
             for (const waiter of account.waiting.splice(0)) {
                 waiter.timer.stop();
                 account.missed += 1;
-                waiter.resolve({ kind: "none", retryAfterMs: waitMs });
+                waiter.resolve({ kind: "none", cause: "quota", retryAfterMs: waitMs });
             }
         }
         else {
@@ -304,7 +308,8 @@
 
     private endWait(account: Account, waiter: Waiter): void {
         account.waiting.splice(account.waiting.indexOf(waiter), 1);
-        waiter.resolve({ kind: "none", retryAfterMs: noGrantorWaitMs });
+        const cause = account.hasGrantor ? "quota" : "noGrantor";
+        waiter.resolve({ kind: "none", cause, retryAfterMs: noGrantorWaitMs });
     }
 
     private countHeld(account: Account, now: number): number {
@@ -347,6 +352,7 @@
             account.gone = 0;
             account.returned = 0;
             account.scarceUntil = 0;
+            account.hasGrantor = false;
             account.waiting.forEach(waiter => waiter.isAsked = false);
             if (account.waiting.length === 0 && account.missed === 0) {
                 this.accounts.delete(customer);
@@ -369,6 +375,7 @@
                 scarceUntil: 0,
                 expectedAt: 0,
                 missed: 0,
+                hasGrantor: false,
                 keptUntil: 0,
             };
             this.accounts.set(customer, account);
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -199,12 +199,12 @@
         return undefined;
     }
     sendEmptyAnswer(response, 429, taken.retryAfterMs * (1 + dependencies.random() / 2));
-    dependencies.metrics.recordRequestOutcome(route.name, "refused", "quota", 0);
+    dependencies.metrics.recordRequestOutcome(route.name, "refused", taken.cause, 0);
     logRequest(dependencies, "refused", {
         request: metadata.attemptId,
         route: route.name,
         customer,
-        cause: "quota",
+        cause: taken.cause,
         version,
         status: 429,
     });
--- a/test/routed/quotaUnits.test.ts
+++ b/test/routed/quotaUnits.test.ts
@@ -93,7 +93,7 @@
         bench.answer(["weavers", 0, 300]);
         const taken = bench.take();
         await settle();
-        expect(taken.result).deep.equals({ kind: "none", retryAfterMs: 300 });
+        expect(taken.result).deep.equals({ kind: "none", cause: "quota", retryAfterMs: 300 });
         expect(bench.sent.length).equals(1);
     });
 
@@ -185,7 +185,7 @@
         const taken = bench.take();
         bench.clock.addTime(400);
         await settle();
-        expect(taken.result?.kind).equals("none");
+        expect(taken.result).deep.equals({ kind: "none", cause: "noGrantor", retryAfterMs: 700 });
     });
 });
 
