--- a/src/process/customers/unitHolder.ts
+++ b/src/process/customers/unitHolder.ts
@@ -6,6 +6,7 @@
  *
  * - A customer with few requests at each node: a request waits for its own unit, one round trip.
  * - Many requests at once: those that come while a message is under way share the next one.
+ * - A customer close to its limit, and the first moments of a new grantor: requests wait for units that accrue soon.
  * - A customer over its limit: while no unit is to be had, its requests are refused without a message; every 0.1 s one
  *   message asks for as many units as requests came in that time, at most {@link maxStock}.
  */
@@ -18,13 +19,15 @@
 /** Time after which an unanswered message counts as lost, in milliseconds. */
 const answerTimeoutMs = 400;
 /** Time without a message after which the grantor is told again that this node supports it, in milliseconds. */
-const heartbeatMs = 350;
+const heartbeatMs = 400;
 /** Time for which a grantor that did not answer is not chosen, in milliseconds; it doubles with each time. */
 const minAvoidMs = 1500;
 const maxAvoidMs = 24_000;
 /** Time between messages for a customer that has no unit, in milliseconds, and its random part. */
 const scarceIntervalMs = 80;
 const scarceSpreadMs = 40;
+/** Longest time to the next unit for which requests go on waiting, in milliseconds. */
+const maxHoldMs = 150;
 /** Most units that are asked for ahead of requests. */
 const maxStock = 30;
 /** Time for which units that were asked for ahead are kept, in milliseconds. */
@@ -42,7 +45,8 @@
 /** Result of {@link UnitHolder.take}. */
 export type TakeResult =
     | { readonly kind: "granted"; readonly unit: SpentUnit; }
-    | { readonly kind: "none"; readonly retryAfterMs: number; };
+    /** `noGrantor`: no node could grant units of the customer, whether its quota is used up or not. */
+    | { readonly kind: "none"; readonly cause: "quota" | "noGrantor"; readonly retryAfterMs: number; };
 
 /** Units of one customer in the session in progress. */
 interface Account {
@@ -56,6 +60,8 @@
     expectedAt: number;
     /** Requests since units were last asked for ahead. */
     missed: number;
+    /** Whether the grantor had units to grant to anybody when it answered last. */
+    hasGrantor: boolean;
     /** Time until which units that no request needs are kept. */
     keptUntil: number;
 }
@@ -119,7 +125,7 @@
         }
         if (now < account.scarceUntil || maxWaitMs <= 0) {
             account.missed += 1;
-            return { kind: "none", retryAfterMs: Math.max(1, account.expectedAt - now) };
+            return { kind: "none", cause: "quota", retryAfterMs: Math.max(1, account.expectedAt - now) };
         }
         return new Promise(resolve => {
             const timer = this.dependencies.clock.startTimer(maxWaitMs, () => this.endWait(account, waiter));
@@ -271,14 +277,15 @@
     private receiveItem([customer, granted, waitMs]: GrantedUnits, now: number): void {
         const account = this.getAccount(customer);
         account.granted = granted;
+        account.hasGrantor = waitMs >= 0;
         this.serveWaiting(customer, account, now);
-        if (waitMs > 0) {
+        if (waitMs > maxHoldMs) {
             account.scarceUntil = now + scarceIntervalMs + this.dependencies.random() * scarceSpreadMs;
             account.expectedAt = now + waitMs;
             for (const waiter of account.waiting.splice(0)) {
                 waiter.timer.stop();
                 account.missed += 1;
-                waiter.resolve({ kind: "none", retryAfterMs: waitMs });
+                waiter.resolve({ kind: "none", cause: "quota", retryAfterMs: waitMs });
             }
         }
         else {
@@ -301,7 +308,8 @@
 
     private endWait(account: Account, waiter: Waiter): void {
         account.waiting.splice(account.waiting.indexOf(waiter), 1);
-        waiter.resolve({ kind: "none", retryAfterMs: noGrantorWaitMs });
+        const cause = account.hasGrantor ? "quota" : "noGrantor";
+        waiter.resolve({ kind: "none", cause, retryAfterMs: noGrantorWaitMs });
     }
 
     private countHeld(account: Account, now: number): number {
@@ -344,6 +352,7 @@
             account.gone = 0;
             account.returned = 0;
             account.scarceUntil = 0;
+            account.hasGrantor = false;
             account.waiting.forEach(waiter => waiter.isAsked = false);
             if (account.waiting.length === 0 && account.missed === 0) {
                 this.accounts.delete(customer);
@@ -366,6 +375,7 @@
                 scarceUntil: 0,
                 expectedAt: 0,
                 missed: 0,
+                hasGrantor: false,
                 keptUntil: 0,
             };
             this.accounts.set(customer, account);
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -36,7 +36,7 @@
 const overloadedRetryMs = 900;
 
 /** Longest time for which a request waits for a unit of its customer's quota, in milliseconds. */
-const maxUnitWaitMs = 400;
+const maxUnitWaitMs = 800;
 /** The same as a part of the time to the route's latency target. */
 const maxUnitWaitShare = 0.4;
 
@@ -203,12 +203,12 @@
         return undefined;
     }
     sendEmptyAnswer(response, 429, taken.retryAfterMs * (1 + dependencies.random() / 2));
-    dependencies.metrics.recordRequestOutcome(route.name, "refused", "quota", 0);
+    dependencies.metrics.recordRequestOutcome(route.name, "refused", taken.cause, 0);
     logRequest(dependencies, "refused", {
         request: metadata.attemptId,
         route: route.name,
         customer,
-        cause: "quota",
+        cause: taken.cause,
         version,
         status: 429,
     });
--- a/test/routed/entryPlay.ts
+++ b/test/routed/entryPlay.ts
@@ -82,7 +82,7 @@
             runs: this.runs,
             entryThrottle: new EntryThrottle(this.clock, Math.random),
             quotas: {
-                take: () => Promise.resolve({ kind: "none", retryAfterMs: 500 } as const),
+                take: () => Promise.resolve({ kind: "none", cause: "quota", retryAfterMs: 500 } as const),
                 releaseUnit: () => undefined,
             },
             findUtilisation: () => 0,
