Plan requests through services that turn work away with room to spare

Cause: repeats went to whoever asked first, chains were begun that couldn't end, and entries learned each for itself. Change: the node beside the endpoint measures the share that is rejected with slots free (sheddingMonitor) and publishes it with its load; callers know it from there, answers carry it up the chain with its age and the number of calls; entries plan for each request from which call on its repeats are paid for, the most urgent first, and refuse at once what has next to no chance (chainAdmission); callers spend scarce repeats by the plan. Instances that shed more than others are avoided.

--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -9,6 +9,7 @@
 import { Packr } from "msgpackr";
 import type { AnsweredRun, FailedRun, RefusedRun } from "../process/load/runOutcome.js";
 import type { Origin } from "../process/load/runsInProgress.js";
+import type { DownstreamCalls } from "../process/load/sheddingLevels.js";
 import type { HeaderList } from "../request/headers.js";
 
 /** Load of a node's local endpoint, sent with the outcome of every request. */
@@ -25,6 +26,8 @@
     readonly isSettled: boolean;
     /** Recent average time of a run at the endpoint, in milliseconds; 0 when there was none. */
     readonly runMs: number;
+    /** Fraction of the recent requests that the endpoint turned away though it had room, from 0 to 1. */
+    readonly shedShare: number;
 }
 
 /** Asks a node for a run, which is one execution of a request at the node's local endpoint. */
@@ -146,7 +149,7 @@
         "callerService",
         "leavingEndpoint",
     ],
-    answer: ["id", "status", "headers", "body", "runMs", "waitedMs", "behind", "pressure", "load"],
+    answer: ["id", "status", "headers", "body", "runMs", "waitedMs", "behind", "pressure", "load", "downstream"],
     refused: ["id", "cause", "retryAfterMs", "load"],
     failed: ["id", "cause", "ranMs", "load"],
     cancel: ["id"],
@@ -161,7 +164,7 @@
 };
 
 /** Number of the last fields of a kind that a message of an earlier build lacks. */
-const optionalFieldsByKind: { readonly [Kind in LinkMessage["kind"]]?: number; } = { run: 1 };
+const optionalFieldsByKind: { readonly [Kind in LinkMessage["kind"]]?: number; } = { run: 1, answer: 1 };
 
 /** Maximum size of a message, in bytes. */
 const maxMessageBytes = 80_000_000;
@@ -261,6 +264,8 @@
             return encodeLoad(value as LoadReport);
         case "origin":
             return encodeOrigin(value as Origin);
+        case "downstream":
+            return value === undefined ? undefined : encodeDownstream(value as readonly DownstreamCalls[]);
         case "pressure":
             return Math.round(value as number * 100);
         default:
@@ -274,6 +279,8 @@
             return decodeLoad(value);
         case "origin":
             return decodeOrigin(value);
+        case "downstream":
+            return decodeDownstream(value);
         case "pressure":
             return Number(value) / 100;
         default:
@@ -282,11 +289,13 @@
 }
 
 function encodeOrigin(origin: Origin): unknown[] {
-    return [origin.route, origin.priority, origin.isRepeated, origin.depth, origin.servedBefore, origin.customer];
+    const { route, priority, isRepeated, depth, servedBefore, customer, paidAfter } = origin;
+    return [route, priority, isRepeated, depth, servedBefore, customer, paidAfter];
 }
 
 function decodeOrigin(value: unknown): Origin {
-    const [route, priority, isRepeated, depth, servedBefore, customer] = Array.isArray(value) ? value as unknown[] : [];
+    const items = Array.isArray(value) ? value as unknown[] : [];
+    const [route, priority, isRepeated, depth, servedBefore, customer, paidAfter] = items;
     return {
         route: String(route ?? ""),
         priority: Number(priority ?? 0),
@@ -294,17 +303,45 @@
         depth: Number(depth ?? 0),
         servedBefore: Number(servedBefore ?? 0),
         customer: typeof customer === "string" ? customer : undefined,
+        paidAfter: typeof paidAfter === "number" ? paidAfter : undefined,
     };
 }
 
-/** Encodes a load report as an array; the failure share is rounded to whole percent. */
+/** Encodes a load report as an array; shares are rounded to whole percent. */
 function encodeLoad(load: LoadReport): number[] {
-    const { running, waiting, limit, failureShare, isSettled, runMs } = load;
-    return [running, waiting, limit, Math.round(failureShare * 100), isSettled ? 1 : 0, Math.round(runMs)];
+    const { running, waiting, limit, failureShare, isSettled, runMs, shedShare } = load;
+    const percents = [failureShare, shedShare].map(share => Math.round(share * 100));
+    return [running, waiting, limit, percents[0]!, isSettled ? 1 : 0, Math.round(runMs), percents[1]!];
+}
+
+/** Encodes what a run's calls led to; shares are rounded to whole percent, ages to whole milliseconds. */
+function encodeDownstream(downstream: readonly DownstreamCalls[]): unknown[] {
+    return downstream.map(({ service, calls, inRow, shedShare, ageMs }) => [
+        service,
+        calls,
+        inRow,
+        Math.round(shedShare * 100),
+        Math.round(ageMs),
+    ]);
+}
+
+/** Decodes what a run's calls led to; `undefined` if an earlier build sent the answer. */
+function decodeDownstream(value: unknown): readonly DownstreamCalls[] | undefined {
+    if (!Array.isArray(value)) {
+        return undefined;
+    }
+    return value.filter(Array.isArray).map(([service, calls, inRow, percent, ageMs]) => ({
+        service: String(service),
+        calls: Number(calls),
+        inRow: Number(inRow),
+        shedShare: Number(percent) / 100,
+        ageMs: Number(ageMs),
+    }));
 }
 
 function decodeLoad(value: unknown): LoadReport {
-    const [running, waiting, limit, percent, settled, runMs] = Array.isArray(value) ? value as number[] : [];
+    const items = Array.isArray(value) ? value as number[] : [];
+    const [running, waiting, limit, percent, settled, runMs, shedPercent] = items;
     return {
         running: running ?? 0,
         waiting: waiting ?? 0,
@@ -312,5 +349,7 @@
         failureShare: (percent ?? 0) / 100,
         isSettled: settled !== 0,
         runMs: runMs ?? 0,
+        // An earlier build reports none.
+        shedShare: (shedPercent ?? 0) / 100,
     };
 }
--- a/src/process/endpoint/endpointRunner.ts
+++ b/src/process/endpoint/endpointRunner.ts
@@ -17,6 +17,8 @@
 import { RunQueue } from "../load/runQueue.js";
 import type { RunInProgress, RunsInProgress } from "../load/runsInProgress.js";
 import { RunTimeMonitor } from "../load/runTimeMonitor.js";
+import type { DownstreamCalls } from "../load/sheddingLevels.js";
+import { SheddingMonitor } from "../load/sheddingMonitor.js";
 import type { Logger } from "../telemetry/logger.js";
 import type { CrashDetector } from "./crashDetector.js";
 import type { EndpointState } from "./endpointState.js";
@@ -61,6 +63,8 @@
     readonly recordLeaving: (endpointId: string) => void;
     /** Called with the limit that an answer of an endpoint's process names, if any, in requests per second. */
     readonly recordNamedLimit: (endpointId: string, perSecond: number | undefined) => void;
+    /** Lists what the calls of a run led to, if answers are to tell; `undefined` if they are not. */
+    readonly listDownstream?: ((run: RunInProgress) => readonly DownstreamCalls[]) | undefined;
     /** Whether it is known what earlier processes of this node knew of the endpoint. */
     readonly isRestored: () => boolean;
     /** Whether this node is stopping and gives the endpoint no more work. */
@@ -81,6 +85,7 @@
     /** Timer of the next run that the pace holds up. */
     private paceTimer: Timer | undefined;
     private readonly runTimes: RunTimeMonitor;
+    private readonly shedding: SheddingMonitor;
     private failureShare = 0;
     private failureShareAt = 0;
 
@@ -88,6 +93,7 @@
         this.pacer = new RunPacer(dependencies.clock);
         this.queue = new RunQueue(this.pacer);
         this.runTimes = new RunTimeMonitor(dependencies.clock);
+        this.shedding = new SheddingMonitor(dependencies.clock);
     }
 
     /** Load of the endpoint, as reported to the nodes that choose among instances. */
@@ -100,6 +106,7 @@
             failureShare: this.computeFailureShare(),
             isSettled: this.dependencies.isSettled(),
             runMs: this.runTimes.getAverageMs(),
+            shedShare: this.shedding.getShare(),
         };
     }
 
@@ -322,6 +329,7 @@
 
     private readAnswer(request: RunRequest, answer: EndpointAnswer, runMs: number, run: RunInProgress): RunOutcome {
         const { status, headers, body, metadata: facts } = answer;
+        this.recordShedding(facts.isNotRun, status);
         if (facts.isNotRun || status === 421) {
             return this.refuse(request, "shed", this.estimateRetryAfterMs());
         }
@@ -340,9 +348,17 @@
             waitedMs: run.getWaitedMs(),
             behind: run.getDownstreamProblem(),
             pressure: run.getDownstreamUtilisation(),
+            downstream: this.dependencies.listDownstream?.(run),
         };
     }
 
+    /** An endpoint that names a limit, leaves or is another one rejects for that reason, which is known otherwise. */
+    private recordShedding(isNotRun: boolean, status: number): void {
+        if (status !== 421 && this.dependencies.endpoint.getNamedLimit() === undefined) {
+            this.shedding.record(isNotRun, this.queue.getRunning() / Math.max(1, this.queue.getLimit()));
+        }
+    }
+
     private endRun(request: RunRequest, outcome: RunOutcome, heldMs: number): void {
         const hasRunTime = outcome.kind !== "refused";
         this.queue.release(request.route, hasRunTime ? heldMs : undefined);
--- a/src/process/load/placement.ts
+++ b/src/process/load/placement.ts
@@ -12,12 +12,15 @@
  * - Hundreds of nodes, each with few requests: instances with a recent load are preferred to those of which nothing is
  *   known.
  * - A new instance: while its run times are long, its measured slowness raises its cost, so its slots fill slowly.
+ * - An instance whose endpoint turns part of its requests away though it has room, while others don't: it is avoided by its
+ *   share, and gets some again when that decays. If all do so alike, nothing changes.
  * - Nodes that are stopped and started in turn: instances whose nodes stay up are preferred.
  */
 import type { LoadReport } from "../../connection/linkMessage.js";
 import type { InstanceRecord } from "../../version/instanceRecord.js";
 import type { Clock } from "../base/clock.js";
 import type { Random } from "../base/random.js";
+import type { ShedLevel } from "./sheddingLevels.js";
 
 /** Weight of a new sample in the average slowness of an instance. */
 const slownessWeight = 0.1;
@@ -51,6 +54,11 @@
  * runs are lost more often there than elsewhere.
  */
 const unstableCost = 0.7;
+/**
+ * Cost of an instance whose endpoint turns everything away though it has room, above the instance that does so least, as a
+ * multiple of an instance's capacity; in proportion if it turns away a part.
+ */
+const shedCost = 6;
 /** Half-life of an instance's measured slowness, in milliseconds. */
 const slownessHalfLifeMs = 3000;
 
@@ -87,12 +95,13 @@
     choose(records: readonly InstanceRecord[], tried: ReadonlySet<string>): InstanceRecord | undefined {
         const now = this.clock.readMonotonic();
         const usualRunMs = this.computeUsualRunMs(records, now);
+        const leastShedShare = this.findLeastShedShare(records, now);
         let best: InstanceRecord | undefined;
         let bestCost = Infinity;
         for (const record of records) {
             if (!tried.has(record.address) && this.isAcceptingWork(record, now)) {
                 // The random part, up to 0.02, decides between instances of about the same cost.
-                const cost = this.computeCost(record, now, usualRunMs) + this.random() * 0.02;
+                const cost = this.computeCost(record, now, usualRunMs, leastShedShare) + this.random() * 0.02;
                 if (cost < bestCost) {
                     best = record;
                     bestCost = cost;
@@ -180,6 +189,24 @@
         return capacity === 0 ? 0 : requests / capacity;
     }
 
+    /**
+     * Share that a service turns away with room to spare at these instances: the lower quartile, since those that turn away
+     * least are chosen as long as they have room, and their measurements scatter. `undefined` if no recent load is known.
+     */
+    findShedLevel(records: readonly InstanceRecord[]): Omit<ShedLevel, "service"> | undefined {
+        const now = this.clock.readMonotonic();
+        const levels: Omit<ShedLevel, "service">[] = [];
+        for (const { address } of records) {
+            const stats = this.statsByAddress.get(address);
+            const load = stats === undefined ? undefined : this.findRecentLoad(stats, now);
+            if (load !== undefined && load.limit > 0) {
+                levels.push({ shedShare: load.shedShare, ageMs: now - stats!.loadReceivedAt });
+            }
+        }
+        levels.sort((a, b) => a.shedShare - b.shedShare);
+        return levels[Math.floor((levels.length - 1) / 4)];
+    }
+
     /** Average run time of a route over all instances, in milliseconds; `undefined` before the first run. */
     getAverageRunMs(route: string): number | undefined {
         return this.averageRunMsByRoute.get(route);
@@ -200,7 +227,12 @@
         return load.limit > 0;
     }
 
-    private computeCost(record: InstanceRecord, now: number, usualRunMs: number): number {
+    private computeCost(
+        record: InstanceRecord,
+        now: number,
+        usualRunMs: number,
+        leastShedShare: number,
+    ): number {
         const stats = this.statsByAddress.get(record.address);
         const isLocal = record.dataCentre === this.dataCentre;
         const isOwn = record.address === this.address;
@@ -218,7 +250,8 @@
         const slownessCost = utilisation * slowness + Math.max(0, slowness - 1.5) * 0.5;
         const stateCost = load === undefined
             ? unknownLoadCost
-            : load.failureShare * failureCost + (load.isSettled ? 0 : unstableCost);
+            : load.failureShare * failureCost + (load.isSettled ? 0 : unstableCost)
+                + Math.max(0, load.shedShare - leastShedShare) * shedCost;
         return slownessCost + stateCost + distanceCost;
     }
 
@@ -237,6 +270,19 @@
         return own > reported * ownSlownessFactor ? own : reported;
     }
 
+    /** Smallest share that an instance turns away with room to spare, by their recent loads; 1 if there are none. */
+    private findLeastShedShare(records: readonly InstanceRecord[], now: number): number {
+        let least = 1;
+        for (const { address } of records) {
+            const stats = this.statsByAddress.get(address);
+            const load = stats === undefined ? undefined : this.findRecentLoad(stats, now);
+            if (load !== undefined && load.limit > 0) {
+                least = Math.min(least, load.shedShare);
+            }
+        }
+        return least;
+    }
+
     /** Median of the run times that the nodes of these instances report, in milliseconds; 0 if none does. */
     private computeUsualRunMs(records: readonly InstanceRecord[], now: number): number {
         const runTimes: number[] = [];
--- a/src/process/load/runsInProgress.ts
+++ b/src/process/load/runsInProgress.ts
@@ -8,6 +8,7 @@
  * An attempt is one client's request or one call while it is routed. It may be sent to several instances, and more
  * than one of them may run it.
  */
+import type { DownstreamCalls, ShedLevel } from "./sheddingLevels.js";
 
 /** The client's request, from outside, that a run or call descends from, and its place in the calls below it. */
 export interface Origin {
@@ -23,6 +24,24 @@
     readonly depth: number;
     /** Calls of the same run that were served before this one. */
     readonly servedBefore: number;
+    /**
+     * Calls of one run that must be served before its repeats at a shedding service are paid for; `undefined` if the
+     * client's request has no such plan. See `chainAdmission.ts`.
+     */
+    readonly paidAfter?: number | undefined;
+}
+
+/** Calls of a run, and of the runs below it, to one service. */
+interface ServiceCalls {
+    /** Calls of this run itself. */
+    own: number;
+    /** Calls of the runs below. */
+    below: number;
+    /** Calls of the run below that made the most. */
+    inRowBelow: number;
+    shedShare: number;
+    /** When the share was measured, on the monotonic clock. */
+    measuredAt: number;
 }
 
 /** What the calls of a run met downstream: no problem, an overloaded service (`crowd`), or another failure. */
@@ -40,6 +59,7 @@
     private waitedMs = 0;
     private servedCalls = 0;
     private downstreamUtilisation = 0;
+    private readonly callsByService = new Map<string, ServiceCalls>();
 
     constructor(readonly origin: Origin) {}
 
@@ -72,6 +92,39 @@
             this.downstreamProblem = problem;
         }
     }
+
+    /** Records a call of the run to a service, with the level that is known of it, and what the call itself led to. */
+    recordCallTo(called: ShedLevel, below: readonly DownstreamCalls[], now: number): void {
+        this.getServiceCalls(called, now).own += 1;
+        for (const each of below) {
+            const calls = this.getServiceCalls(each, now);
+            calls.below += each.calls;
+            calls.inRowBelow = Math.max(calls.inRowBelow, each.inRow);
+        }
+    }
+
+    /** What the calls of the run led to so far. */
+    listDownstreamCalls(now: number): readonly DownstreamCalls[] {
+        return [...this.callsByService].map(([service, { own, below, inRowBelow, shedShare, measuredAt }]) => ({
+            service,
+            calls: own + below,
+            inRow: Math.max(own, inRowBelow),
+            shedShare,
+            ageMs: now - measuredAt,
+        }));
+    }
+
+    /** Finds the calls to a service, with the newest level that was reported with them. */
+    private getServiceCalls({ service, shedShare, ageMs }: ShedLevel, now: number): ServiceCalls {
+        const measuredAt = now - ageMs;
+        const calls = this.callsByService.get(service) ?? { own: 0, below: 0, inRowBelow: 0, shedShare, measuredAt };
+        this.callsByService.set(service, calls);
+        if (measuredAt >= calls.measuredAt) {
+            calls.shedShare = shedShare;
+            calls.measuredAt = measuredAt;
+        }
+        return calls;
+    }
 }
 
 /** Runs in progress by the id of their attempt. */
--- a/src/process/load/serviceRetryBudget.ts
+++ b/src/process/load/serviceRetryBudget.ts
@@ -46,14 +46,39 @@
 /** Retries that {@link ServiceCounts.earnedForNew} may hold, in addition to the part of the slack. */
 const extraEarnedForNew = 4;
 
+/**
+ * Part of the budget that requests may use whose repeats were not planned at their entry, for each call that was served
+ * before, and its upper bound: what the planned ones leave goes to those that are furthest.
+ */
+const unplannedCallShare = 0.15;
+const maxUnplannedShare = 0.45;
+/** Part of the budget that less urgent planned repeats may use: where the estimate was too high, they fail first. */
+const plannedLessUrgentShare = 0.7;
+
+/**
+ * What decides on the part of the budget that a request may use; `isPlanned`: whether its entry node planned this repeat,
+ * `undefined` if it planned none for or against the request.
+ */
+export type RetryOrigin = Pick<Origin, "priority" | "servedBefore"> & { readonly isPlanned?: boolean | undefined; };
+
 /** Part of the budget that a request may use, by its priority and the work that was spent on it. */
-function computeUsableShare(origin: Pick<Origin, "priority" | "servedBefore">): number {
+function computeUsableShare(origin: RetryOrigin): number {
+    if (origin.isPlanned !== undefined) {
+        return computePlannedShare(origin, origin.isPlanned) * newRetryShare;
+    }
     const share = origin.priority === 0
         ? 1
         : Math.min(maxLessUrgentShare, lessUrgentShare + servedCallShare * origin.servedBefore);
     return share * newRetryShare;
 }
 
+function computePlannedShare({ priority, servedBefore }: RetryOrigin, isPlanned: boolean): number {
+    if (!isPlanned) {
+        return Math.min(maxUnplannedShare, unplannedCallShare * servedBefore);
+    }
+    return priority === 0 ? 1 : plannedLessUrgentShare;
+}
+
 /** Requests and retries to one service. */
 interface ServiceCounts {
     /** Counts by slice, at its index modulo {@link keptSlices}. */
@@ -122,7 +147,7 @@
     }
 
     /** Takes one retry; `false` when the part of the budget that the request may use is used up. */
-    takeRetry(service: string, origin: Pick<Origin, "priority" | "servedBefore">): boolean {
+    takeRetry(service: string, origin: RetryOrigin): boolean {
         const counts = this.getCounts(service);
         const share = computeUsableShare(origin);
         const earned = Math.min(1, counts.earned, counts.earnedForNew * share);
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -23,6 +23,7 @@
 import { EndpointState } from "../endpoint/endpointState.js";
 import { Quarantine } from "../endpoint/quarantine.js";
 import { RemoteRuns } from "../endpoint/remoteRuns.js";
+import { ChainAdmission, isRepeatScarce } from "../load/chainAdmission.js";
 import { EntryThrottle } from "../load/entryThrottle.js";
 import { InstanceSelector } from "../load/instanceSelector.js";
 import { LoadRefresher } from "../load/loadRefresher.js";
@@ -30,6 +31,8 @@
 import { RunsInProgress } from "../load/runsInProgress.js";
 import type { RetryLimits } from "../load/serviceRetryBudget.js";
 import { ServiceRetryBudget } from "../load/serviceRetryBudget.js";
+import type { ShedLevel } from "../load/sheddingLevels.js";
+import { SheddingLevels } from "../load/sheddingLevels.js";
 import { WeightedRoundRobin } from "../load/weightedRoundRobin.js";
 import { ClusterState } from "../membership/clusterState.js";
 import { InstanceSubsets } from "../membership/instanceSubset.js";
@@ -75,6 +78,8 @@
     private readonly links: PeerLinks;
     private readonly linkServer: LinkServer;
     private readonly retryBudget: ServiceRetryBudget;
+    /** Levels of services that shed, and the plans that follow; `undefined` where chains are not planned. */
+    private readonly chains: { readonly levels: SheddingLevels; readonly admission: ChainAdmission; } | undefined;
     private readonly inFlightRequests: InFlightRequests;
     private readonly listeners: RoutedListeners;
     /**
@@ -85,6 +90,8 @@
     /** Time of the start on the monotonic clock, in milliseconds. */
     private readonly startedAt: number;
     private graceMs: number;
+    /** Retries that the bound allows for each request. */
+    private retryRatio: number;
     private isStopping = false;
     /** Whether the endpoint gets no new runs, since this process ends soon. */
     private isEndpointClosed = false;
@@ -97,6 +104,7 @@
     ) {
         const { address, dataCentre, bounds, endpoint } = settings;
         this.graceMs = bounds.graceSeconds * 1000;
+        this.retryRatio = bounds.retryRatio;
         this.startedAt = clock.readMonotonic();
         // One task for each peer listens to this signal, more than the default limit of listeners allows.
         setMaxListeners(0, this.stopController.signal);
@@ -106,6 +114,7 @@
         this.crashFlood = new CrashFlood(this.quarantine, report => this.postToOwnService(report));
         this.endpoint = new EndpointState(clock);
         this.pool = new EndpointConnectionPool(clock, endpoint.address.host, endpoint.address.port, platform.dialect);
+        this.chains = hasPlannedChains(settings.chains) ? this.createChains() : undefined;
         this.runner = this.createRunner();
         this.remoteRuns = new RemoteRuns(clock, this.runner);
         const isReachable = (peer: string): boolean => peer === address || this.links.isReachable(peer);
@@ -197,6 +206,7 @@
     /** Applies changed settings. Only `bounds` take effect while the process runs; all others need a restart. */
     applySettings(settings: RoutedSettings): void {
         this.graceMs = settings.bounds.graceSeconds * 1000;
+        this.retryRatio = settings.bounds.retryRatio;
         this.retryBudget.setLimits(createRetryLimits(settings.bounds));
     }
 
@@ -275,9 +285,38 @@
             isRestored: () => this.endpointLifecycle.isRestored(),
             isEndpointClosed: () => this.isEndpointClosed,
             isSettled: () => this.isSettled(),
+            listDownstream: this.chains === undefined
+                ? undefined
+                : run => run.listDownstreamCalls(clock.readMonotonic()),
         });
     }
 
+    /** Share that a service turns away though it has room, if it is so large that repeats are scarce; otherwise 0. */
+    private findScarceShedShare(service: string): number {
+        this.learnShedLevel(service);
+        const share = this.chains?.levels.getShedShare(service) ?? 0;
+        return isRepeatScarce(share, this.retryRatio) ? share : 0;
+    }
+
+    private createChains(): { readonly levels: SheddingLevels; readonly admission: ChainAdmission; } {
+        const { clock, logger } = this;
+        const levels = new SheddingLevels(clock, ({ service, shedShare, ageMs }) => {
+            logger.info("shedLevelChanged", { service, share: shedShare.toFixed(2), ageMs: Math.round(ageMs) });
+        });
+        return { levels, admission: new ChainAdmission(clock, Math.random, levels, () => this.retryRatio) };
+    }
+
+    /** Learns the level of a service by the loads that its instances have reported here. */
+    private learnShedLevel(service: string): ShedLevel | undefined {
+        const found = this.placement.findShedLevel(this.clusterState.registry.listForService(service));
+        if (found === undefined) {
+            return undefined;
+        }
+        const level = { service, ...found };
+        this.chains?.levels.learn(level);
+        return level;
+    }
+
     /**
      * Whether this process is neither stopping nor just restarted. Other nodes prefer instances for which it is true.
      */
@@ -304,6 +343,9 @@
                 placement,
                 instanceSelector: this.createInstanceSelector(),
                 retryBudget,
+                getShedShare: this.chains === undefined
+                    ? undefined
+                    : called => this.findScarceShedShare(called),
                 sender: new Sender({
                     clock,
                     address,
@@ -318,6 +360,12 @@
             entryThrottle: new EntryThrottle(clock, Math.random),
             findUtilisation: serviceName => placement.computeUtilisation(registry.listForService(serviceName)),
             isStopping: () => this.isStopping,
+            chains: this.chains === undefined
+                ? undefined
+                : {
+                    admission: this.chains.admission,
+                    learnLevel: serviceName => this.learnShedLevel(serviceName),
+                },
         };
     }
 
@@ -473,6 +521,16 @@
             "Requests that may run at once.",
             () => runner.getLoad().limit,
         );
+        metrics.addGauge(
+            "endpoint_shed_share",
+            "Share of the recent requests that the endpoint turned away with room to spare.",
+            () => runner.getLoad().shedShare,
+        );
+        metrics.addGauge(
+            "chain_budget_correction",
+            "Factor on the estimated repeats for requests through shedding services; 1 where none are planned.",
+            () => this.chains?.admission.getCorrection() ?? 1,
+        );
         metrics.addGauge(
             "endpoint_named_limit",
             "Requests a second that the endpoint says it takes; -1 if it names no limit.",
@@ -481,6 +539,11 @@
     }
 }
 
+/** Whether requests through shedding services are planned in this deployment. */
+function hasPlannedChains({ plannedFor, contracts }: RoutedSettings["chains"]): boolean {
+    return plannedFor.length > 0 && plannedFor.every(name => contracts.includes(name));
+}
+
 function createRetryLimits(bounds: RoutedSettings["bounds"]): RetryLimits {
     return {
         ratio: bounds.retryRatio,
--- a/src/process/settings/routedSettings.ts
+++ b/src/process/settings/routedSettings.ts
@@ -51,6 +51,19 @@
         /** Length of the window in which requests and retries are counted. */
         retryWindowSeconds: v.pipe(v.number(), v.minValue(0.1)),
     }),
+    /**
+     * Whether requests whose calls lead to a service that turns work away with room to spare are planned at their entry
+     * node: they are if the deployment has contracts, and all that are listed here are among them.
+     */
+    chains: v.optional(
+        v.strictObject({
+            /** Contracts of the deployment for which requests are planned; none if it is empty. */
+            plannedFor: v.array(shortTextSchema),
+            /** Contracts that are in force in the deployment. */
+            contracts: v.array(shortTextSchema),
+        }),
+        { plannedFor: [], contracts: [] },
+    ),
     logging: v.optional(v.strictObject({ level: v.optional(v.picklist(logLevels), "info") }), {}),
 });
 
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -6,7 +6,10 @@
  * service.
  *
  * Load pattern handled: endpoints that refuse a large part of the requests though they have room. Once a request has
- * reached as many endpoints as its route allows, it is offered to the same ones again, within the retry budget.
+ * reached as many endpoints as its route allows, it is offered to the same ones again, within the retry budget. Where
+ * chains are planned (`chainAdmission.ts`), a call whose repeats are paid for is offered until it is hardly likely to have been
+ * rejected each time, and to an endpoint other than the one that just rejected it: a rejected request has not run, so that it
+ * still runs at one endpoint only.
  */
 import type { Clock } from "../process/base/clock.js";
 import type { InstanceSelector } from "../process/load/instanceSelector.js";
@@ -14,6 +17,7 @@
 import type { RunOutcome } from "../process/load/runOutcome.js";
 import type { DownstreamProblem } from "../process/load/runsInProgress.js";
 import type { ServiceRetryBudget } from "../process/load/serviceRetryBudget.js";
+import type { DownstreamCalls } from "../process/load/sheddingLevels.js";
 import type { Logger } from "../process/telemetry/logger.js";
 import type { InstanceRecord } from "../version/instanceRecord.js";
 import type { HeaderList } from "./headers.js";
@@ -24,6 +28,8 @@
 const maxCapacityRefusals = 3;
 /** Sends of one request to instances whose endpoints refused it before. */
 const maxRepeatedOffers = 4;
+/** Chance of being rejected at each of its offers that a planned request has left. */
+const leftRejectionChance = 0.01;
 /** Retry-after delay when no instance accepts requests, in milliseconds. */
 const noInstanceRetryMs = 400;
 
@@ -40,6 +46,8 @@
         readonly behind: DownstreamProblem;
         /** Utilisation of the busiest downstream service; above 1 if requests are queued there. */
         readonly pressure: number;
+        /** Services that the run's calls led to, if its node tells. */
+        readonly downstream?: readonly DownstreamCalls[] | undefined;
     }
     /** No send of the request has run or can still run. */
     | { readonly kind: "refused"; readonly cause: string; readonly retryAfterMs: number; }
@@ -65,6 +73,11 @@
     /** Retry budget of each service. */
     readonly retryBudget: ServiceRetryBudget;
     readonly sender: Pick<Sender, "send">;
+    /**
+     * Returns the share that a service turns away though it has room, if repeats at it are scarce, and 0 otherwise; left out
+     * where chains are not planned.
+     */
+    readonly getShedShare?: ((service: string) => number) | undefined;
 }
 
 /** State of one request over its sends. */
@@ -124,9 +137,14 @@
 
     private async selectInstance(call: RoutedCall, progress: ForwardProgress): Promise<InstanceRecord | undefined> {
         const { instanceSelector, placement } = this.dependencies;
-        return progress.repeatedOffers > 0
-            ? placement.choose(progress.shedBy, new Set())
-            : instanceSelector.select(call.service, progress.tried);
+        if (progress.repeatedOffers === 0) {
+            return instanceSelector.select(call.service, progress.tried);
+        }
+        const last = progress.shedBy[progress.shedBy.length - 1]!;
+        const other = this.dependencies.getShedShare !== undefined
+            ? instanceSelector.selectAtOnce(call.service, new Set([last.address]))
+            : undefined;
+        return other ?? placement.choose(progress.shedBy, new Set());
     }
 
     private chooseHedgeInstance(
@@ -207,15 +225,24 @@
     }
 
     private takeRetry(call: RoutedCall, runs: number): boolean {
-        return runs < call.route.maxRuns && this.dependencies.retryBudget.takeRetry(call.service, call.origin);
+        return runs < call.route.maxRuns && this.takeFromBudget(call);
+    }
+
+    private takeFromBudget(call: RoutedCall): boolean {
+        const isPlanned = this.getShedShare(call) === 0 ? undefined : isPaidFor(call);
+        return this.dependencies.retryBudget.takeRetry(call.service, { ...call.origin, isPlanned });
+    }
+
+    private getShedShare(call: RoutedCall): number {
+        return this.dependencies.getShedShare?.(call.service) ?? 0;
     }
 
     /** Takes one more offer to the instances that refused the request, if all that its route allows have done so. */
     private takeRepeatedOffer(call: RoutedCall, progress: ForwardProgress): boolean {
         const haveAllRefused = progress.runs >= call.route.maxRuns && progress.failure === undefined;
         if (
-            !haveAllRefused || progress.repeatedOffers >= maxRepeatedOffers
-            || !this.dependencies.retryBudget.takeRetry(call.service, call.origin)
+            !haveAllRefused || progress.repeatedOffers >= this.computeMaxRepeatedOffers(call)
+            || !this.takeFromBudget(call)
         ) {
             return false;
         }
@@ -223,6 +250,13 @@
         return true;
     }
 
+    private computeMaxRepeatedOffers(call: RoutedCall): number {
+        const shedShare = this.getShedShare(call);
+        return shedShare === 0 || !isPaidFor(call)
+            ? maxRepeatedOffers
+            : Math.max(maxRepeatedOffers, Math.ceil(Math.log(leftRejectionChance) / Math.log(shedShare)));
+    }
+
     private logFurtherSend(
         event: "placedAgain" | "hedged",
         call: RoutedCall,
@@ -247,6 +281,11 @@
     return { outcome: { kind: "refused", cause, retryAfterMs }, instance: undefined, sends: 0, runs: 0 };
 }
 
+/** Whether the entry node planned the repeats of a call. */
+function isPaidFor({ origin }: RoutedCall): boolean {
+    return origin.paidAfter !== undefined && origin.servedBefore >= origin.paidAfter;
+}
+
 function describeCause(outcome: RunOutcome): string {
     return outcome.kind === "answer" ? String(outcome.status) : outcome.cause;
 }
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -2,9 +2,11 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Cancellation } from "../process/base/cancellation.js";
 import type { Clock } from "../process/base/clock.js";
+import type { ChainAdmission, ChainPlan } from "../process/load/chainAdmission.js";
 import type { EntryThrottle } from "../process/load/entryThrottle.js";
 import type { DownstreamProblem, Origin, RunInProgress, RunsInProgress } from "../process/load/runsInProgress.js";
 import { overloadedWaitShare } from "../process/load/runsInProgress.js";
+import type { ShedLevel } from "../process/load/sheddingLevels.js";
 import type { WeightedRoundRobin } from "../process/load/weightedRoundRobin.js";
 import type { Logger } from "../process/telemetry/logger.js";
 import type { RoutedMetrics } from "../process/telemetry/routedMetrics.js";
@@ -57,6 +59,12 @@
     /** Returns the share of a service's concurrency limit that is in use, as far as it is known here. */
     readonly findUtilisation: (service: string) => number;
     readonly isStopping: () => boolean;
+    /** Plans of requests through services that shed; `undefined` where chains are not planned. */
+    readonly chains?: {
+        readonly admission: ChainAdmission;
+        /** Learns and returns the level of a service that this node calls itself; `undefined` if none is known. */
+        readonly learnLevel: (service: string) => ShedLevel | undefined;
+    } | undefined;
 }
 
 /** A request whose body was read and whose route was found. */
@@ -72,6 +80,8 @@
     readonly parent: RunInProgress | undefined;
     /** Customer whose key came with the request; `undefined` for a call of a run or without a key. */
     readonly customer: Customer | undefined;
+    /** Plan of a request through a shedding service. */
+    readonly plan?: ChainPlan | undefined;
 }
 
 /**
@@ -156,7 +166,23 @@
         });
         return;
     }
-    await forwardRequest(dependencies, routedRequest, metadata.attemptId);
+    const priority = customer?.priority ?? route.priority;
+    const decision = parent === undefined ? dependencies.chains?.admission.decide(route.name, priority) : undefined;
+    if (decision?.kind === "refuse") {
+        const refusal = { kind: "refused", cause: "shedBehind", retryAfterMs: overloadedRetryMs } as const;
+        const status = sendOutcome(dependencies, response, routedRequest, refusal);
+        dependencies.metrics.recordRequestOutcome(route.name, "refused", refusal.cause, 0);
+        logRequest(dependencies, "refused", {
+            request: metadata.attemptId,
+            route: route.name,
+            cause: refusal.cause,
+            behind: decision.service,
+            shedShare: decision.shedShare.toFixed(2),
+            status,
+        });
+        return;
+    }
+    await forwardRequest(dependencies, { ...routedRequest, plan: decision?.plan }, metadata.attemptId);
 }
 
 async function forwardRequest(
@@ -287,6 +313,7 @@
         isRepeated: false,
         depth: 0,
         servedBefore: 0,
+        paidAfter: routedRequest.plan?.paidAfter,
     };
 }
 
@@ -301,6 +328,7 @@
     if (routedRequest.parent !== undefined) {
         const knownUtilisation = Math.max(utilisation, dependencies.findUtilisation(call.service));
         routedRequest.parent.recordCall(describeDownstreamProblem(outcome), waitedMs, knownUtilisation);
+        recordCallTo(dependencies, routedRequest.parent, call, outcome);
         return;
     }
     // Only an error answer can count as overload: for a refusal or a failure, `waitedMs` is 0.
@@ -313,6 +341,22 @@
         { isOverloaded, utilisation },
         routedRequest.startedAt,
     );
+    const downstream = outcome.kind === "answer" ? outcome.downstream ?? [] : [];
+    dependencies.chains?.admission.recordAnswer(call.route.name, downstream, !hasFailed, routedRequest.plan);
+}
+
+/** Reports to the run that made a call which services it led to, and how much of their work they turn away. */
+function recordCallTo(
+    { chains, clock }: RoutedEntryDependencies,
+    run: RunInProgress,
+    call: RoutedCall,
+    outcome: ForwardOutcome,
+): void {
+    if (chains === undefined) {
+        return;
+    }
+    const called = chains.learnLevel(call.service) ?? { service: call.service, shedShare: 0, ageMs: Infinity };
+    run.recordCallTo(called, outcome.kind === "answer" ? outcome.downstream ?? [] : [], clock.readMonotonic());
 }
 
 /** Describes the problem that a call met: "crowd" means that the called service or one downstream was overloaded. */
@@ -351,6 +395,7 @@
         cause,
         ms: Math.round(elapsedMs),
         timeoutMs: Math.round(call.deadline - routedRequest.startedAt),
+        paidAfter: call.origin.paidAfter,
     });
 }
 
--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -189,7 +189,15 @@
     const near = createRecord("10.0.0.1", { dataCentre: "klaten" });
     const near2 = createRecord("10.0.0.2", { dataCentre: "klaten" });
     const far = createRecord("10.0.0.3", { dataCentre: "jepara" });
-    const idle: LoadReport = { running: 0, waiting: 0, limit: 10, failureShare: 0, isSettled: true, runMs: 0 };
+    const idle: LoadReport = {
+        running: 0,
+        waiting: 0,
+        limit: 10,
+        failureShare: 0,
+        isSettled: true,
+        runMs: 0,
+        shedShare: 0,
+    };
     const cases: readonly {
         readonly name: string;
         readonly play: (placement: Placement, clock: FakeClock) => void;
--- a/test/routed/deploy.test.ts
+++ b/test/routed/deploy.test.ts
@@ -67,6 +67,7 @@
         listen: { outbound: "10.1.0.8:8304", ready: "10.1.0.8:8302", control: "10.1.0.8:8306" },
         port_range: [7620, 7635],
         platform: { address: "10.200.1.7:8309" },
+        contracts: ["base", "pressure"],
         bounds: { grace: 6, budget_ratio: 0.2, budget_slack: 49, budget_window: 10 },
     };
 
--- a/test/routed/fleetPlacement.test.ts
+++ b/test/routed/fleetPlacement.test.ts
@@ -180,6 +180,7 @@
             failureShare: 0,
             isSettled: true,
             runMs: this.monitors.get(address)!.getAverageMs(),
+            shedShare: 0,
         };
     }
 }
--- a/test/routed/linkMessage.test.ts
+++ b/test/routed/linkMessage.test.ts
@@ -6,7 +6,7 @@
 import { encodeMessage, MessageReader } from "../../src/connection/linkMessage.js";
 import { readPropertyOptions } from "../fakes.js";
 
-const load = { running: 3, waiting: 1, limit: 9, failureShare: 0.25, isSettled: false, runMs: 42 };
+const load = { running: 3, waiting: 1, limit: 9, failureShare: 0.25, isSettled: false, runMs: 42, shedShare: 0.5 };
 const samples: readonly LinkMessage[] = [
     {
         kind: "run",
@@ -21,7 +21,15 @@
         headers: ["Host", "katalog.example"],
         body: Buffer.from("body"),
         isIdempotent: true,
-        origin: { route: "r", priority: 2, isRepeated: true, depth: 3, servedBefore: 2, customer: "weavers" },
+        origin: {
+            route: "r",
+            priority: 2,
+            isRepeated: true,
+            depth: 3,
+            servedBefore: 2,
+            customer: "weavers",
+            paidAfter: 2,
+        },
         timeLeftMs: 812.5,
         targetLeftMs: -3,
         callerService: "ekspor",
@@ -38,6 +46,7 @@
         behind: "crowd",
         pressure: 1.25,
         load,
+        downstream: [{ service: "mutu", calls: 8, inRow: 4, shedShare: 0.55, ageMs: 120 }],
     },
     { kind: "refused", id: 2, cause: "full", retryAfterMs: 12, load },
     { kind: "failed", id: 3, cause: "reset", ranMs: 1, load },
--- /dev/null
+++ b/test/routed/sheddingReplay.ts
@@ -0,0 +1,154 @@
+/** Replay of chains of calls through a service that turns work away with room to spare, in virtual time. */
+import { ChainAdmission, isRepeatScarce } from "../../src/process/load/chainAdmission.js";
+import { ServiceRetryBudget } from "../../src/process/load/serviceRetryBudget.js";
+import { SheddingLevels } from "../../src/process/load/sheddingLevels.js";
+import { SheddingMonitor } from "../../src/process/load/sheddingMonitor.js";
+import type { Random } from "../../standin/random.js";
+import { FakeClock } from "../fakes.js";
+
+/** A kind of request: each makes calls to the deep service, four after the other in each branch. */
+export interface ChainKind {
+    readonly name: string;
+    readonly priority: number;
+    readonly worth: number;
+    readonly perSecond: number;
+    readonly branches: number;
+}
+
+/** When and how much the deep service sheds, and what the nodes do about it. Times are in milliseconds. */
+export interface SheddingPlan {
+    readonly shedShare: number;
+    readonly forMs: number;
+    readonly kinds: readonly ChainKind[];
+    /**
+     * `firstCome`: repeats go to whoever asks while the budget lasts. `planned`: the entries choose which calls are paid for,
+     * and refuse what has no chance.
+     */
+    readonly policy: "firstCome" | "planned";
+    readonly random: Random;
+    /** Factor on the rates at a time, from the start. */
+    readonly getRateFactor?: (at: number) => number;
+}
+
+const callsEach = 4;
+const callMs = 86;
+const repeatMs = 3;
+const ownMs = 150;
+const entries = 12;
+const callers = 4;
+export const shedsFromMs = 21_000;
+const windowMs = 10_000;
+const bounds = { ratio: 0.2, slack: 20, windowMs };
+/** Offers of one call. */
+const maxOffers = 5;
+const maxPaidOffers = 22;
+
+/** What became of the requests of a kind that were sent while the service shed. */
+export interface ChainTally {
+    asked: number;
+    served: number;
+    refused: number;
+}
+
+/** Result of a replay. */
+export interface SheddingResult {
+    readonly byKind: ReadonlyMap<string, ChainTally>;
+    /** Worth that was served, as a share of all, while the service shed. */
+    readonly servedWorth: number;
+    /** Repeats while the service shed, and runs at the deep service for requests that failed. */
+    readonly repeats: number;
+    readonly wastedRuns: number;
+}
+
+/** Plays a plan. */
+export function playSheddingPlan(plan: SheddingPlan): SheddingResult {
+    const { kinds, policy, random } = plan;
+    const clock = new FakeClock();
+    const startedAt = clock.readMonotonic();
+    const getAt = (): number => clock.readMonotonic() - startedAt;
+    const endsMs = shedsFromMs + Math.min(plan.forMs, 25_000);
+    const budgets = Array.from({ length: callers }, () => new ServiceRetryBudget(clock, bounds, () => 16, true));
+    const admissions = Array.from(
+        { length: entries },
+        () => new ChainAdmission(clock, random, new SheddingLevels(clock), () => bounds.ratio),
+    );
+    const byKind = new Map(kinds.map(kind => [kind.name, { asked: 0, served: 0, refused: 0 }]));
+    let repeats = 0;
+    let wastedRuns = 0;
+    const monitor = new SheddingMonitor(clock);
+    const isShedding = (): boolean => getAt() >= shedsFromMs && getAt() < shedsFromMs + plan.forMs;
+    const send = (kind: ChainKind): void => {
+        const tally = byKind.get(kind.name)!;
+        const isCounted = isShedding();
+        tally.asked += isCounted ? 1 : 0;
+        const admission = admissions[Math.floor(random() * entries)]!;
+        const decision = admission.decide(kind.name, kind.priority);
+        if (policy === "planned" && decision.kind === "refuse") {
+            tally.refused += isCounted ? 1 : 0;
+            return;
+        }
+        const chainPlan = decision.kind === "begin" ? decision.plan : undefined;
+        const paidAfter = chainPlan?.paidAfter;
+        let left = kind.branches;
+        let hasFailed = false;
+        let runs = 0;
+        const finish = (isServed: boolean): void => {
+            left -= 1;
+            hasFailed ||= !isServed;
+            if (left > 0) {
+                return;
+            }
+            const calls = kind.branches * callsEach;
+            admission.recordAnswer(
+                kind.name,
+                [{ service: "deep", calls, inRow: callsEach, shedShare: monitor.getShare(), ageMs: 100 }],
+                !hasFailed,
+                chainPlan,
+            );
+            tally.served += isCounted && !hasFailed ? 1 : 0;
+            wastedRuns += isCounted && hasFailed ? runs : 0;
+        };
+        const call = (budget: ServiceRetryBudget, served: number, offers: number): void => {
+            if (served === callsEach) {
+                finish(true);
+                return;
+            }
+            if (offers === 0) {
+                budget.recordRequest("deep");
+            }
+            const isShed = isShedding() && random() < plan.shedShare;
+            monitor.record(isShed, 0.3);
+            if (!isShed) {
+                runs += 1;
+                clock.startTimer(callMs * (0.5 + random()), () => call(budget, served + 1, 0));
+                return;
+            }
+            const isScarce = policy !== "firstCome" && isRepeatScarce(monitor.getShare(), bounds.ratio);
+            const isPlanned = isScarce ? paidAfter !== undefined && served >= paidAfter : undefined;
+            const origin = { priority: kind.priority, servedBefore: served, isPlanned };
+            if (offers + 1 < (isPlanned === true ? maxPaidOffers : maxOffers) && budget.takeRetry("deep", origin)) {
+                repeats += 1;
+                clock.startTimer(repeatMs, () => call(budget, served, offers + 1));
+                return;
+            }
+            finish(false);
+        };
+        for (let branch = 0; branch < kind.branches; branch += 1) {
+            const budget = budgets[Math.floor(random() * callers)]!;
+            clock.startTimer(ownMs * (0.5 + random()), () => call(budget, 0, 0));
+        }
+    };
+    const arrive = (kind: ChainKind): void => {
+        if (getAt() < endsMs) {
+            send(kind);
+            const rate = kind.perSecond * (plan.getRateFactor?.(getAt()) ?? 1);
+            clock.startTimer(-Math.log(1 - random() * 0.999) * 1000 / rate, () => arrive(kind));
+        }
+    };
+    kinds.forEach(arrive);
+    clock.addTime(endsMs + 5000);
+    const sumWorth = (read: (tally: ChainTally) => number): number =>
+        kinds.reduce((sum, kind) => sum + kind.worth * read(byKind.get(kind.name)!), 0);
+    const servedWorth = sumWorth(tally => tally.served) / sumWorth(tally => tally.asked);
+    return { byKind, servedWorth, repeats, wastedRuns };
+}
