--- a/src/process/settings/routedSettings.ts
+++ b/src/process/settings/routedSettings.ts
@@ -57,6 +57,19 @@
         /** Requests of a customer that may run in one window in addition. */
         quotaSlack: v.optional(nonNegativeNumberSchema, 0),
     }),
+    /**
+     * Whether requests whose calls lead to a service that turns work away with room to spare are planned at their entry
+     * node: they are if the deployment has contracts, and all that are listed here are among them.
+     */
+    chains: v.optional(
+        v.strictObject({
+            /** Contracts of the deployment for which requests are planned; none if it is empty. */
+            plannedFor: v.array(shortTextSchema),
+            /** Contracts that are in force in the deployment. */
+            contracts: v.array(shortTextSchema),
+        }),
+        { plannedFor: [], contracts: [] },
+    ),
     logging: v.optional(v.strictObject({ level: v.optional(v.picklist(logLevels), "info") }), {}),
 });
 
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -5,9 +5,11 @@
 import type { Clock } from "../process/base/clock.js";
 import type { CustomerQuotas } from "../process/customers/customerQuotas.js";
 import type { SpentUnit } from "../process/customers/unitHolder.js";
+import type { ChainAdmission, ChainPlan } from "../process/load/chainAdmission.js";
 import type { EntryThrottle } from "../process/load/entryThrottle.js";
 import type { DownstreamProblem, Origin, RunInProgress, RunsInProgress } from "../process/load/runsInProgress.js";
 import { overloadedWaitShare } from "../process/load/runsInProgress.js";
+import type { ShedLevel } from "../process/load/sheddingLevels.js";
 import type { WeightedRoundRobin } from "../process/load/weightedRoundRobin.js";
 import type { Logger } from "../process/telemetry/logger.js";
 import type { RoutedMetrics } from "../process/telemetry/routedMetrics.js";
@@ -67,6 +69,12 @@
     /** Limits the requests of customers with a quota. */
     readonly quotas: Pick<CustomerQuotas, "take" | "releaseUnit">;
     readonly isStopping: () => boolean;
+    /** Plans of requests through services that shed; `undefined` where chains are not planned. */
+    readonly chains?: {
+        readonly admission: ChainAdmission;
+        /** Learns and returns the level of a service that this node calls itself; `undefined` if none is known. */
+        readonly learnLevel: (service: string) => ShedLevel | undefined;
+    } | undefined;
 }
 
 /** A request whose body was read and whose route was found. */
@@ -82,6 +90,8 @@
     readonly parent: RunInProgress | undefined;
     /** Customer whose key came with the request; `undefined` for a call of a run or without a key. */
     readonly customer: Customer | undefined;
+    /** Plan of a request through a shedding service. */
+    readonly plan?: ChainPlan | undefined;
 }
 
 /**
@@ -153,31 +163,75 @@
         parent,
         customer,
     };
-    if (parent === undefined && !dependencies.entryThrottle.admit(route.name)) {
-        const refusal = { kind: "refused", cause: "crowdedBehind", retryAfterMs: overloadedRetryMs } as const;
-        const status = sendOutcome(dependencies, response, routedRequest, refusal);
-        dependencies.metrics.recordRequestOutcome(route.name, "refused", refusal.cause, 0);
-        const share = dependencies.entryThrottle.getAdmittedFraction(route.name).toFixed(2);
-        logRequest(dependencies, "refused", {
-            request: metadata.attemptId,
-            route: route.name,
-            customer: customer?.name,
-            version,
-            cause: refusal.cause,
-            share,
-            status,
-        });
+    if (parent !== undefined) {
+        await forwardRequest(dependencies, routedRequest, metadata.attemptId);
+        return;
+    }
+    const admission = admitRequest(dependencies, routedRequest);
+    if (admission.kind === "refuse") {
+        refuseAtEntry(dependencies, routedRequest, admission.cause, admission.fields);
         return;
     }
+    await forwardWithinQuota(dependencies, { ...routedRequest, plan: admission.plan }, metadata.attemptId);
+}
+
+/** Whether a caller's request is begun, by what is known of the services behind its route. */
+type EntryAdmission =
+    | { readonly kind: "begin"; readonly plan: ChainPlan | undefined; }
+    | { readonly kind: "refuse"; readonly cause: string; readonly fields: Readonly<Record<string, string>>; };
+
+function admitRequest(dependencies: RoutedEntryDependencies, { route, customer }: RoutedRequest): EntryAdmission {
+    const { entryThrottle, chains } = dependencies;
+    if (!entryThrottle.admit(route.name)) {
+        const share = entryThrottle.getAdmittedFraction(route.name).toFixed(2);
+        return { kind: "refuse", cause: "crowdedBehind", fields: { share } };
+    }
+    const decision = chains?.admission.decide(route.name, customer?.priority ?? route.priority);
+    if (decision?.kind === "refuse") {
+        const fields = { behind: decision.service, shedShare: decision.shedShare.toFixed(2) };
+        return { kind: "refuse", cause: "shedBehind", fields };
+    }
+    return { kind: "begin", plan: decision?.plan };
+}
+
+/** Refuses a caller's request before any work was spent on it. */
+function refuseAtEntry(
+    dependencies: RoutedEntryDependencies,
+    routedRequest: RoutedRequest,
+    cause: string,
+    fields: Readonly<Record<string, string>>,
+): void {
+    const { response, metadata, route, version, customer } = routedRequest;
+    const refusal = { kind: "refused", cause, retryAfterMs: overloadedRetryMs } as const;
+    const status = sendOutcome(dependencies, response, routedRequest, refusal);
+    dependencies.metrics.recordRequestOutcome(route.name, "refused", cause, 0);
+    logRequest(dependencies, "refused", {
+        request: metadata.attemptId,
+        route: route.name,
+        customer: customer?.name,
+        version,
+        cause,
+        ...fields,
+        status,
+    });
+}
+
+/** Forwards a request with a unit of its customer's quota, and gives the unit back if it ran nowhere. */
+async function forwardWithinQuota(
+    dependencies: RoutedEntryDependencies,
+    routedRequest: RoutedRequest,
+    attemptId: string,
+): Promise<void> {
+    const { customer } = routedRequest;
     if (customer?.quota === undefined) {
-        await forwardRequest(dependencies, routedRequest, metadata.attemptId);
+        await forwardRequest(dependencies, routedRequest, attemptId);
         return;
     }
     const unit = await takeUnit(dependencies, routedRequest, customer.name);
     if (unit === undefined) {
         return;
     }
-    const result = await forwardRequest(dependencies, routedRequest, metadata.attemptId);
+    const result = await forwardRequest(dependencies, routedRequest, attemptId);
     if (result !== "gone" && result.outcome.kind === "refused" && result.runs === 0) {
         dependencies.quotas.releaseUnit(unit);
     }
@@ -391,6 +445,7 @@
         isRepeated: false,
         depth: 0,
         servedBefore: 0,
+        paidAfter: routedRequest.plan?.paidAfter,
     };
 }
 
@@ -405,6 +460,7 @@
     if (routedRequest.parent !== undefined) {
         const knownUtilisation = Math.max(utilisation, dependencies.findUtilisation(call.service));
         routedRequest.parent.recordCall(describeDownstreamProblem(outcome), waitedMs, knownUtilisation);
+        recordCallTo(dependencies, routedRequest.parent, call, outcome);
         return;
     }
     // Only an error answer can count as overload: for a refusal or a failure, `waitedMs` is 0.
@@ -417,6 +473,22 @@
         { isOverloaded, utilisation },
         routedRequest.startedAt,
     );
+    const downstream = outcome.kind === "answer" ? outcome.downstream ?? [] : [];
+    dependencies.chains?.admission.recordAnswer(call.route.name, downstream, !hasFailed, routedRequest.plan);
+}
+
+/** Reports to the run that made a call which services it led to, and how much of their work they turn away. */
+function recordCallTo(
+    { chains, clock }: RoutedEntryDependencies,
+    run: RunInProgress,
+    call: RoutedCall,
+    outcome: ForwardOutcome,
+): void {
+    if (chains === undefined) {
+        return;
+    }
+    const called = chains.learnLevel(call.service) ?? { service: call.service, shedShare: 0, ageMs: Infinity };
+    run.recordCallTo(called, outcome.kind === "answer" ? outcome.downstream ?? [] : [], clock.readMonotonic());
 }
 
 /** Describes the problem that a call met: "crowd" means that the called service or one downstream was overloaded. */
@@ -456,6 +528,7 @@
         cause,
         ms: Math.round(elapsedMs),
         timeoutMs: Math.round(call.deadline - routedRequest.startedAt),
+        paidAfter: call.origin.paidAfter,
     });
 }
 
