Let customers that compete for an endpoint share it, and look through a long queue once

Cause: the run queue knows no customers, so one that sends seven times its usual pushes the others out; and removeLate sums up the queue for each place of it, at each arrival and end.

Change: fairOrder.ts orders waiting requests inside a priority by virtual starts of the customers' shares, weighted by their quotas, with a bounded head start for begun work; within a customer by work spent, then time to the target. It takes part only once a request names a customer. removeLate keeps a running sum.

--- a/src/process/endpoint/endpointRunner.ts
+++ b/src/process/endpoint/endpointRunner.ts
@@ -65,6 +65,8 @@
     readonly isRestored: () => boolean;
     /** Whether this node is stopping and gives the endpoint no more work. */
     readonly isEndpointClosed: () => boolean;
+    /** Weight of a customer among those that compete; 1 is usual. */
+    readonly findCustomerWeight: (customer: string) => number;
     /** Whether this node is stable: it has run for a while and is not about to stop. */
     readonly isSettled: () => boolean;
 }
@@ -86,7 +88,7 @@
 
     constructor(private readonly dependencies: EndpointRunnerDependencies) {
         this.pacer = new RunPacer(dependencies.clock);
-        this.queue = new RunQueue(this.pacer);
+        this.queue = new RunQueue(this.pacer, dependencies.findCustomerWeight);
         this.runTimes = new RunTimeMonitor(dependencies.clock);
     }
 
@@ -191,9 +193,9 @@
         // If the request has to wait, `endWait` is set below to the function that resolves `waitEnd`.
         let endWait: (refusal: RefusalCause | undefined) => void = () => undefined;
         const { origin, route, deadline, target } = request;
-        const { depth, servedBefore, priority } = origin;
+        const { depth, servedBefore, priority, customer } = origin;
         const settleWait = (refusal: RefusalCause | undefined): void => endWait(refusal);
-        const waiting = { depth, servedBefore, priority, route, deadline, target, settle: settleWait };
+        const waiting = { depth, servedBefore, priority, customer, route, deadline, target, settle: settleWait };
         const decision = this.queue.offer(waiting, now);
         if (decision.kind === "run") {
             return undefined;
@@ -400,6 +402,7 @@
             this.dependencies.logger.info("runRefused", {
                 request: request.attemptId,
                 route: request.route,
+                customer: request.origin.customer,
                 cause,
                 running: this.queue.getRunning(),
                 waiting: this.queue.getWaiting(),
--- a/src/process/load/runQueue.ts
+++ b/src/process/load/runQueue.ts
@@ -13,12 +13,15 @@
  * - An endpoint that names how many requests a second it takes: see `runPacer.ts`.
  * - An endpoint that slows down: the estimated wait grows with the measured run time, so the queue holds fewer
  *   requests.
+ * - Customers that compete: see `fairOrder.ts`. Only where requests name customers.
  */
 
+import { createFairWaiter, FairOrder, rankWaiting } from "./fairOrder.js";
+import type { FairCandidate, FairWaiter } from "./fairOrder.js";
 import type { RunPacer } from "./runPacer.js";
 
 /** A request that asks for a concurrency slot at the endpoint. Times are on the monotonic clock, in milliseconds. */
-export interface Candidate {
+export interface Candidate extends FairCandidate {
     /** Calls from the client's request to this one, counting this one; 0 for the client's request itself. */
     readonly depth: number;
     /** Calls of the same run that were served before this one. */
@@ -51,20 +54,26 @@
 
 const noPace: Pace = { take: () => true, computeWaitMs: () => 0 };
 
-interface Waiter<T extends Candidate> {
-    readonly candidate: T;
-    readonly arrival: number;
-}
+/** Weight of every customer where none is given. */
+const findEqualWeight = (): number => 1;
 
 /** Requests that wait for one endpoint, in the order in which they will run, and the number of running ones. */
 export class RunQueue<T extends Candidate> {
-    private readonly waiting: Waiter<T>[] = [];
+    private readonly waiting: FairWaiter<T>[] = [];
+    private readonly order: FairOrder<T>;
     /** Average run time of each route, in milliseconds. */
     private readonly averageRunMsByRoute = new Map<string, number>();
     private running = 0;
     private limit = 1;
 
-    constructor(private readonly pace: Pace = noPace) {}
+    /** `findWeight` returns the weight of a customer among those that compete; 1 is usual. */
+    constructor(private readonly pace: Pace = noPace, findWeight: (customer: string) => number = findEqualWeight) {
+        this.order = new FairOrder<T>({
+            getRunMs: route => this.getAverageRunMs(route),
+            getAverageRunMs: () => this.computeOverallAverageRunMs(),
+            findWeight,
+        });
+    }
 
     getRunning(): number {
         return this.running;
@@ -90,6 +99,9 @@
 
     /** Asks for a concurrency slot. A request that has to wait is returned by {@link takeNext} when its turn comes. */
     offer(candidate: T, now: number): QueueDecision {
+        if (candidate.customer !== undefined && !this.order.isActive()) {
+            this.order.start(this.waiting);
+        }
         if (this.running < this.limit && this.waiting.length === 0 && this.pace.take()) {
             this.running += 1;
             return { kind: "run" };
@@ -99,7 +111,12 @@
         if (waitMs > this.computeMaxWaitMs(candidate, now)) {
             return { kind: "refuse", waitMs };
         }
-        this.waiting.splice(ahead, 0, { candidate, arrival: now });
+        const waiter = createFairWaiter(candidate);
+        this.waiting.splice(ahead, 0, waiter);
+        if (this.order.isActive()) {
+            this.order.add(waiter);
+            rankWaiting(this.waiting);
+        }
         return { kind: "wait" };
     }
 
@@ -108,11 +125,12 @@
         if (this.running >= this.limit || this.waiting.length === 0 || !this.pace.take()) {
             return undefined;
         }
-        const next = this.waiting.shift();
-        if (next !== undefined) {
-            this.running += 1;
+        const next = this.waiting.shift()!;
+        this.running += 1;
+        if (this.order.isActive()) {
+            this.order.recordStart(next, this.waiting);
         }
-        return next?.candidate;
+        return next.candidate;
     }
 
     /**
@@ -121,29 +139,35 @@
      */
     removeLate(now: number): T[] {
         const late: T[] = [];
+        // One pass over the queue: run times of those ahead are summed up once, since queues are long in overload.
+        let aheadMs = this.waiting.reduce((sum, { candidate }) => sum + this.getAverageRunMs(candidate.route), 0);
         for (let index = this.waiting.length - 1; index >= 0; index -= 1) {
             const { candidate } = this.waiting[index]!;
-            const maxWaitMs = candidate.deadline - now - this.getAverageRunMs(candidate.route);
-            if (this.estimateWaitMs(index) > Math.max(maxWaitMs, 0) || maxWaitMs <= 0) {
-                this.waiting.splice(index, 1);
+            const runMs = this.getAverageRunMs(candidate.route);
+            aheadMs -= runMs;
+            const maxWaitMs = candidate.deadline - now - runMs;
+            if (this.computeWaitMs(index, aheadMs) > Math.max(maxWaitMs, 0) || maxWaitMs <= 0) {
                 late.push(candidate);
             }
         }
+        this.withdraw(late);
         return late;
     }
 
     /** Removes a request from the queue; `false` when it isn't there. */
     remove(candidate: T): boolean {
-        const index = this.waiting.findIndex(waiter => waiter.candidate === candidate);
-        if (index !== -1) {
-            this.waiting.splice(index, 1);
+        const isWaiting = this.waiting.some(waiter => waiter.candidate === candidate);
+        if (isWaiting) {
+            this.withdraw([candidate]);
         }
-        return index !== -1;
+        return isWaiting;
     }
 
     /** Empties the queue and returns its requests. */
     removeAll(): T[] {
-        return this.waiting.splice(0).map(waiter => waiter.candidate);
+        const removed = this.waiting.map(waiter => waiter.candidate);
+        this.withdraw(removed);
+        return removed;
     }
 
     /**
@@ -165,18 +189,23 @@
 
     /** Estimates the wait of a request with `ahead` others before it, in milliseconds. */
     estimateWaitMs(ahead: number): number {
-        return Math.max(this.estimateSlotWaitMs(ahead), this.pace.computeWaitMs(ahead));
+        let aheadMs = 0;
+        for (let index = 0; index < ahead; index += 1) {
+            aheadMs += this.getAverageRunMs(this.waiting[index]!.candidate.route);
+        }
+        return this.computeWaitMs(ahead, aheadMs);
+    }
+
+    /** Wait of a request with `ahead` others before it, whose run times sum up to `aheadMs`; in milliseconds. */
+    private computeWaitMs(ahead: number, aheadMs: number): number {
+        return Math.max(this.computeSlotWaitMs(ahead, aheadMs), this.pace.computeWaitMs(ahead));
     }
 
-    private estimateSlotWaitMs(ahead: number): number {
+    private computeSlotWaitMs(ahead: number, aheadMs: number): number {
         if (this.running < this.limit && ahead === 0) {
             return 0;
         }
-        let total = 0;
-        for (let index = 0; index < ahead; index += 1) {
-            total += this.getAverageRunMs(this.waiting[index]!.candidate.route);
-        }
-        const averageMs = ahead === 0 ? this.computeOverallAverageRunMs() : total / ahead;
+        const averageMs = ahead === 0 ? this.computeOverallAverageRunMs() : aheadMs / ahead;
         return (ahead + 1) * averageMs / this.limit;
     }
 
@@ -204,11 +233,36 @@
         return Math.min(untilDeadline, Math.max(maxWaitMs, 0));
     }
 
+    /** Takes requests out of the queue that will not run; where customers compete, that moves those behind them up. */
+    private withdraw(candidates: readonly T[]): void {
+        for (const candidate of candidates) {
+            const [waiter] = this.waiting.splice(this.waiting.findIndex(each => each.candidate === candidate), 1);
+            if (this.order.isActive()) {
+                this.order.remove(waiter!);
+            }
+        }
+        if (candidates.length > 0 && this.order.isActive()) {
+            rankWaiting(this.waiting);
+        }
+    }
+
     /** Queued requests that would run before this one. */
     private countAhead(candidate: T): number {
+        if (this.order.isActive()) {
+            return this.countAheadByRank(candidate);
+        }
         const index = this.waiting.findIndex(waiter => hasPrecedence(candidate, waiter.candidate));
         return index === -1 ? this.waiting.length : index;
     }
+
+    private countAheadByRank(candidate: T): number {
+        const rank = this.order.computeRank(candidate);
+        const { priority } = candidate;
+        const index = this.waiting.findIndex(({ candidate: other, rank: otherRank }) =>
+            priority === other.priority ? rank < otherRank : priority < other.priority
+        );
+        return index === -1 ? this.waiting.length : index;
+    }
 }
 
 /** Whether `a` runs before `b`: by the priority of the client's request, then by the work already spent on it. */
@@ -216,5 +270,10 @@
     if (a.priority !== b.priority) {
         return a.priority < b.priority;
     }
-    return a.depth === b.depth ? a.servedBefore > b.servedBefore : a.depth > b.depth;
+    if (a.depth !== b.depth) {
+        return a.depth > b.depth;
+    }
+    return a.servedBefore === b.servedBefore
+        ? a.hasReturned === true && b.hasReturned !== true
+        : a.servedBefore > b.servedBefore;
 }
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -280,6 +280,8 @@
             recordNamedLimit: (id, perSecond) => this.endpointLifecycle.recordNamedLimit(id, perSecond),
             isRestored: () => this.endpointLifecycle.isRestored(),
             isEndpointClosed: () => this.isEndpointClosed,
+            findCustomerWeight: customer =>
+                this.clusterState.configurationHolder.getTable()?.customers.getWeight(customer) ?? 1,
             isSettled: () => this.isSettled(),
         });
     }
--- a/src/version/customer.ts
+++ b/src/version/customer.ts
@@ -30,6 +30,7 @@
 export class CustomerTable {
     private readonly customersByDigest = new Map<string, Customer>();
     private readonly customersByName = new Map<string, Customer>();
+    private readonly averageQuotaPerSecond: number;
 
     constructor(entries: readonly CustomerEntry[]) {
         for (const { keys, ...customer } of entries) {
@@ -38,6 +39,8 @@
                 this.customersByDigest.set(computeKeyDigest(key), customer);
             }
         }
+        const quotas = entries.flatMap(({ quota }) => quota === undefined ? [] : [quota.requestsPerSecond]);
+        this.averageQuotaPerSecond = quotas.reduce((sum, quota) => sum + quota, 0) / Math.max(1, quotas.length);
     }
 
     /** Whether the configuration lists customers. Without any, requests need no key. */
@@ -54,6 +57,15 @@
     findByName(name: string): Customer | undefined {
         return this.customersByName.get(name);
     }
+
+    /**
+     * Weight of a customer where customers compete. The operator's quota says how much is usual for one: a customer with
+     * a larger quota than the average has a weight in proportion, every other one has 1, so that no small one waits long.
+     */
+    getWeight(name: string): number {
+        const perSecond = this.customersByName.get(name)?.quota?.requestsPerSecond ?? 0;
+        return this.averageQuotaPerSecond === 0 ? 1 : Math.max(1, perSecond / this.averageQuotaPerSecond);
+    }
 }
 
 function computeKeyDigest(key: string): string {
