Leave out the native addon of msgpackr in routed nodes

Cause: the main entry of the library loads three modules, which look for a native addon, and the addon. A short life reads too few strings to earn that. Change: the links and the metadata of calls import msgpackr/pack, which Node.js resolves to the same library without it.

--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -6,7 +6,8 @@
  * of the message kind; the fields of that kind follow. Times are durations in milliseconds, so that the clocks of the
  * two machines don't need to be synchronised.
  */
-import { Packr } from "msgpackr";
+// This entry of the library leaves out its native addon, which costs a start more than it spares a short life.
+import { Packr } from "msgpackr/pack";
 import type { AnsweredRun, FailedRun, RefusedRun } from "../process/load/runOutcome.js";
 import type { Origin } from "../process/load/runsInProgress.js";
 import type { HeaderList } from "../request/headers.js";
--- a/src/request/callMetadata.ts
+++ b/src/request/callMetadata.ts
@@ -1,5 +1,5 @@
 /** Metadata of one call between two nodes and of its answer. Each is sent as one header, as base64 of MessagePack. */
-import { Packr } from "msgpackr";
+import { Packr } from "msgpackr/pack";
 import * as v from "valibot";
 import { createIntegerSchema, parseWith, shortTextSchema } from "../version/schema.js";
 import type { Answer } from "./answer.js";
