Read the common answer of an endpoint without the library's parser and without a stream

Cause: http-parser-js reads an answer line by line, and each read of the socket allocated 64 KB and went through the layers of a readable stream. Change: an answer that comes whole in one piece with a length is parsed at once (simpleAnswer.ts); all else goes to the library, which then reads the rest of that connection. Connections to the endpoint read into one buffer (onread).

--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -9,10 +9,13 @@
 import { HTTPParser } from "http-parser-js";
 import type { Socket } from "node:net";
 import { connect } from "node:net";
+import { joinChunks } from "../request/body.js";
 import type { AnswerMetadata, Dialect } from "../request/dialect.js";
 import { findHeader } from "../request/dialect.js";
 import type { HeaderList } from "../request/headers.js";
 import type { AnswerBudget, BudgetedAnswer } from "./answerBudget.js";
+import type { SimpleAnswer } from "./simpleAnswer.js";
+import { parseSimpleAnswer } from "./simpleAnswer.js";
 
 /** Timeout for opening a connection, in milliseconds. */
 const connectTimeoutMs = 600;
@@ -22,6 +25,13 @@
 const pieceOverheadBytes = 128;
 /** Maximum size of what comes without a byte of a body: heads, sizes of chunks, trailers; in bytes. */
 const maxFramingBytes = 131_072;
+/**
+ * Memory that all connections read into; each piece is used up, or copied, before the next is read. So a piece costs neither an
+ * allocation nor the layers of a stream.
+ */
+const readBuffer = Buffer.allocUnsafeSlow(65_536);
+
+type AnswerParser = InstanceType<typeof HTTPParser>;
 
 /** A request to the endpoint. */
 export interface EndpointRequest {
@@ -82,7 +92,8 @@
     private framingBytes = 0;
     /** Whether the answer violates HTTP, exceeds the size limit or can't be matched to a request. */
     private hasProtocolError = false;
-    private readonly parser = new HTTPParser(HTTPParser.RESPONSE);
+    /** Parser for answers that aren't simple; it reads the rest of the connection once it has read of one. */
+    private parser: AnswerParser | undefined;
 
     constructor(
         private readonly socket: Socket,
@@ -90,13 +101,9 @@
         private readonly budget: AnswerBudget,
     ) {
         socket.setNoDelay(true);
-        socket.on("data", chunk => this.readChunk(chunk));
         socket.on("end", () => this.readEnd());
         socket.on("error", () => this.fail("reset"));
         socket.on("close", () => this.fail("closed"));
-        this.parser.onHeadersComplete = info => this.startAnswer(info);
-        this.parser.onBody = (chunk, offset, length) => this.addBody(chunk.subarray(offset, offset + length));
-        this.parser.onMessageComplete = () => this.finishAnswer();
     }
 
     /** Whether the connection is open and has no request or answer in progress. */
@@ -130,7 +137,8 @@
         this.fail("aborted");
     }
 
-    private readChunk(chunk: Buffer): void {
+    /** Reads received bytes; does not keep the buffer. */
+    receive(chunk: Buffer): void {
         if (!this.isOpen) {
             return;
         }
@@ -138,6 +146,14 @@
             this.fail("garbled");
             return;
         }
+        const simpleAnswer = this.parser === undefined && !this.exchange.isBodyless
+            ? parseSimpleAnswer(chunk)
+            : undefined;
+        if (simpleAnswer !== undefined) {
+            this.finishSimpleAnswer(simpleAnswer, chunk);
+            return;
+        }
+        this.parser ??= this.createParser();
         this.framingBytes += chunk.length;
         const result = this.parser.execute(chunk);
         if (typeof result !== "number" || this.hasProtocolError || this.framingBytes > maxFramingBytes) {
@@ -145,6 +161,24 @@
         }
     }
 
+    private createParser(): AnswerParser {
+        const parser = new HTTPParser(HTTPParser.RESPONSE);
+        parser.onHeadersComplete = info => this.startAnswer(info);
+        parser.onBody = (chunk, offset, length) => this.addBody(chunk.subarray(offset, offset + length));
+        parser.onMessageComplete = () => this.finishAnswer();
+        return parser;
+    }
+
+    private finishSimpleAnswer({ status, headers, shouldKeepAlive, bodyStart }: SimpleAnswer, chunk: Buffer): void {
+        const body = Buffer.from(chunk.subarray(bodyStart));
+        this.partialAnswer = { status, headers, chunks: [body], bytes: body.length, shouldKeepAlive };
+        this.framingBytes = body.length > 0 ? 0 : this.framingBytes + chunk.length;
+        this.finishAnswer();
+        if (this.hasProtocolError || this.framingBytes > maxFramingBytes) {
+            this.fail("garbled");
+        }
+    }
+
     /** Ends the answer in progress, since answers take too much memory together. */
     endReading(): void {
         this.fail("garbled");
@@ -166,7 +200,7 @@
             }
             // finish() completes an answer without a length, so that its request is already settled when fail() is
             // called.
-            this.fail(this.parser.finish() instanceof Error ? "cutShort" : "closed");
+            this.fail(this.parser?.finish() instanceof Error ? "cutShort" : "closed");
         });
     }
 
@@ -192,7 +226,7 @@
         this.framingBytes = 0;
         const bytes = chunk.length + pieceOverheadBytes;
         partialAnswer.bytes += bytes;
-        partialAnswer.chunks.push(chunk);
+        partialAnswer.chunks.push(Buffer.from(chunk));
         this.hasProtocolError ||= partialAnswer.bytes > maxAnswerBytes;
         this.budget.add(this, bytes);
     }
@@ -221,9 +255,7 @@
         if (!partialAnswer.shouldKeepAlive || this.socket.writableLength > 0) {
             this.close();
         }
-        const body = partialAnswer.chunks.length === 1
-            ? Buffer.from(partialAnswer.chunks[0]!)
-            : Buffer.concat(partialAnswer.chunks);
+        const body = joinChunks(partialAnswer.chunks);
         exchange.settle({
             kind: "answered",
             answer: { status: partialAnswer.status, headers: partialAnswer.headers, body, metadata },
@@ -264,7 +296,15 @@
 ): Promise<EndpointConnection | undefined> {
     return new Promise(resolve => {
         // The half-open mode allows the write that distinguishes the end of an answer without a length from a reset.
-        const socket = connect({ host, port, allowHalfOpen: true });
+        let connection: EndpointConnection | undefined;
+        const onread = {
+            buffer: readBuffer,
+            callback: (bytes: number, buffer: Uint8Array) => {
+                connection?.receive((buffer as Buffer).subarray(0, bytes));
+                return true;
+            },
+        };
+        const socket = connect({ host, port, allowHalfOpen: true, onread });
         const timer = setTimeout(() => socket.destroy(), connectTimeoutMs);
         socket.once("error", () => undefined);
         socket.once("close", () => {
@@ -275,7 +315,8 @@
             clearTimeout(timer);
             socket.removeAllListeners("close");
             socket.removeAllListeners("error");
-            resolve(new EndpointConnection(socket, dialect, budget));
+            connection = new EndpointConnection(socket, dialect, budget);
+            resolve(connection);
         });
     });
 }
