Leave the bodies of requests unread that wait for their place on the connection

Cause: bodies of all requests sent ahead were read at once, as many as had been read from the connection. Change: a request waits for one of the 16 places before its body is read; one that may run only once waits for its turn behind it.

--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -89,6 +89,10 @@
     if (dependencies.isStopping()) {
         response.setHeader("connection", "close");
     }
+    // Bodies of requests that wait for their turn stay unread, so that they take no memory here.
+    if (!turn.mayWork() && !await turn.waitForWork()) {
+        return;
+    }
     const metadata = dependencies.dialect.readRequest(request.rawHeaders);
     // Without a configuration there is no limit. Unless one arrives while the body is read, the request is refused
     // below.
@@ -102,7 +106,7 @@
         sendEmptyAnswer(response, 413, undefined);
         return;
     }
-    if (!isReadyForWork(dependencies, request, turn) && !await waitForWork(dependencies, request, turn)) {
+    if (!turn.isNext() && mayRunOnlyOnce(dependencies, request) && !await turn.waitUntilNext()) {
         return;
     }
     const table = dependencies.configurationHolder.getTable();
@@ -163,33 +167,13 @@
     await forwardRequest(dependencies, routedRequest, metadata.attemptId);
 }
 
-/** Whether a request may be worked on beside those before it on its connection. */
-function isReadyForWork(
-    dependencies: RoutedEntryDependencies,
-    request: IncomingMessage,
-    turn: PipelineTurn,
-): boolean {
-    if (turn.isNext()) {
-        return true;
-    }
-    const table = dependencies.configurationHolder.getTable();
-    const route = table?.find(request.headers.host ?? "", request.url ?? "/");
-    return turn.mayWork() && route?.repetition !== "atMostOnce";
-}
-
 /**
- * Waits until a request may be worked on. One that may run only once waits for all answers before it: if one of them closes
- * the connection, the caller sends the request again. False if that happens.
+ * Whether a request may run only once, by the version in force. Such a request waits for all answers before it on its
+ * connection: if one of them closes the connection, the caller sends the request again.
  */
-async function waitForWork(
-    dependencies: RoutedEntryDependencies,
-    request: IncomingMessage,
-    turn: PipelineTurn,
-): Promise<boolean> {
-    if (!await turn.waitForWork()) {
-        return false;
-    }
-    return isReadyForWork(dependencies, request, turn) || turn.waitUntilNext();
+function mayRunOnlyOnce({ configurationHolder }: RoutedEntryDependencies, request: IncomingMessage): boolean {
+    const route = configurationHolder.getTable()?.find(request.headers.host ?? "", request.url ?? "/");
+    return route?.repetition === "atMostOnce";
 }
 
 async function forwardRequest(
--- a/test/routed/pipelining.test.ts
+++ b/test/routed/pipelining.test.ts
@@ -120,6 +120,19 @@
         expect(listBodies()).deep.equals(attempts);
     });
 
+    it("have their bodies read up to the limit too", async () => {
+        const attempts = Array.from({ length: 24 }, (_, index) => `n${index}`);
+        const body = "x".repeat(200_000);
+        attempts.forEach(attempt => caller.write(formatRequest("POST", "/loom/1", [`Attempt-Id: ${attempt}`], body)));
+        await waitUntil(() => listStarted().length === 16);
+        await settle();
+        expect(listStarted().length).equals(16);
+        await finish(...attempts);
+        await caller.waitForAnswers(24);
+        expect(listBodies()).deep.equals(attempts);
+        expect(play.calls.every(call => call.body.length === body.length)).equals(true);
+    });
+
     it("wait for the answers before them if they may run only once; others behind those don't", async () => {
         caller.write(formatGet("a") + formatPost("b") + formatGet("c") + formatPost("d"));
         await waitUntil(() => listStarted().length === 2);
