--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -106,7 +106,7 @@
         sendEmptyAnswer(response, 413, undefined);
         return;
     }
-    if (!turn.isNext() && mayRunOnlyOnce(dependencies, request) && !await turn.waitUntilNext()) {
+    if (!turn.isNext() && isAtMostOnce(dependencies, request) && !await turn.waitUntilNext()) {
         return;
     }
     const table = dependencies.configurationHolder.getTable();
@@ -171,7 +171,7 @@
  * Whether a request may run only once, by the version in force. Such a request waits for all answers before it on its
  * connection: if one of them closes the connection, the caller sends the request again.
  */
-function mayRunOnlyOnce({ configurationHolder }: RoutedEntryDependencies, request: IncomingMessage): boolean {
+function isAtMostOnce({ configurationHolder }: RoutedEntryDependencies, request: IncomingMessage): boolean {
     const route = configurationHolder.getTable()?.find(request.headers.host ?? "", request.url ?? "/");
     return route?.repetition === "atMostOnce";
 }
