--- a/standin/platformCluster.ts
+++ b/standin/platformCluster.ts
@@ -12,7 +12,7 @@
 import { waitFor, waitForExit } from "./processes.js";
 
 /** Ports are the same on all machines; each machine has an address of its own. */
-const ports = {
+export const ports = {
     caller: 8304,
     ready: 8302,
     report: 8306,
