Bound the served requests of the process test by the time that passed

Cause: failed once beside other tests (53 served, 51 expected): sending 160 requests took longer than the 4 s that the bound assumed. Change: the bound is the stock and what accrues in the time that passed.

--- a/test/routed/quotasOfProcesses.test.ts
+++ b/test/routed/quotasOfProcesses.test.ts
@@ -28,7 +28,10 @@
     const cluster = new PlatformCluster([{ name: "katalog", instances: 4, slots: 50, runMs: 10 }]);
     let attempts = 0;
 
-    /** Sends requests at all machines in turn at a steady rate. */
+    /** Most requests of the weavers that may be served from a time on: what accrues, and their stock of 11. */
+    const computeMostServed = (startedAt: number): number => 11 + (performance.now() - startedAt) / 100;
+
+    /** Sends requests at all machines in turn at a steady rate. On a busy machine it takes longer. */
     const sendFor = async (key: string, perSecond: number, seconds: number) => {
         const answers = [];
         for (let index = 0; index < perSecond * seconds; index += 1) {
@@ -53,6 +56,7 @@
     after(() => cluster.stop());
 
     it("refuse what is beyond the limit with when to come back, and serve what is not", async () => {
+        const startedAt = performance.now();
         const [hot, quiet, unlimited] = await Promise.all([
             sendFor("w", 40, 4),
             sendFor("d", 12, 4),
@@ -60,8 +64,7 @@
         ]);
         const served = hot.filter(answer => answer.status === 200).length;
         const refused = hot.filter(answer => answer.status === 429);
-        // 10 a second for 4 s, and at most the burst of 10 with its overage.
-        expect(served).within(38, 51);
+        expect(served).within(38, computeMostServed(startedAt));
         expect(refused.length).equals(hot.length - served);
         expect(refused.every(answer => answer.retryAfter > 0 && answer.retryAfter < 5)).equals(true);
         expect([...quiet, ...unlimited].filter(answer => answer.status !== 200)).deep.equals([]);
@@ -74,7 +77,8 @@
             await waitFor(() => machine.isReady(), 20_000, `the node at ${machine.address}`);
         }
         await sleep(1500);
+        const startedAt = performance.now();
         const answers = await sendFor("w", 40, 3);
-        expect(answers.filter(answer => answer.status === 200).length).within(20, 41);
+        expect(answers.filter(answer => answer.status === 200).length).within(20, computeMostServed(startedAt));
     });
 });
