Test messages of earlier builds, placement and repeats where an endpoint sheds

A planned call is repeated where it was not just rejected; one that isn't planned costs no repeat while they are scarce.

--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -222,6 +222,24 @@
             play: placement => placement.recordLoad("10.0.0.1", { ...idle, failureShare: 0.5 }),
             chosen: "10.0.0.2",
         },
+        {
+            name: "leaves the own data centre when its endpoints turn a part away with room, and others don't",
+            play: placement => {
+                placement.recordLoad("10.0.0.1", { ...idle, shedShare: 0.3 });
+                placement.recordLoad("10.0.0.2", { ...idle, shedShare: 0.3 });
+                placement.recordLoad("10.0.0.3", idle);
+            },
+            chosen: "10.0.0.3",
+        },
+        {
+            name: "stays in the own data centre when all endpoints turn away alike",
+            play: placement => {
+                placement.recordLoad("10.0.0.1", { ...idle, shedShare: 0.5 });
+                placement.recordLoad("10.0.0.2", { ...idle, shedShare: 0.5, running: 5 });
+                placement.recordLoad("10.0.0.3", { ...idle, shedShare: 0.5 });
+            },
+            chosen: "10.0.0.1",
+        },
         {
             name: "passes over an instance whose runs take four times as long as elsewhere",
             play: placement => {
--- a/test/routed/forwarder.test.ts
+++ b/test/routed/forwarder.test.ts
@@ -30,19 +30,28 @@
 });
 const failed: RunOutcome = { kind: "failed", cause: "reset", ranMs: 5 };
 
+/** Changes of the request and of what is known. */
+interface ForwardChange {
+    readonly isRepeated?: boolean;
+    readonly slack?: number;
+    /** Plan of the request, and the share that its service turns away, where chains are planned. */
+    readonly paidAfter?: number;
+    readonly shedShare?: number;
+}
+
 /** Forwards a request whose sends end as listed; more than one end in a list are those of one hedged send. */
 async function forward(
     repetition: "idempotent" | "atMostOnce",
     sends: readonly (readonly RunOutcome[])[],
-    change: { readonly isRepeated?: boolean; readonly slack?: number; } = {},
-): Promise<{ outcome: ForwardOutcome; sends: number; reached: number; }> {
+    change: ForwardChange = {},
+): Promise<{ outcome: ForwardOutcome; sends: number; path: readonly string[]; }> {
     const clock = new FakeClock();
     const registry = new InstanceRegistry();
     [1, 2, 3, 4, 5].forEach(host => registry.put(createRecord(`10.0.0.${host}`)));
     const placement = new Placement(clock, createRandom(1), "10.9.9.9", "klaten", () => true);
     const limits = { ratio: 0, slack: change.slack ?? 100, windowMs: 10_000 };
     let sendCount = 0;
-    const reached = new Set<string>();
+    const path: string[] = [];
     const forwarder = new Forwarder({
         clock,
         logger: silentLogger,
@@ -52,10 +61,11 @@
             selectAtOnce: (service, tried) => placement.choose(registry.listForService(service), tried),
         },
         retryBudget: new ServiceRetryBudget(clock, limits, () => 1, true),
+        getShedShare: change.shedShare === undefined ? undefined : () => change.shedShare!,
         sender: {
             send: (record, _call, progress) => {
                 progress.tried.add(record.address);
-                reached.add(record.address);
+                path.push(record.address);
                 const results: SendResult[] = (sends[sendCount] ?? [refused("cancelled")]).map(outcome => ({
                     record,
                     outcome,
@@ -79,6 +89,7 @@
             route: "r",
             priority: 0,
             isRepeated: change.isRepeated ?? false,
+            paidAfter: change.paidAfter,
             depth: 0,
             servedBefore: 0,
             customer: undefined,
@@ -87,7 +98,7 @@
         target: now + 500,
         cancellation: new Cancellation(),
     };
-    return { outcome: (await forwarder.forward(call)).outcome, sends: sendCount, reached: reached.size };
+    return { outcome: (await forwarder.forward(call)).outcome, sends: sendCount, path };
 }
 
 describe("forwarding", () => {
@@ -198,7 +209,7 @@
             const hasOnlyShed = sends.every(([end]) =>
                 end?.kind === "answer" || end?.kind === "refused" && end.cause === "shed"
             );
-            expect(result.reached).at.most(hasOnlyShed ? 2 : count);
+            expect(new Set(result.path).size).at.most(hasOnlyShed ? 2 : count);
         });
     }
 
@@ -206,4 +217,24 @@
         const result = await forward("idempotent", [[answered(200)]], { isRepeated: true, slack: 0 });
         expect([result.outcome.kind, result.sends]).deep.equals(["refused", 0]);
     });
+
+    const shed = [refused("shed")];
+    const planned: readonly {
+        readonly name: string;
+        readonly change: ForwardChange;
+        readonly sends: number;
+    }[] = [
+        { name: "repeats a planned call until it is served", change: { paidAfter: 0, shedShare: 0.5 }, sends: 8 },
+        { name: "doesn't repeat a call before its plan pays", change: { paidAfter: 2, shedShare: 0.5 }, sends: 1 },
+        { name: "doesn't repeat a call without a plan where repeats are scarce", change: { shedShare: 0.5 }, sends: 1 },
+        { name: "repeats as ever where they are not", change: { paidAfter: 2, shedShare: 0 }, sends: 6 },
+    ];
+    for (const { name, change, sends } of planned) {
+        it(`${name}, never where it was just rejected`, async () => {
+            const ends = [shed, shed, shed, shed, shed, shed, shed, [answered(200)]];
+            const result = await forward("idempotent", ends, change);
+            expect(result.sends).equals(sends);
+            expect(result.path.filter((address, index) => address === result.path[index + 1])).deep.equals([]);
+        });
+    }
 });
--- a/test/routed/linkMessage.test.ts
+++ b/test/routed/linkMessage.test.ts
@@ -80,14 +80,41 @@
         );
     });
 
-    it("of an earlier build, which lack the newest field, are taken", () => {
-        const packr = new Packr({ useRecords: false });
-        const items = packr.unpack(encodeMessage(samples[0]!).subarray(4)) as unknown[];
-        const packed = packr.pack(items.slice(0, -1));
-        const framed = Buffer.concat([Buffer.alloc(4), packed]);
-        framed.writeUInt32BE(packed.length, 0);
-        expect(new MessageReader().read(framed)).deep.equals([{ ...samples[0]!, leavingEndpoint: undefined }]);
-    });
+    const earlier: readonly {
+        readonly name: string;
+        readonly sample: LinkMessage;
+        /** Removes what the earlier build does not send. */
+        readonly cut: (items: unknown[]) => unknown[];
+        readonly change: object;
+    }[] = [
+        {
+            name: "a run without the leaving endpoint",
+            sample: samples[0]!,
+            cut: items => items.slice(0, -1),
+            change: { leavingEndpoint: undefined },
+        },
+        {
+            name: "an answer without the services behind",
+            sample: samples[1]!,
+            cut: items => items.slice(0, -1),
+            change: { downstream: undefined },
+        },
+        {
+            name: "a load without the share that is turned away",
+            sample: { kind: "load", load },
+            cut: ([kind, fields]) => [kind, (fields as number[]).slice(0, -1)],
+            change: { load: { ...load, shedShare: 0 } },
+        },
+    ];
+    for (const { name, sample, cut, change } of earlier) {
+        it(`of an earlier build are taken: ${name}`, () => {
+            const packr = new Packr({ useRecords: false });
+            const packed = packr.pack(cut(packr.unpack(encodeMessage(sample).subarray(4)) as unknown[]));
+            const framed = Buffer.concat([Buffer.alloc(4), packed]);
+            framed.writeUInt32BE(packed.length, 0);
+            expect(new MessageReader().read(framed)).deep.equals([{ ...sample, ...change }]);
+        });
+    }
 
     it("that are malformed never fail the reader", () => {
         fc.assert(
