Let what the present requests pay for be used where nodes have little slack

Cause: earned parts of a retry were kept up to half of the node's part of the slack, 0.36 of a retry with 27 nodes and a slack of 20, so once the window before was used up nothing could be sent. Change: a node may keep one retry; the slack's other half is earned over time and needs no window of its own.

--- a/src/process/load/serviceRetryBudget.ts
+++ b/src/process/load/serviceRetryBudget.ts
@@ -15,7 +15,7 @@
  *   many requests are lost together. When a service refuses much, call chains end early and fewer requests reach it, just
  *   when retries are worth most; the window before knows how many they were.
  * - The requests of the window itself, of which only those that came before the retry are known. Each earns a part of a
- *   retry, and earned parts are kept only up to the node's part of the slack.
+ *   retry, and earned parts are kept only up to half of the node's part of the slack. The other half is earned over time.
  *
  * The calls of a run that was itself a retry count as retries. They may use the whole budget and new retries only a part
  * of it, and less urgent requests leave a part to the urgent ones.
@@ -29,8 +29,13 @@
 const keptSlices = 2 * slicesPerWindow + 1;
 /** Part of the ratio that the requests of the window before pay for; those of the window itself pay for the rest. */
 const earlierShare = 0.6;
-/** Part of the slack that may be used in each window; the rest bounds what is earned and kept. */
-const windowSlackShare = 0.5;
+/** Part of the slack that is earned over each window without requests; the rest bounds what is earned and kept. */
+const refilledSlackShare = 0.5;
+/**
+ * Retries that a node may always keep: a retry can't be sent in parts. With more nodes than retries in the slack the sum
+ * exceeds it by less than one for each node, which is less than what new retries leave of the bound.
+ */
+const minKept = 1;
 
 /**
  * Part of the budget that new retries may use. The rest is left to the calls of runs that are retries already, and to
@@ -91,6 +96,8 @@
     earned: number;
     /** The same for new retries, which take more than one each if they may use only a part of the budget. */
     earnedForNew: number;
+    /** Time up to which the slack was earned, on the monotonic clock. */
+    refilledAt: number;
 }
 
 /** Limits of the retry budget. */
@@ -105,7 +112,6 @@
 /** Counts requests and retries by service, and limits the retries. */
 export class ServiceRetryBudget {
     private readonly services = new Map<string, ServiceCounts>();
-    private readonly startedAt: number;
 
     /** `isFirstStart`: no process ran here before, so no earlier retries have to be allowed for. */
     constructor(
@@ -113,9 +119,7 @@
         private limits: RetryLimits,
         private readonly countNodes: () => number,
         private readonly isFirstStart: boolean,
-    ) {
-        this.startedAt = clock.readMonotonic();
-    }
+    ) {}
 
     /** Replaces the limits; the counts are kept. */
     setLimits(limits: RetryLimits): void {
@@ -126,10 +130,7 @@
     recordRequest(service: string): void {
         const counts = this.getCounts(service);
         counts.requests[counts.newest % keptSlices]! += 1;
-        const earned = this.limits.ratio * (1 - earlierShare);
-        const maxEarned = this.computeMaxEarned();
-        counts.earned = Math.min(maxEarned, counts.earned + earned);
-        counts.earnedForNew = Math.min(maxEarned + extraEarnedForNew, counts.earnedForNew + earned);
+        this.addEarned(counts, this.limits.ratio * (1 - earlierShare));
     }
 
     /**
@@ -165,7 +166,6 @@
      */
     private computeAvailable({ requests, retries, newest }: ServiceCounts, share: number): number {
         const perRequest = this.limits.ratio * earlierShare * share;
-        const slack = this.computeWindowSlack() * share;
         const getCount = (counts: Float64Array, slice: number): number => slice < 0 ? 0 : counts[slice % keptSlices]!;
         // The windows begin in slice `first`, the oldest of them so that it ends now.
         let first = newest - slicesPerWindow;
@@ -179,22 +179,34 @@
         }
         let available = Infinity;
         for (; first <= newest; first += 1) {
-            available = Math.min(available, requestsBefore * perRequest + slack - retriesSince);
+            available = Math.min(available, requestsBefore * perRequest - retriesSince);
             requestsBefore += getCount(requests, first) - getCount(requests, first - slicesPerWindow + 1);
             retriesSince -= getCount(retries, first);
         }
         return Math.max(0, available);
     }
 
-    /** Part of the slack that this node may use in each window; none while one of an earlier process may still count. */
-    private computeWindowSlack(): number {
-        const isHistoryComplete = this.isFirstStart
-            || this.clock.readMonotonic() - this.startedAt > this.limits.windowMs;
-        return isHistoryComplete ? this.computeSlack() * windowSlackShare : 0;
+    /** After a restart nothing is earned yet: the earlier process may have used the slack in the same window. */
+    private createCounts(newest: number, refilledAt: number): ServiceCounts {
+        const earned = this.isFirstStart ? this.computeMaxEarned() : 0;
+        return {
+            requests: new Float64Array(keptSlices),
+            retries: new Float64Array(keptSlices),
+            newest,
+            earned,
+            earnedForNew: earned,
+            refilledAt,
+        };
+    }
+
+    private addEarned(counts: ServiceCounts, retries: number): void {
+        const maxEarned = this.computeMaxEarned();
+        counts.earned = Math.min(maxEarned, counts.earned + retries);
+        counts.earnedForNew = Math.min(maxEarned + extraEarnedForNew, counts.earnedForNew + retries);
     }
 
     private computeMaxEarned(): number {
-        return this.computeSlack() * (1 - windowSlackShare);
+        return this.limits.slack === 0 ? 0 : Math.max(minKept, this.computeSlack() * (1 - refilledSlackShare));
     }
 
     private computeSlack(): number {
@@ -202,9 +214,13 @@
     }
 
     private getCounts(service: string): ServiceCounts {
-        const index = Math.floor(this.clock.readMonotonic() * slicesPerWindow / this.limits.windowMs);
-        const counts = this.services.get(service) ?? createCounts(index);
+        const now = this.clock.readMonotonic();
+        const index = Math.floor(now * slicesPerWindow / this.limits.windowMs);
+        const counts = this.services.get(service) ?? this.createCounts(index, now);
         this.services.set(service, counts);
+        const refilled = this.computeSlack() * refilledSlackShare * (now - counts.refilledAt) / this.limits.windowMs;
+        this.addEarned(counts, refilled);
+        counts.refilledAt = now;
         for (; counts.newest < index; counts.newest += 1) {
             if (index - counts.newest > keptSlices) {
                 counts.newest = index - keptSlices;
@@ -217,11 +233,6 @@
     }
 }
 
-function createCounts(newest: number): ServiceCounts {
-    const requests = new Float64Array(keptSlices);
-    return { requests, retries: new Float64Array(keptSlices), newest, earned: 0, earnedForNew: 0 };
-}
-
 /** Takes one retry, a part of it from what was earned and the rest from what the window before pays for. */
 function takeFrom(counts: ServiceCounts, earned: number): void {
     counts.earned -= earned;
