--- a/src/process/load/sheddingLevels.ts
+++ b/src/process/load/sheddingLevels.ts
@@ -38,6 +38,8 @@
 interface Level {
     readonly share: number;
     readonly measuredAt: number;
+    /** Whether the service was noted as shedding. It is until its share is half of what made it so. */
+    readonly isNoted: boolean;
 }
 
 /** Keeps the newest level of each service. */
@@ -58,9 +60,10 @@
         if (ageMs >= forgetMs || (known !== undefined && known.measuredAt > measuredAt)) {
             return;
         }
-        this.levels.set(service, { share: shedShare, measuredAt });
-        const wasShedding = known !== undefined && known.share >= minShedShare;
-        if (wasShedding !== shedShare >= minShedShare) {
+        const wasNoted = known?.isNoted ?? false;
+        const isNoted = shedShare >= (wasNoted ? minShedShare / 2 : minShedShare);
+        this.levels.set(service, { share: shedShare, measuredAt, isNoted });
+        if (isNoted !== wasNoted) {
             this.noteChange(level);
         }
     }
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -38,6 +38,7 @@
 import { InstanceSubsets } from "../membership/instanceSubset.js";
 import { LinkKeeper } from "../membership/linkKeeper.js";
 import type { RoutedSettings } from "../settings/routedSettings.js";
+import { hasPlannedChains } from "../settings/routedSettings.js";
 import type { Logger } from "../telemetry/logger.js";
 import { RoutedMetrics } from "../telemetry/routedMetrics.js";
 import { decideStopStep } from "./gracefulStop.js";
@@ -114,7 +115,7 @@
         this.crashFlood = new CrashFlood(this.quarantine, report => this.postToOwnService(report));
         this.endpoint = new EndpointState(clock);
         this.pool = new EndpointConnectionPool(clock, endpoint.address.host, endpoint.address.port, platform.dialect);
-        this.chains = hasPlannedChains(settings.chains) ? this.createChains() : undefined;
+        this.chains = hasPlannedChains(settings) ? this.createChains() : undefined;
         this.runner = this.createRunner();
         this.remoteRuns = new RemoteRuns(clock, this.runner);
         const isReachable = (peer: string): boolean => peer === address || this.links.isReachable(peer);
@@ -539,11 +540,6 @@
     }
 }
 
-/** Whether requests through shedding services are planned in this deployment. */
-function hasPlannedChains({ plannedFor, contracts }: RoutedSettings["chains"]): boolean {
-    return plannedFor.length > 0 && plannedFor.every(name => contracts.includes(name));
-}
-
 function createRetryLimits(bounds: RoutedSettings["bounds"]): RetryLimits {
     return {
         ratio: bounds.retryRatio,
--- a/src/process/settings/routedSettings.ts
+++ b/src/process/settings/routedSettings.ts
@@ -70,6 +70,11 @@
 /** Checked settings with every default filled in. */
 export type RoutedSettings = v.InferOutput<typeof routedSettingsSchema>;
 
+/** Whether requests through services that turn work away with room to spare are planned in this deployment. */
+export function hasPlannedChains({ chains: { plannedFor, contracts } }: RoutedSettings): boolean {
+    return plannedFor.length > 0 && plannedFor.every(name => contracts.includes(name));
+}
+
 /** Reads and checks a settings file. */
 export function readRoutedSettings(file: string): Result<RoutedSettings, SettingsError> {
     return readSettingsText(file, text => parseRoutedSettings(file, text));
--- a/test/routed/deploy.test.ts
+++ b/test/routed/deploy.test.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 import { readdirSync, readFileSync } from "node:fs";
 import { parse as parseToml } from "smol-toml";
-import { parseRoutedSettings } from "../../src/process/settings/routedSettings.js";
+import { hasPlannedChains, parseRoutedSettings } from "../../src/process/settings/routedSettings.js";
 import { formatSettingsError } from "../../src/process/settings/settingsFile.js";
 import { formatConfigurationError, parseConfiguration } from "../../src/version/configuration.js";
 
@@ -79,6 +79,18 @@
         expect(settings.ok && settings.value.bounds.graceSeconds).equals(6);
     });
 
+    const deployments: readonly { readonly contracts: readonly string[]; readonly isPlanned: boolean; }[] = [
+        { contracts: ["base", "pressure"], isPlanned: false },
+        { contracts: ["base", "health", "pool", "pressure"], isPlanned: true },
+    ];
+    for (const { contracts, isPlanned } of deployments) {
+        it(`${isPlanned ? "plan" : "don't plan"} requests with the contracts ${contracts.join(", ")}`, () => {
+            const text = fillTemplate(readFileSync("deploy/settings.toml", "utf8"), { ...fields, contracts });
+            const settings = parseRoutedSettings("settings.toml", text);
+            expect(settings.ok && hasPlannedChains(settings.value)).equals(isPlanned);
+        });
+    }
+
     it("name a role whose template and program exist", () => {
         const system = parseToml(readFileSync("deploy/system.toml", "utf8")) as {
             roles: Record<string, { run: string; template: string; }>;
--- a/test/routed/shedding.test.ts
+++ b/test/routed/shedding.test.ts
@@ -67,6 +67,17 @@
     }
 });
 
+describe("a change of a level", () => {
+    it("is noted at the beginning and the end, not in between", () => {
+        const noted: number[] = [];
+        const levels = new SheddingLevels(new FakeClock(), ({ shedShare }) => noted.push(shedShare));
+        [0, 0.07, 0.09, 0.07, 0.09, 0.03, 0.07].forEach(shedShare =>
+            levels.learn({ service: "mutu", shedShare, ageMs: 0 })
+        );
+        expect(noted).deep.equals([0.09, 0.03]);
+    });
+});
+
 /** Part of a route's requests that is begun, by its calls, at a level of the service behind it. */
 function countBegun(calls: number, inRow: number, shedShare: number, laterMs = 0): number {
     const clock = new FakeClock();
