--- a/test/routed/deploy.test.ts
+++ b/test/routed/deploy.test.ts
@@ -6,7 +6,7 @@
 import { join } from "node:path";
 import process from "node:process";
 import { parse as parseToml } from "smol-toml";
-import { parseRoutedSettings } from "../../src/process/settings/routedSettings.js";
+import { hasPlannedChains, parseRoutedSettings } from "../../src/process/settings/routedSettings.js";
 import { formatSettingsError } from "../../src/process/settings/settingsFile.js";
 import { formatConfigurationError, parseConfiguration } from "../../src/version/configuration.js";
 
@@ -113,6 +113,18 @@
             .deep.include({ quotaWindowSeconds: 5, quotaOverage: 0.1, quotaSlack: 20 });
     });
 
+    const deployments: readonly { readonly contracts: readonly string[]; readonly isPlanned: boolean; }[] = [
+        { contracts: ["base", "pressure"], isPlanned: false },
+        { contracts: ["base", "health", "pool", "pressure"], isPlanned: true },
+    ];
+    for (const { contracts, isPlanned } of deployments) {
+        it(`${isPlanned ? "plan" : "don't plan"} requests with the contracts ${contracts.join(", ")}`, () => {
+            const text = fillTemplate(readFileSync("deploy/settings.toml", "utf8"), { ...fields, contracts });
+            const settings = parseRoutedSettings("settings.toml", text);
+            expect(settings.ok && hasPlannedChains(settings.value)).equals(isPlanned);
+        });
+    }
+
     it("name a role whose template and program exist", () => {
         const { template, words } = readRole();
         expect(template).equals("deploy/settings.toml");
