Read answers of one chunk without the library's parser too

Cause: an endpoint that doesn't set a length (as the stand-in's) answers in chunks, and a short answer is one chunk.

--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -169,8 +169,9 @@
         return parser;
     }
 
-    private finishSimpleAnswer({ status, headers, shouldKeepAlive, bodyStart }: SimpleAnswer, chunk: Buffer): void {
-        const body = Buffer.from(chunk.subarray(bodyStart));
+    private finishSimpleAnswer(answer: SimpleAnswer, chunk: Buffer): void {
+        const { status, headers, shouldKeepAlive, bodyStart, bodyLength } = answer;
+        const body = Buffer.from(chunk.subarray(bodyStart, bodyStart + bodyLength));
         this.partialAnswer = { status, headers, chunks: [body], bytes: body.length, shouldKeepAlive };
         this.framingBytes = body.length > 0 ? 0 : this.framingBytes + chunk.length;
         this.finishAnswer();
--- a/test/routed/simpleAnswer.test.ts
+++ b/test/routed/simpleAnswer.test.ts
@@ -27,6 +27,7 @@
         { name: "spaces around a value", text: "HTTP/1.1 200 OK\r\nNote: \t a b \t\r\nContent-Length: 0\r\n\r\n" },
         { name: "an empty value", text: "HTTP/1.1 200 OK\r\nNote:\r\nContent-Length: 0\r\n\r\n" },
         { name: "an end of head in the body", text: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n\r\n\r\n" },
+        { name: "one chunk", text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" },
         {
             name: "the end of the connection",
             text: "HTTP/1.1 200 OK\r\nConnection: Close\r\nContent-Length: 0\r\n\r\n",
@@ -39,8 +40,9 @@
     for (const { name, text } of readCases) {
         it(`with ${name} are read as the library reads them`, () => {
             const piece = Buffer.from(text, "latin1");
-            const { bodyStart, ...read } = parseSimpleAnswer(piece) ?? expect.fail("left to the library");
-            expect({ ...read, body: piece.toString("latin1", bodyStart) }).deep.equals(parseWithLibrary(text));
+            const { bodyStart, bodyLength, ...read } = parseSimpleAnswer(piece) ?? expect.fail("left to the library");
+            const body = piece.toString("latin1", bodyStart, bodyStart + bodyLength);
+            expect({ ...read, body }).deep.equals(parseWithLibrary(text));
         });
     }
 
@@ -52,8 +54,19 @@
         { name: "two lengths", text: "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx" },
         { name: "a length that is no number", text: "HTTP/1.1 200 OK\r\nContent-Length: +1\r\n\r\nx" },
         {
-            name: "chunks",
-            text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
+            name: "chunks and a length",
+            text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+        },
+        {
+            name: "two chunks",
+            text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n1\r\ny\r\n0\r\n\r\n",
+        },
+        { name: "no chunk", text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+        { name: "trailers", text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nA: b\r\n\r\n" },
+        { name: "another coding", text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n1\r\nx\r\n0\r\n\r\n" },
+        {
+            name: "the length of a chunk that is no number",
+            text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a\r\nx\r\n0\r\n\r\n",
         },
         { name: "an answer that announces another", text: "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n" },
         { name: "a status without a body", text: "HTTP/1.1 204 None\r\nContent-Length: 0\r\n\r\n" },
