--- a/test/routed/quotaSimulation.ts
+++ b/test/routed/quotaSimulation.ts
@@ -14,7 +14,7 @@
 const linkLossSeenAfterMs = 500;
 
 /** One place for a process. */
-interface Place {
+export interface Place {
     readonly address: string;
     quotas: CustomerQuotas;
     life: number;
--- a/test/routed/quotas.test.ts
+++ b/test/routed/quotas.test.ts
@@ -8,6 +8,7 @@
 import type { Random } from "../../standin/random.js";
 import { createRandom } from "../../standin/random.js";
 import { readPropertyOptions } from "../fakes.js";
+import type { Place } from "./quotaSimulation.js";
 import { bounds, QuotaSimulation } from "./quotaSimulation.js";
 
 const nodes = 84;
@@ -118,7 +119,7 @@
                 simulation.sendRequests(customer, () => requestsPerSecond * usualUse);
             }
             await simulation.run(2000);
-            const grantors = simulation.places.filter(place => place.quotas.listShares().some(each => each > 0.5));
+            const grantors = findGrantors(simulation);
             const ended = share === 0
                 ? grantors.slice(0, 1)
                 : simulation.places.filter(() => simulation.random() < share);
@@ -137,6 +138,8 @@
     | "endOne"
     | "endMany"
     | "endAll"
+    | "endGrantor"
+    | "cutGrantor"
     | "cut"
     | "heal"
     | "lossy"
@@ -152,6 +155,8 @@
     "endOne",
     "endMany",
     "endAll",
+    "endGrantor",
+    "cutGrantor",
     "cut",
     "heal",
     "lossy",
@@ -182,6 +187,11 @@
     }
 }
 
+/** Nodes that have most of the limits of a group. */
+function findGrantors(simulation: QuotaSimulation): Place[] {
+    return simulation.places.filter(place => place.isAlive && place.quotas.listShares().some(share => share > 0.5));
+}
+
 function applyEvent(simulation: QuotaSimulation, event: Event): void {
     const { random, places } = simulation;
     const pick = () => places[Math.floor(random() * places.length)]!;
@@ -193,6 +203,11 @@
             return pickSome(0.5).forEach(place => simulation.endLife(place, 100 + random() * 2000));
         case "endAll":
             return places.forEach(place => simulation.endLife(place, 100 + random() * 500));
+        case "endGrantor":
+            return findGrantors(simulation).forEach(place => simulation.endLife(place, 100 + random() * 2000));
+        case "cutGrantor":
+            return [...findGrantors(simulation).slice(0, 1), ...pickSome(random() / 2)]
+                .forEach(place => simulation.putOnSide(place, 1));
         case "cut":
             return pickSome(random()).forEach(place => simulation.putOnSide(place, 1 + Math.floor(random() * 2)));
         case "heal":
