Reserve times of return for refused callers, and know them when they come

Cause: refused callers are told random times, come back into the same peak, and wait behind new requests with a fresh target.

Change: returnSchedule.ts at the entry reserves return times at half of the served rate, the most urgent first, recognises a request that comes back by its subject and its end, and gives it precedence, its true target and a way past the throttle. For 20 ms after a service refused everywhere, the same customer's new requests are refused at the entry. Settings key returns: on where the deployment's parts (deploy/settings.toml, isReservedFor) hold tenants.

--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -282,11 +282,15 @@
 }
 
 function encodeOrigin(origin: Origin): unknown[] {
-    return [origin.route, origin.priority, origin.isRepeated, origin.depth, origin.servedBefore, origin.customer];
+    const { route, priority, isRepeated, depth, servedBefore, customer, hasReturned } = origin;
+    const items = [route, priority, isRepeated, depth, servedBefore, customer];
+    return hasReturned === true ? [...items, true] : items;
 }
 
 function decodeOrigin(value: unknown): Origin {
-    const [route, priority, isRepeated, depth, servedBefore, customer] = Array.isArray(value) ? value as unknown[] : [];
+    const [route, priority, isRepeated, depth, servedBefore, customer, hasReturned] = Array.isArray(value)
+        ? value as unknown[]
+        : [];
     return {
         route: String(route ?? ""),
         priority: Number(priority ?? 0),
@@ -294,6 +298,7 @@
         depth: Number(depth ?? 0),
         servedBefore: Number(servedBefore ?? 0),
         customer: typeof customer === "string" ? customer : undefined,
+        ...(hasReturned === true ? { hasReturned } : {}),
     };
 }
 
--- a/src/process/endpoint/endpointRunner.ts
+++ b/src/process/endpoint/endpointRunner.ts
@@ -193,9 +193,19 @@
         // If the request has to wait, `endWait` is set below to the function that resolves `waitEnd`.
         let endWait: (refusal: RefusalCause | undefined) => void = () => undefined;
         const { origin, route, deadline, target } = request;
-        const { depth, servedBefore, priority, customer } = origin;
+        const { depth, servedBefore, priority, customer, hasReturned } = origin;
         const settleWait = (refusal: RefusalCause | undefined): void => endWait(refusal);
-        const waiting = { depth, servedBefore, priority, customer, route, deadline, target, settle: settleWait };
+        const waiting = {
+            depth,
+            servedBefore,
+            priority,
+            customer,
+            hasReturned,
+            route,
+            deadline,
+            target,
+            settle: settleWait,
+        };
         const decision = this.queue.offer(waiting, now);
         if (decision.kind === "run") {
             return undefined;
--- a/src/process/load/runQueue.ts
+++ b/src/process/load/runQueue.ts
@@ -46,7 +46,7 @@
 const runMsWeight = 0.1;
 /** Run time assumed before the first sample, in milliseconds. */
 const assumedRunMs = 50;
-/** Part of the time up to the target that a request may spend waiting; the most urgent priority may use all of it. */
+/** Part of the time up to the target that a request may spend waiting; the most urgent priority and who came back may use all of it. */
 const maxWaitShare = 0.5;
 
 /** Pace at which requests may start, besides the limit of concurrency. */
@@ -229,7 +229,8 @@
             return untilDeadline;
         }
         const untilTarget = candidate.target - now - runMs;
-        const maxWaitMs = candidate.priority === 0 ? untilTarget : untilTarget * maxWaitShare;
+        const mayWaitLong = candidate.priority === 0 || candidate.hasReturned === true;
+        const maxWaitMs = mayWaitLong ? untilTarget : untilTarget * maxWaitShare;
         return Math.min(untilDeadline, Math.max(maxWaitMs, 0));
     }
 
--- a/src/process/load/runsInProgress.ts
+++ b/src/process/load/runsInProgress.ts
@@ -23,6 +23,8 @@
     readonly depth: number;
     /** Calls of the same run that were served before this one. */
     readonly servedBefore: number;
+    /** Whether it was refused before and came back at the time that it was told. */
+    readonly hasReturned?: boolean | undefined;
 }
 
 /** What the calls of a run met downstream: no problem, an overloaded service (`crowd`), or another failure. */
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -27,6 +27,7 @@
 import { InstanceSelector } from "../load/instanceSelector.js";
 import { LoadRefresher } from "../load/loadRefresher.js";
 import { Placement } from "../load/placement.js";
+import { ReturnSchedule } from "../load/returnSchedule.js";
 import { RunsInProgress } from "../load/runsInProgress.js";
 import type { RetryLimits } from "../load/serviceRetryBudget.js";
 import { ServiceRetryBudget } from "../load/serviceRetryBudget.js";
@@ -34,6 +35,7 @@
 import { ClusterState } from "../membership/clusterState.js";
 import { InstanceSubsets } from "../membership/instanceSubset.js";
 import { LinkKeeper } from "../membership/linkKeeper.js";
+import { hasReservedReturns } from "../settings/routedSettings.js";
 import type { RoutedSettings } from "../settings/routedSettings.js";
 import type { Logger } from "../telemetry/logger.js";
 import { RoutedMetrics } from "../telemetry/routedMetrics.js";
@@ -81,6 +83,8 @@
     private readonly links: PeerLinks;
     private readonly linkServer: LinkServer;
     private readonly retryBudget: ServiceRetryBudget;
+    /** Times at which refused callers come back; `undefined` where the settings don't call for it. */
+    private readonly returnSchedule: ReturnSchedule | undefined;
     private readonly inFlightRequests: InFlightRequests;
     private readonly listeners: RoutedListeners;
     /**
@@ -166,6 +170,7 @@
             () => registry.count(),
             settings.isFirstStart,
         );
+        this.returnSchedule = hasReservedReturns(settings) ? new ReturnSchedule(clock, Math.random) : undefined;
         this.listeners = new RoutedListeners({
             settings,
             logger,
@@ -324,6 +329,7 @@
             }),
             runs,
             entryThrottle: new EntryThrottle(clock, Math.random),
+            returnSchedule: this.returnSchedule,
             findUtilisation: serviceName => placement.computeUtilisation(registry.listForService(serviceName)),
             isStopping: () => this.isStopping,
         };
@@ -455,6 +461,18 @@
         }
     }
 
+    private addReturnGauges(): void {
+        const counts = this.returnSchedule?.counts;
+        if (counts === undefined) {
+            return;
+        }
+        const { metrics } = this;
+        metrics.addGauge("returns_promised", "Refused requests with a reserved time.", () => counts.promised);
+        metrics.addGauge("returns_unpromised", "Refused requests for which no time was left.", () => counts.unpromised);
+        metrics.addGauge("returns_kept", "Requests that came back at their time.", () => counts.kept);
+        metrics.addGauge("returns_early", "Requests that came back before their time.", () => counts.early);
+    }
+
     private addGauges(): void {
         const { metrics, runner, clusterState, links } = this;
         metrics.addGauge(
@@ -472,6 +490,7 @@
             "Number of times that the log was restored from an older copy; -1 before the first read.",
             () => clusterState.getLogPosition().era,
         );
+        this.addReturnGauges();
         metrics.addGauge("instances_known", "Known instances.", () => clusterState.registry.count());
         metrics.addGauge("links_open", "Open links to other nodes.", () => links.countOpenLinks());
         metrics.addGauge("endpoint_running", "Requests at the endpoint.", () => runner.getLoad().running);
--- a/src/process/settings/routedSettings.ts
+++ b/src/process/settings/routedSettings.ts
@@ -51,6 +51,17 @@
         /** Length of the window in which requests and retries are counted. */
         retryWindowSeconds: v.pipe(v.number(), v.minValue(0.1)),
     }),
+    /**
+     * Whether callers that are refused get reserved times to come back: where the deployment has one of the parts for
+     * which it is called for. Without, they get random ones.
+     */
+    returns: v.optional(
+        v.strictObject({
+            deploymentParts: v.array(shortTextSchema),
+            isReservedFor: v.array(shortTextSchema),
+        }),
+        { deploymentParts: [], isReservedFor: [] },
+    ),
     logging: v.optional(v.strictObject({ level: v.optional(v.picklist(logLevels), "info") }), {}),
 });
 
@@ -62,6 +73,11 @@
     return readSettingsText(file, text => parseRoutedSettings(file, text));
 }
 
+/** Whether callers that are refused get reserved times to come back. */
+export function hasReservedReturns({ returns }: RoutedSettings): boolean {
+    return returns.isReservedFor.some(part => returns.deploymentParts.includes(part));
+}
+
 /** Parses and checks the text of a settings file; `file` is for messages only. */
 export function parseRoutedSettings(file: string, text: string): Result<RoutedSettings, SettingsError> {
     return parseSettingsText(routedSettingsSchema, file, text);
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -3,6 +3,7 @@
 import { Cancellation } from "../process/base/cancellation.js";
 import type { Clock } from "../process/base/clock.js";
 import type { EntryThrottle } from "../process/load/entryThrottle.js";
+import type { ReturnSchedule } from "../process/load/returnSchedule.js";
 import type { DownstreamProblem, Origin, RunInProgress, RunsInProgress } from "../process/load/runsInProgress.js";
 import { overloadedWaitShare } from "../process/load/runsInProgress.js";
 import type { WeightedRoundRobin } from "../process/load/weightedRoundRobin.js";
@@ -23,6 +24,8 @@
 const lateResultWaitMs = 40;
 /** Retry-after delay while no configuration is known, in milliseconds. */
 const notReadyRetryMs = 500;
+/** Shortest retry-after delay, in milliseconds. */
+const minRetryMs = 50;
 /** Lower bound of the estimated retry-after delay before it is spread, in milliseconds. */
 const minRetryEstimateMs = 150;
 /** Longest retry-after delay, as a share of the time that the caller has left. */
@@ -40,6 +43,14 @@
     runs: 0,
 };
 
+/** Result of a request whose service has just refused everywhere. */
+const noRoomResult: ForwardResult = {
+    outcome: { kind: "refused", cause: "noRoom", retryAfterMs: 0 },
+    instance: undefined,
+    sends: 0,
+    runs: 0,
+};
+
 /** Dependencies of {@link serveRoutedRequest}. */
 export interface RoutedEntryDependencies {
     readonly clock: Clock;
@@ -54,6 +65,8 @@
     readonly runs: RunsInProgress;
     /** Refuses a share of the outside requests to routes whose downstream services are overloaded. */
     readonly entryThrottle: EntryThrottle;
+    /** Reserves times for refused requests and knows them when they come back; `undefined` if it isn't called for. */
+    readonly returnSchedule: ReturnSchedule | undefined;
     /** Returns the share of a service's concurrency limit that is in use, as far as it is known here. */
     readonly findUtilisation: (service: string) => number;
     readonly isStopping: () => boolean;
@@ -72,6 +85,10 @@
     readonly parent: RunInProgress | undefined;
     /** Customer whose key came with the request; `undefined` for a call of a run or without a key. */
     readonly customer: Customer | undefined;
+    /** Time by which the answer meets the target, counted from the first attempt of the request as far as it is known. */
+    readonly target: number;
+    /** Whether the request came back after a refusal at the time that it was told. */
+    readonly hasReturned: boolean;
 }
 
 /**
@@ -131,6 +148,9 @@
         });
         return;
     }
+    const returned = parent === undefined
+        ? takeReturn(dependencies, request, metadata, customer, startedAt)
+        : undefined;
     const routedRequest: RoutedRequest = {
         request,
         response,
@@ -141,8 +161,10 @@
         startedAt,
         parent,
         customer,
+        target: returned?.target ?? startedAt + route.targetLatencyMs,
+        hasReturned: returned?.isDue === true,
     };
-    if (parent === undefined && !dependencies.entryThrottle.admit(route.name)) {
+    if (parent === undefined && !routedRequest.hasReturned && !dependencies.entryThrottle.admit(route.name)) {
         const refusal = { kind: "refused", cause: "crowdedBehind", retryAfterMs: overloadedRetryMs } as const;
         const status = sendOutcome(dependencies, response, routedRequest, refusal);
         dependencies.metrics.recordRequestOutcome(route.name, "refused", refusal.cause, 0);
@@ -176,16 +198,21 @@
         body,
         origin: createOrigin(routedRequest),
         deadline: startedAt + waitMs,
-        target: startedAt + route.targetLatencyMs,
+        target: routedRequest.target,
         cancellation: new Cancellation(),
     };
-    const result = await forwardUntilDeadline(dependencies, call, response);
+    const result = hasNoRoom(dependencies, routedRequest, call)
+        ? noRoomResult
+        : await forwardUntilDeadline(dependencies, call, response);
     const elapsedMs = dependencies.clock.readMonotonic() - startedAt;
     if (result === "gone") {
         recordRequestEnd(dependencies, routedRequest, call, result, callerGoneStatus, elapsedMs);
         return;
     }
-    recordDownstreamOutcome(dependencies, routedRequest, call, result.outcome);
+    if (result !== noRoomResult) {
+        recordDownstreamOutcome(dependencies, routedRequest, call, result.outcome);
+    }
+    recordRoom(dependencies, routedRequest, call, result.outcome, elapsedMs);
     const status = sendOutcome(dependencies, response, routedRequest, result.outcome);
     recordRequestEnd(dependencies, routedRequest, call, result, status, elapsedMs);
 }
@@ -251,10 +278,81 @@
     routedRequest: RoutedRequest,
     estimateMs: number,
 ): number {
+    const reservedMs = offerReturn(dependencies, routedRequest, estimateMs);
+    if (reservedMs !== undefined) {
+        return Math.max(minRetryMs, reservedMs);
+    }
     const spent = dependencies.clock.readMonotonic() - routedRequest.startedAt;
     const leftMs = (routedRequest.metadata.deadlineMs ?? routedRequest.route.timeoutMs) - spent;
     const spreadMs = Math.max(minRetryEstimateMs, estimateMs) * (0.75 + dependencies.random() * 0.75);
-    return Math.max(50, Math.min(spreadMs, leftMs * maxRetryShare));
+    return Math.max(minRetryMs, Math.min(spreadMs, leftMs * maxRetryShare));
+}
+
+/** Finds the promise that a request of a caller was given when it was refused. Without a stated end it isn't known again. */
+function takeReturn(
+    { returnSchedule }: RoutedEntryDependencies,
+    request: IncomingMessage,
+    { deadlineMs }: RequestMetadata,
+    customer: Customer | undefined,
+    startedAt: number,
+): ReturnType<ReturnSchedule["take"]> {
+    return returnSchedule === undefined || deadlineMs === undefined
+        ? undefined
+        : returnSchedule.take(describeSubject(request, customer), startedAt + deadlineMs);
+}
+
+/** Reserves a time at which the caller shall come back; `undefined` if times are not reserved for this request. */
+function offerReturn(
+    { returnSchedule }: RoutedEntryDependencies,
+    routedRequest: RoutedRequest,
+    estimateMs: number,
+): number | undefined {
+    const { request, route, customer, parent, metadata, startedAt, target } = routedRequest;
+    if (returnSchedule === undefined || parent !== undefined || metadata.deadlineMs === undefined) {
+        return undefined;
+    }
+    return returnSchedule.offerReturn({
+        subject: describeSubject(request, customer),
+        service: route.shares[0]!.service,
+        route: route.name,
+        priority: customer?.priority ?? route.priority,
+        deadline: startedAt + metadata.deadlineMs,
+        target,
+    }, estimateMs);
+}
+
+/** Describes what a caller asks for; equal for all attempts of a request. */
+function describeSubject(request: IncomingMessage, customer: Customer | undefined): string {
+    return `${customer?.name ?? ""} ${request.method} ${request.headers.host}${request.url}`;
+}
+
+/** Whether the service of a new request has just refused everywhere, so that no other node needs to be asked. */
+function hasNoRoom(
+    { returnSchedule }: RoutedEntryDependencies,
+    { parent, hasReturned }: RoutedRequest,
+    { service, origin }: RoutedCall,
+): boolean {
+    return returnSchedule !== undefined && parent === undefined && !hasReturned
+        && returnSchedule.hasNoRoom(service, origin.customer, origin.priority);
+}
+
+/** Records whether a service had room for a request of a caller. */
+function recordRoom(
+    { returnSchedule }: RoutedEntryDependencies,
+    { parent, route, hasReturned }: RoutedRequest,
+    { service, origin }: RoutedCall,
+    outcome: ForwardOutcome,
+    elapsedMs: number,
+): void {
+    if (returnSchedule === undefined || parent !== undefined) {
+        return;
+    }
+    if (outcome.kind === "answer" && outcome.status < 500) {
+        returnSchedule.recordServed(route.shares[0]!.service, route.name, elapsedMs);
+    }
+    if (outcome.kind === "refused" && outcome.cause === "full" && !hasReturned) {
+        returnSchedule.recordNoRoom(service, origin.customer, origin.priority);
+    }
 }
 
 /** Sends an answer of the node itself, with an empty body. */
@@ -287,6 +385,7 @@
         isRepeated: false,
         depth: 0,
         servedBefore: 0,
+        ...(routedRequest.hasReturned ? { hasReturned: true } : {}),
     };
 }
 
@@ -349,6 +448,7 @@
         ...describeSends(result),
         status,
         cause,
+        returned: routedRequest.hasReturned ? true : undefined,
         ms: Math.round(elapsedMs),
         timeoutMs: Math.round(call.deadline - routedRequest.startedAt),
     });
--- a/test/routed/deploy.test.ts
+++ b/test/routed/deploy.test.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 import { readdirSync, readFileSync } from "node:fs";
 import { parse as parseToml } from "smol-toml";
-import { parseRoutedSettings } from "../../src/process/settings/routedSettings.js";
+import { hasReservedReturns, parseRoutedSettings } from "../../src/process/settings/routedSettings.js";
 import { formatSettingsError } from "../../src/process/settings/settingsFile.js";
 import { formatConfigurationError, parseConfiguration } from "../../src/version/configuration.js";
 
@@ -67,6 +67,7 @@
         listen: { outbound: "10.1.0.8:8304", ready: "10.1.0.8:8302", control: "10.1.0.8:8306" },
         port_range: [7620, 7635],
         platform: { address: "10.200.1.7:8309" },
+        contracts: ["base", "pressure"],
         bounds: { grace: 6, budget_ratio: 0.2, budget_slack: 49, budget_window: 10 },
     };
 
@@ -78,6 +79,18 @@
         expect(settings.ok && settings.value.bounds.graceSeconds).equals(6);
     });
 
+    const returnCases = [
+        { contracts: ["base", "pressure", "pool"], isReserved: false },
+        { contracts: ["base", "tenants", "quota"], isReserved: true },
+    ];
+    for (const { contracts, isReserved } of returnCases) {
+        it(`${isReserved ? "reserve" : "do not reserve"} times of return with ${contracts.join(", ")}`, () => {
+            const text = fillTemplate(readFileSync("deploy/settings.toml", "utf8"), { ...fields, contracts });
+            const settings = parseRoutedSettings("settings.toml", text);
+            expect(settings.ok && hasReservedReturns(settings.value)).equals(isReserved);
+        });
+    }
+
     it("name a role whose template and program exist", () => {
         const system = parseToml(readFileSync("deploy/system.toml", "utf8")) as {
             roles: Record<string, { run: string; template: string; }>;
