--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -6,9 +6,12 @@
  * of the message kind; the fields of that kind follow. Times are durations in milliseconds, so that the clocks of the
  * two machines don't need to be synchronised.
  */
-import { Packr } from "msgpackr";
+// This entry of the library leaves out its native addon, which costs a start more than it spares a short life.
+import { Packr } from "msgpackr/pack";
+import type { AskUnitsMessage, GrantUnitsMessage } from "../process/customers/unitMessages.js";
 import type { AnsweredRun, FailedRun, RefusedRun } from "../process/load/runOutcome.js";
 import type { Origin } from "../process/load/runsInProgress.js";
+import type { DownstreamCalls } from "../process/load/sheddingLevels.js";
 import type { HeaderList } from "../request/headers.js";
 
 /** Load of a node's local endpoint, sent with the outcome of every request. */
@@ -25,6 +28,8 @@
     readonly isSettled: boolean;
     /** Recent average time of a run at the endpoint, in milliseconds; 0 when there was none. */
     readonly runMs: number;
+    /** Fraction of the recent requests that the endpoint turned away though it had room, from 0 to 1. */
+    readonly shedShare: number;
 }
 
 /** Asks a node for a run, which is one execution of a request at the node's local endpoint. */
@@ -107,7 +112,9 @@
     | { readonly kind: "configuration"; readonly text: string; }
     | { readonly kind: "instances"; readonly records: readonly string[]; }
     /** Reports a crash of the sender's endpoint: the fingerprints of the requests lost in it, and its identifier. */
-    | { readonly kind: "crashes"; readonly fingerprints: readonly string[]; readonly incident: string; };
+    | { readonly kind: "crashes"; readonly fingerprints: readonly string[]; readonly incident: string; }
+    | AskUnitsMessage
+    | GrantUnitsMessage;
 
 /** Message kinds; the index of a kind is its number on the wire. */
 const kinds = [
@@ -124,6 +131,8 @@
     "configuration",
     "instances",
     "crashes",
+    "askUnits",
+    "grantUnits",
 ] as const satisfies readonly LinkMessage["kind"][];
 
 /** Fields of each message kind, in their order on the wire. */
@@ -146,7 +155,7 @@
         "callerService",
         "leavingEndpoint",
     ],
-    answer: ["id", "status", "headers", "body", "runMs", "waitedMs", "behind", "pressure", "load"],
+    answer: ["id", "status", "headers", "body", "runMs", "waitedMs", "behind", "pressure", "load", "downstream"],
     refused: ["id", "cause", "retryAfterMs", "load"],
     failed: ["id", "cause", "ranMs", "load"],
     cancel: ["id"],
@@ -158,10 +167,12 @@
     configuration: ["text"],
     instances: ["records"],
     crashes: ["fingerprints", "incident"],
+    askUnits: ["group", "session", "number", "stamp", "isSupporting", "nodes", "items"],
+    grantUnits: ["group", "session", "number", "stamp", "items"],
 };
 
 /** Number of the last fields of a kind that a message of an earlier build lacks. */
-const optionalFieldsByKind: { readonly [Kind in LinkMessage["kind"]]?: number; } = { run: 1 };
+const optionalFieldsByKind: { readonly [Kind in LinkMessage["kind"]]?: number; } = { run: 1, answer: 1 };
 
 /** Maximum size of a message, in bytes. */
 const maxMessageBytes = 80_000_000;
@@ -261,6 +272,8 @@
             return encodeLoad(value as LoadReport);
         case "origin":
             return encodeOrigin(value as Origin);
+        case "downstream":
+            return value === undefined ? undefined : encodeDownstream(value as readonly DownstreamCalls[]);
         case "pressure":
             return Math.round(value as number * 100);
         default:
@@ -274,6 +287,8 @@
             return decodeLoad(value);
         case "origin":
             return decodeOrigin(value);
+        case "downstream":
+            return decodeDownstream(value);
         case "pressure":
             return Number(value) / 100;
         default:
@@ -282,15 +297,14 @@
 }
 
 function encodeOrigin(origin: Origin): unknown[] {
-    const { route, priority, isRepeated, depth, servedBefore, customer, hasReturned } = origin;
-    const items = [route, priority, isRepeated, depth, servedBefore, customer];
+    const { route, priority, isRepeated, depth, servedBefore, customer, paidAfter, hasReturned } = origin;
+    const items = [route, priority, isRepeated, depth, servedBefore, customer, paidAfter];
     return hasReturned === true ? [...items, true] : items;
 }
 
 function decodeOrigin(value: unknown): Origin {
-    const [route, priority, isRepeated, depth, servedBefore, customer, hasReturned] = Array.isArray(value)
-        ? value as unknown[]
-        : [];
+    const items = Array.isArray(value) ? value as unknown[] : [];
+    const [route, priority, isRepeated, depth, servedBefore, customer, paidAfter, hasReturned] = items;
     return {
         route: String(route ?? ""),
         priority: Number(priority ?? 0),
@@ -298,18 +312,46 @@
         depth: Number(depth ?? 0),
         servedBefore: Number(servedBefore ?? 0),
         customer: typeof customer === "string" ? customer : undefined,
+        paidAfter: typeof paidAfter === "number" ? paidAfter : undefined,
         ...(hasReturned === true ? { hasReturned } : {}),
     };
 }
 
-/** Encodes a load report as an array; the failure share is rounded to whole percent. */
+/** Encodes a load report as an array; shares are rounded to whole percent. */
 function encodeLoad(load: LoadReport): number[] {
-    const { running, waiting, limit, failureShare, isSettled, runMs } = load;
-    return [running, waiting, limit, Math.round(failureShare * 100), isSettled ? 1 : 0, Math.round(runMs)];
+    const { running, waiting, limit, failureShare, isSettled, runMs, shedShare } = load;
+    const percents = [failureShare, shedShare].map(share => Math.round(share * 100));
+    return [running, waiting, limit, percents[0]!, isSettled ? 1 : 0, Math.round(runMs), percents[1]!];
+}
+
+/** Encodes what a run's calls led to; shares are rounded to whole percent, ages to whole milliseconds. */
+function encodeDownstream(downstream: readonly DownstreamCalls[]): unknown[] {
+    return downstream.map(({ service, calls, inRow, shedShare, ageMs }) => [
+        service,
+        calls,
+        inRow,
+        Math.round(shedShare * 100),
+        Math.round(ageMs),
+    ]);
+}
+
+/** Decodes what a run's calls led to; `undefined` if an earlier build sent the answer. */
+function decodeDownstream(value: unknown): readonly DownstreamCalls[] | undefined {
+    if (!Array.isArray(value)) {
+        return undefined;
+    }
+    return value.filter(Array.isArray).map(([service, calls, inRow, percent, ageMs]) => ({
+        service: String(service),
+        calls: Number(calls),
+        inRow: Number(inRow),
+        shedShare: Number(percent) / 100,
+        ageMs: Number(ageMs),
+    }));
 }
 
 function decodeLoad(value: unknown): LoadReport {
-    const [running, waiting, limit, percent, settled, runMs] = Array.isArray(value) ? value as number[] : [];
+    const items = Array.isArray(value) ? value as number[] : [];
+    const [running, waiting, limit, percent, settled, runMs, shedPercent] = items;
     return {
         running: running ?? 0,
         waiting: waiting ?? 0,
@@ -317,5 +359,7 @@
         failureShare: (percent ?? 0) / 100,
         isSettled: settled !== 0,
         runMs: runMs ?? 0,
+        // An earlier build reports none.
+        shedShare: (shedPercent ?? 0) / 100,
     };
 }
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -7,6 +7,7 @@
 import { isEndpointRunning } from "../../connection/endpointLiveness.js";
 import type { KeyedLog } from "../../connection/keyedLog.js";
 import type { HelloMessage } from "../../connection/link.js";
+import type { AcceptedLink } from "../../connection/linkServer.js";
 import { LinkServer } from "../../connection/linkServer.js";
 import { PeerLinks } from "../../connection/peerLinks.js";
 import type { Dialect } from "../../request/dialect.js";
@@ -15,6 +16,9 @@
 import { Sender } from "../../request/sender.js";
 import type { InstanceDescription } from "../../version/instanceRecord.js";
 import type { Clock } from "../base/clock.js";
+import { CustomerQuotas } from "../customers/customerQuotas.js";
+import type { QuotaBounds } from "../customers/quotaBound.js";
+import type { AskUnitsMessage } from "../customers/unitMessages.js";
 import { CrashDetector } from "../endpoint/crashDetector.js";
 import type { CrashReport } from "../endpoint/crashFlood.js";
 import { CrashFlood } from "../endpoint/crashFlood.js";
@@ -23,6 +27,7 @@
 import { EndpointState } from "../endpoint/endpointState.js";
 import { Quarantine } from "../endpoint/quarantine.js";
 import { RemoteRuns } from "../endpoint/remoteRuns.js";
+import { ChainAdmission, isRepeatScarce } from "../load/chainAdmission.js";
 import { EntryThrottle } from "../load/entryThrottle.js";
 import { InstanceSelector } from "../load/instanceSelector.js";
 import { LoadRefresher } from "../load/loadRefresher.js";
@@ -31,12 +36,15 @@
 import { RunsInProgress } from "../load/runsInProgress.js";
 import type { RetryLimits } from "../load/serviceRetryBudget.js";
 import { ServiceRetryBudget } from "../load/serviceRetryBudget.js";
+import type { ShedLevel } from "../load/sheddingLevels.js";
+import { SheddingLevels } from "../load/sheddingLevels.js";
 import { WeightedRoundRobin } from "../load/weightedRoundRobin.js";
 import { ClusterState } from "../membership/clusterState.js";
 import { InstanceSubsets } from "../membership/instanceSubset.js";
 import { LinkKeeper } from "../membership/linkKeeper.js";
 import { hasReservedReturns } from "../settings/routedSettings.js";
 import type { RoutedSettings } from "../settings/routedSettings.js";
+import { hasPlannedChains } from "../settings/routedSettings.js";
 import type { Logger } from "../telemetry/logger.js";
 import { RoutedMetrics } from "../telemetry/routedMetrics.js";
 import { decideStopStep } from "./gracefulStop.js";
@@ -49,12 +57,6 @@
 const stabilisationMs = 3500;
 /** Time between removals of the expired outcomes of runs for other nodes, in milliseconds. */
 const housekeepingIntervalMs = 1000;
-/**
- * Share of the configured retry limits that this node uses. A node's retry budget follows from the largest request
- * count of the current window and two earlier ones, so requests of callers who move from one node to another are
- * counted at both. The unused share makes up for the double count.
- */
-const usableRetryShare = 0.9;
 
 /** Platform-specific parts: access to the keyed log, and the headers by which requests carry their metadata. */
 export interface PlatformAdapters {
@@ -85,6 +87,9 @@
     private readonly retryBudget: ServiceRetryBudget;
     /** Times at which refused callers come back; `undefined` where the settings don't call for it. */
     private readonly returnSchedule: ReturnSchedule | undefined;
+    private readonly quotas: CustomerQuotas;
+    /** Levels of services that shed, and the plans that follow; `undefined` where chains are not planned. */
+    private readonly chains: { readonly levels: SheddingLevels; readonly admission: ChainAdmission; } | undefined;
     private readonly inFlightRequests: InFlightRequests;
     private readonly listeners: RoutedListeners;
     /**
@@ -95,6 +100,8 @@
     /** Time of the start on the monotonic clock, in milliseconds. */
     private readonly startedAt: number;
     private graceMs: number;
+    /** Retries that the bound allows for each request. */
+    private retryRatio: number;
     private isStopping = false;
     /** Whether the endpoint gets no new runs, since this process ends soon. */
     private isEndpointClosed = false;
@@ -107,6 +114,7 @@
     ) {
         const { address, dataCentre, bounds, endpoint } = settings;
         this.graceMs = bounds.graceSeconds * 1000;
+        this.retryRatio = bounds.retryRatio;
         this.startedAt = clock.readMonotonic();
         // One task for each peer listens to this signal, more than the default limit of listeners allows.
         setMaxListeners(0, this.stopController.signal);
@@ -116,6 +124,7 @@
         this.crashFlood = new CrashFlood(this.quarantine, report => this.postToOwnService(report));
         this.endpoint = new EndpointState(clock);
         this.pool = new EndpointConnectionPool(clock, endpoint.address.host, endpoint.address.port, platform.dialect);
+        this.chains = hasPlannedChains(settings) ? this.createChains() : undefined;
         this.runner = this.createRunner();
         this.remoteRuns = new RemoteRuns(clock, this.runner);
         const isReachable = (peer: string): boolean => peer === address || this.links.isReachable(peer);
@@ -171,6 +180,7 @@
             settings.isFirstStart,
         );
         this.returnSchedule = hasReservedReturns(settings) ? new ReturnSchedule(clock, Math.random) : undefined;
+        this.quotas = this.createQuotas();
         this.listeners = new RoutedListeners({
             settings,
             logger,
@@ -178,14 +188,16 @@
             inFlightRequests: this.inFlightRequests,
             entry: this.createEntryDependencies(),
             reports: {
+                service: settings.service,
                 report: report => this.endpointLifecycle.applyReport(report),
-                leave: id => this.endpointLifecycle.applyLeave(id),
+                leave: (id, born) => this.endpointLifecycle.applyLeave(id, born),
             },
             findNotReadyCause: () => this.findNotReadyCause(),
         });
         configurationHolder.addListener(() =>
             this.listeners.setCallerIdleTimeout(configurationHolder.getTable()!.configuration.limits.idleTimeoutMs)
         );
+        configurationHolder.addListener(() => this.quotas.updateQuotas());
         this.addGauges();
     }
 
@@ -199,6 +211,7 @@
         void this.links.runLivenessChecks();
         void this.pool.runPruning(signal);
         void this.runHousekeeping(signal);
+        void this.quotas.run(signal);
         if (!isFirstStart) {
             void this.endpointLifecycle.restore(signal);
         }
@@ -208,7 +221,9 @@
     /** Applies changed settings. Only `bounds` take effect while the process runs; all others need a restart. */
     applySettings(settings: RoutedSettings): void {
         this.graceMs = settings.bounds.graceSeconds * 1000;
+        this.retryRatio = settings.bounds.retryRatio;
         this.retryBudget.setLimits(createRetryLimits(settings.bounds));
+        this.quotas.setBounds(createQuotaBounds(settings.bounds));
     }
 
     /**
@@ -288,9 +303,38 @@
             findCustomerWeight: customer =>
                 this.clusterState.configurationHolder.getTable()?.customers.getWeight(customer) ?? 1,
             isSettled: () => this.isSettled(),
+            listDownstream: this.chains === undefined
+                ? undefined
+                : run => run.listDownstreamCalls(clock.readMonotonic()),
         });
     }
 
+    /** Share that a service turns away though it has room, if it is so large that repeats are scarce; otherwise 0. */
+    private findScarceShedShare(service: string): number {
+        this.learnShedLevel(service);
+        const share = this.chains?.levels.getShedShare(service) ?? 0;
+        return isRepeatScarce(share, this.retryRatio) ? share : 0;
+    }
+
+    private createChains(): { readonly levels: SheddingLevels; readonly admission: ChainAdmission; } {
+        const { clock, logger } = this;
+        const levels = new SheddingLevels(clock, ({ service, shedShare, ageMs }) => {
+            logger.info("shedLevelChanged", { service, share: shedShare.toFixed(2), ageMs: Math.round(ageMs) });
+        });
+        return { levels, admission: new ChainAdmission(clock, Math.random, levels, () => this.retryRatio) };
+    }
+
+    /** Learns the level of a service by the loads that its instances have reported here. */
+    private learnShedLevel(service: string): ShedLevel | undefined {
+        const found = this.placement.findShedLevel(this.clusterState.registry.listForService(service));
+        if (found === undefined) {
+            return undefined;
+        }
+        const level = { service, ...found };
+        this.chains?.levels.learn(level);
+        return level;
+    }
+
     /**
      * Whether this process is neither stopping nor just restarted. Other nodes prefer instances for which it is true.
      */
@@ -317,6 +361,9 @@
                 placement,
                 instanceSelector: this.createInstanceSelector(),
                 retryBudget,
+                getShedShare: this.chains === undefined
+                    ? undefined
+                    : called => this.findScarceShedShare(called),
                 sender: new Sender({
                     clock,
                     address,
@@ -331,10 +378,34 @@
             entryThrottle: new EntryThrottle(clock, Math.random),
             returnSchedule: this.returnSchedule,
             findUtilisation: serviceName => placement.computeUtilisation(registry.listForService(serviceName)),
+            quotas: this.quotas,
             isStopping: () => this.isStopping,
+            chains: this.chains === undefined
+                ? undefined
+                : {
+                    admission: this.chains.admission,
+                    learnLevel: serviceName => this.learnShedLevel(serviceName),
+                },
         };
     }
 
+    private createQuotas(): CustomerQuotas {
+        const { clock, settings, links, incarnation } = this;
+        const { configurationHolder, registry } = this.clusterState;
+        return new CustomerQuotas({
+            clock,
+            random: Math.random,
+            address: settings.address,
+            processId: String(incarnation),
+            isFirstStart: settings.isFirstStart,
+            registry,
+            listLimited: () => configurationHolder.getTable()?.customers.listLimited() ?? [],
+            findQuota: customer => configurationHolder.getTable()?.customers.findByName(customer)?.quota,
+            isLinked: peer => links.isLinked(peer),
+            post: (peer, message) => links.post(peer, message),
+        }, createQuotaBounds(settings.bounds));
+    }
+
     private createInstanceSelector(): InstanceSelector {
         const { settings, placement, runner, subsets, loadRefresher, linkKeeper } = this;
         return new InstanceSelector({
@@ -363,7 +434,7 @@
 
     private keepLinks(): void {
         const { address } = this.settings;
-        const kept = new Set(this.linkKeeper.chooseAddresses());
+        const kept = new Set([...this.linkKeeper.chooseAddresses(), ...this.quotas.listLinkedAddresses()]);
         kept.delete(address);
         this.links.keep(kept);
     }
@@ -377,8 +448,12 @@
             getLogPosition: () => this.clusterState.getLogPosition(),
             handleHello: hello =>
                 this.clusterState.gossip.handleHello(hello, message => this.links.post(hello.address, message)),
-            handleMessage: (address, message) =>
-                this.clusterState.gossip.handleMessage(message, reply => this.links.post(address, reply)),
+            handleMessage: (address, message) => {
+                if (message.kind === "grantUnits") {
+                    this.quotas.receive(address, message);
+                }
+                this.clusterState.gossip.handleMessage(message, reply => this.links.post(address, reply));
+            },
             recordLoad: (address, load) => {
                 this.placement.recordLoad(address, load);
                 this.loadRefresher.recordLoad(address);
@@ -401,12 +476,23 @@
                 if (message.kind === "crashes") {
                     this.crashFlood.receive(message);
                 }
+                if (message.kind === "askUnits") {
+                    this.answerUnits(message, link);
+                }
                 this.clusterState.gossip.handleMessage(message, link.post);
             },
             reportFailure: (cause, peer) => this.logger.warn("linkRefused", { cause, peer }),
         });
     }
 
+    private answerUnits(message: AskUnitsMessage, link: AcceptedLink): void {
+        const holder = link.getPeerAddress();
+        const answer = holder === undefined ? undefined : this.quotas.answer(holder, message);
+        if (answer !== undefined) {
+            link.post(answer);
+        }
+    }
+
     private createHello(): HelloMessage {
         return {
             kind: "hello",
@@ -473,7 +559,27 @@
         metrics.addGauge("returns_early", "Requests that came back before their time.", () => counts.early);
     }
 
+    private addQuotaGauges(): void {
+        this.metrics.addLabelledGauge(
+            "customer_quota",
+            "Quotas by customer and kind: limit (requests a second of all nodes), used and refused (requests at this node), "
+                + "granted (units that this node granted).",
+            ["customer", "kind"],
+            () =>
+                this.quotas.listCounts().flatMap(({ customer, ...counts }) =>
+                    Object.entries(counts).map(([kind, value]) => ({ labels: { customer, kind }, value }))
+                ),
+        );
+        this.metrics.addLabelledGauge(
+            "quota_group_share",
+            "Part of the limits that this node has to grant, by group of customers.",
+            ["group"],
+            () => this.quotas.listShares().map((value, group) => ({ labels: { group: String(group) }, value })),
+        );
+    }
+
     private addGauges(): void {
+        this.addQuotaGauges();
         const { metrics, runner, clusterState, links } = this;
         metrics.addGauge(
             "configuration_version",
@@ -500,6 +606,16 @@
             "Requests that may run at once.",
             () => runner.getLoad().limit,
         );
+        metrics.addGauge(
+            "endpoint_shed_share",
+            "Share of the recent requests that the endpoint turned away with room to spare.",
+            () => runner.getLoad().shedShare,
+        );
+        metrics.addGauge(
+            "chain_budget_correction",
+            "Factor on the estimated repeats for requests through shedding services; 1 where none are planned.",
+            () => this.chains?.admission.getCorrection() ?? 1,
+        );
         metrics.addGauge(
             "endpoint_named_limit",
             "Requests a second that the endpoint says it takes; -1 if it names no limit.",
@@ -510,8 +626,16 @@
 
 function createRetryLimits(bounds: RoutedSettings["bounds"]): RetryLimits {
     return {
-        ratio: bounds.retryRatio * usableRetryShare,
-        slack: bounds.retrySlack * usableRetryShare,
+        ratio: bounds.retryRatio,
+        slack: bounds.retrySlack,
         windowMs: bounds.retryWindowSeconds * 1000,
     };
 }
+
+function createQuotaBounds(bounds: RoutedSettings["bounds"]): QuotaBounds {
+    return {
+        windowMs: bounds.quotaWindowSeconds * 1000,
+        overage: bounds.quotaOverage,
+        slack: bounds.quotaSlack,
+    };
+}
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -1,11 +1,16 @@
 /** Serves requests of callers and of the local endpoint: finds the route, forwards, and answers by the deadline. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { PipelineTurn } from "../connection/requestPipeline.js";
 import { Cancellation } from "../process/base/cancellation.js";
 import type { Clock } from "../process/base/clock.js";
+import type { CustomerQuotas } from "../process/customers/customerQuotas.js";
+import type { SpentUnit } from "../process/customers/unitHolder.js";
+import type { ChainAdmission, ChainPlan } from "../process/load/chainAdmission.js";
 import type { EntryThrottle } from "../process/load/entryThrottle.js";
 import type { ReturnSchedule } from "../process/load/returnSchedule.js";
 import type { DownstreamProblem, Origin, RunInProgress, RunsInProgress } from "../process/load/runsInProgress.js";
 import { overloadedWaitShare } from "../process/load/runsInProgress.js";
+import type { ShedLevel } from "../process/load/sheddingLevels.js";
 import type { WeightedRoundRobin } from "../process/load/weightedRoundRobin.js";
 import type { Logger } from "../process/telemetry/logger.js";
 import type { RoutedMetrics } from "../process/telemetry/routedMetrics.js";
@@ -35,6 +40,11 @@
 /** Retry-after delay for requests that are refused because a downstream service is overloaded, in milliseconds. */
 const overloadedRetryMs = 900;
 
+/** Longest time for which a request waits for a unit of its customer's quota, in milliseconds. */
+const maxUnitWaitMs = 800;
+/** The same as a part of the time to the route's latency target. */
+const maxUnitWaitShare = 0.4;
+
 /** Result of a request whose outcome did not arrive in time. */
 const timedOutResult: ForwardResult = {
     outcome: { kind: "failed", cause: "timeout" },
@@ -60,16 +70,24 @@
     readonly dialect: Dialect;
     readonly configurationHolder: ConfigurationHolder;
     readonly serviceSelector: WeightedRoundRobin;
-    readonly forwarder: Forwarder;
+    readonly forwarder: Pick<Forwarder, "forward">;
     /** Runs of the local endpoint, whose calls enter here too. */
     readonly runs: RunsInProgress;
     /** Refuses a share of the outside requests to routes whose downstream services are overloaded. */
     readonly entryThrottle: EntryThrottle;
     /** Reserves times for refused requests and knows them when they come back; `undefined` if it isn't called for. */
-    readonly returnSchedule: ReturnSchedule | undefined;
+    readonly returnSchedule?: ReturnSchedule | undefined;
     /** Returns the share of a service's concurrency limit that is in use, as far as it is known here. */
     readonly findUtilisation: (service: string) => number;
+    /** Limits the requests of customers with a quota. */
+    readonly quotas: Pick<CustomerQuotas, "take" | "releaseUnit">;
     readonly isStopping: () => boolean;
+    /** Plans of requests through services that shed; `undefined` where chains are not planned. */
+    readonly chains?: {
+        readonly admission: ChainAdmission;
+        /** Learns and returns the level of a service that this node calls itself; `undefined` if none is known. */
+        readonly learnLevel: (service: string) => ShedLevel | undefined;
+    } | undefined;
 }
 
 /** A request whose body was read and whose route was found. */
@@ -89,21 +107,28 @@
     readonly target: number;
     /** Whether the request came back after a refusal at the time that it was told. */
     readonly hasReturned: boolean;
+    /** Plan of a request through a shedding service. */
+    readonly plan?: ChainPlan | undefined;
 }
 
 /**
  * Serves one request and logs its outcome, unless its body is too large. Nothing is sent or logged if the caller
- * disconnects while it sends the body.
+ * disconnects while it sends the body, or if the connection closes before the request's turn has come.
  */
 export async function serveRoutedRequest(
     dependencies: RoutedEntryDependencies,
     request: IncomingMessage,
     response: ServerResponse,
+    turn: PipelineTurn,
 ): Promise<void> {
     const startedAt = dependencies.clock.readMonotonic();
     if (dependencies.isStopping()) {
         response.setHeader("connection", "close");
     }
+    // Bodies of requests that wait for their turn stay unread, so that they take no memory here.
+    if (!turn.mayWork() && !await turn.waitForWork()) {
+        return;
+    }
     const metadata = dependencies.dialect.readRequest(request.rawHeaders);
     // Without a configuration there is no limit. Unless one arrives while the body is read, the request is refused
     // below.
@@ -117,6 +142,9 @@
         sendEmptyAnswer(response, 413, undefined);
         return;
     }
+    if (!turn.isNext() && isAtMostOnce(dependencies, request) && !await turn.waitUntilNext()) {
+        return;
+    }
     const table = dependencies.configurationHolder.getTable();
     if (table === undefined) {
         sendEmptyAnswer(response, 503, notReadyRetryMs);
@@ -137,14 +165,11 @@
     }
     const parent = dependencies.runs.find(dependencies.dialect.findParentAttempt(metadata.attemptId));
     const customer = parent === undefined ? findCustomer(table.customers, metadata.key) : undefined;
-    if (parent === undefined && customer === undefined && !route.isPublic && !table.customers.isEmpty()) {
-        sendEmptyAnswer(response, 401, undefined);
-        logRequest(dependencies, "refused", {
+    if (parent === undefined && customer === undefined && !route.isPublic && table.configuration.needsKeys) {
+        refuseUnknownCaller(dependencies, response, metadata, {
             request: metadata.attemptId,
             route: route.name,
-            cause: "unknownKey",
             version,
-            status: 401,
         });
         return;
     }
@@ -164,28 +189,129 @@
         target: returned?.target ?? startedAt + route.targetLatencyMs,
         hasReturned: returned?.isDue === true,
     };
-    if (parent === undefined && !routedRequest.hasReturned && !dependencies.entryThrottle.admit(route.name)) {
-        const refusal = { kind: "refused", cause: "crowdedBehind", retryAfterMs: overloadedRetryMs } as const;
-        const status = sendOutcome(dependencies, response, routedRequest, refusal);
-        dependencies.metrics.recordRequestOutcome(route.name, "refused", refusal.cause, 0);
-        const share = dependencies.entryThrottle.getAdmittedFraction(route.name).toFixed(2);
-        logRequest(dependencies, "refused", {
-            request: metadata.attemptId,
-            route: route.name,
-            cause: refusal.cause,
-            share,
-            status,
-        });
+    if (parent !== undefined) {
+        await forwardRequest(dependencies, routedRequest, metadata.attemptId);
         return;
     }
-    await forwardRequest(dependencies, routedRequest, metadata.attemptId);
+    const admission = admitRequest(dependencies, routedRequest);
+    if (admission.kind === "refuse") {
+        refuseAtEntry(dependencies, routedRequest, admission.cause, admission.fields);
+        return;
+    }
+    await forwardWithinQuota(dependencies, { ...routedRequest, plan: admission.plan }, metadata.attemptId);
 }
 
-async function forwardRequest(
+/** Whether a caller's request is begun, by what is known of the services behind its route. */
+type EntryAdmission =
+    | { readonly kind: "begin"; readonly plan: ChainPlan | undefined; }
+    | { readonly kind: "refuse"; readonly cause: string; readonly fields: Readonly<Record<string, string>>; };
+
+function admitRequest(
+    dependencies: RoutedEntryDependencies,
+    { route, customer, hasReturned }: RoutedRequest,
+): EntryAdmission {
+    const { entryThrottle, chains } = dependencies;
+    if (!hasReturned && !entryThrottle.admit(route.name)) {
+        const share = entryThrottle.getAdmittedFraction(route.name).toFixed(2);
+        return { kind: "refuse", cause: "crowdedBehind", fields: { share } };
+    }
+    const decision = chains?.admission.decide(route.name, customer?.priority ?? route.priority);
+    if (decision?.kind === "refuse") {
+        const fields = { behind: decision.service, shedShare: decision.shedShare.toFixed(2) };
+        return { kind: "refuse", cause: "shedBehind", fields };
+    }
+    return { kind: "begin", plan: decision?.plan };
+}
+
+/** Refuses a caller's request before any work was spent on it. */
+function refuseAtEntry(
+    dependencies: RoutedEntryDependencies,
+    routedRequest: RoutedRequest,
+    cause: string,
+    fields: Readonly<Record<string, string>>,
+): void {
+    const { response, metadata, route, version, customer } = routedRequest;
+    const refusal = { kind: "refused", cause, retryAfterMs: overloadedRetryMs } as const;
+    const status = sendOutcome(dependencies, response, routedRequest, refusal);
+    dependencies.metrics.recordRequestOutcome(route.name, "refused", cause, 0);
+    logRequest(dependencies, "refused", {
+        request: metadata.attemptId,
+        route: route.name,
+        customer: customer?.name,
+        version,
+        cause,
+        ...fields,
+        status,
+    });
+}
+
+/** Forwards a request with a unit of its customer's quota, and gives the unit back if it ran nowhere. */
+async function forwardWithinQuota(
     dependencies: RoutedEntryDependencies,
     routedRequest: RoutedRequest,
     attemptId: string,
 ): Promise<void> {
+    const { customer } = routedRequest;
+    if (customer?.quota === undefined) {
+        await forwardRequest(dependencies, routedRequest, attemptId);
+        return;
+    }
+    const unit = await takeUnit(dependencies, routedRequest, customer.name);
+    if (unit === undefined) {
+        return;
+    }
+    const result = await forwardRequest(dependencies, routedRequest, attemptId);
+    if (result !== "gone" && result.outcome.kind === "refused" && result.runs === 0) {
+        dependencies.quotas.releaseUnit(unit);
+    }
+}
+
+/**
+ * Takes a unit of the customer's quota. Without one, the request is answered with 429. Returns `undefined` if the request
+ * has ended.
+ */
+async function takeUnit(
+    dependencies: RoutedEntryDependencies,
+    routedRequest: RoutedRequest,
+    customer: string,
+): Promise<SpentUnit | undefined> {
+    const { response, route, metadata, version } = routedRequest;
+    const maxWaitMs = Math.min(maxUnitWaitMs, route.targetLatencyMs * maxUnitWaitShare);
+    const taken = await dependencies.quotas.take(customer, maxWaitMs);
+    if (taken.kind === "granted") {
+        if (!response.destroyed) {
+            return taken.unit;
+        }
+        dependencies.quotas.releaseUnit(taken.unit);
+        return undefined;
+    }
+    sendEmptyAnswer(response, 429, taken.retryAfterMs * (1 + dependencies.random() / 2));
+    dependencies.metrics.recordRequestOutcome(route.name, "refused", taken.cause, 0);
+    logRequest(dependencies, "refused", {
+        request: metadata.attemptId,
+        route: route.name,
+        customer,
+        cause: taken.cause,
+        version,
+        status: 429,
+    });
+    return undefined;
+}
+
+/**
+ * Whether a request may run only once, by the version in force. Such a request waits for all answers before it on its
+ * connection: if one of them closes the connection, the caller sends the request again.
+ */
+function isAtMostOnce({ configurationHolder }: RoutedEntryDependencies, request: IncomingMessage): boolean {
+    const route = configurationHolder.getTable()?.find(request.headers.host ?? "", request.url ?? "/");
+    return route?.repetition === "atMostOnce";
+}
+
+async function forwardRequest(
+    dependencies: RoutedEntryDependencies,
+    routedRequest: RoutedRequest,
+    attemptId: string,
+): Promise<ForwardResult | "gone"> {
     const { request, response, route, startedAt, body } = routedRequest;
     const waitMs = Math.min(routedRequest.metadata.deadlineMs ?? Infinity, route.timeoutMs);
     const call: RoutedCall = {
@@ -207,7 +333,7 @@
     const elapsedMs = dependencies.clock.readMonotonic() - startedAt;
     if (result === "gone") {
         recordRequestEnd(dependencies, routedRequest, call, result, callerGoneStatus, elapsedMs);
-        return;
+        return result;
     }
     if (result !== noRoomResult) {
         recordDownstreamOutcome(dependencies, routedRequest, call, result.outcome);
@@ -215,6 +341,7 @@
     recordRoom(dependencies, routedRequest, call, result.outcome, elapsedMs);
     const status = sendOutcome(dependencies, response, routedRequest, result.outcome);
     recordRequestEnd(dependencies, routedRequest, call, result, status, elapsedMs);
+    return result;
 }
 
 /**
@@ -372,6 +499,24 @@
     return key === undefined ? undefined : customers.findByKey(key);
 }
 
+/**
+ * Refuses a request that comes without a known key. A call of a run that is not known here carries none: the node was
+ * started again while the endpoint ran on, or the run was given up. That says nothing against the caller, so it is told
+ * to come again.
+ */
+function refuseUnknownCaller(
+    dependencies: RoutedEntryDependencies,
+    response: ServerResponse,
+    { attemptId, key }: RequestMetadata,
+    fields: { readonly request: string; readonly route: string; readonly version: number; },
+): void {
+    const isCall = key === undefined && dependencies.dialect.findParentAttempt(attemptId ?? "") !== undefined;
+    const [status, cause] = isCall ? [503, "unknownRun"] as const : [401, "unknownKey"] as const;
+    sendEmptyAnswer(response, status, isCall ? notReadyRetryMs : undefined);
+    dependencies.metrics.recordRequestOutcome(fields.route, "refused", cause, 0);
+    logRequest(dependencies, "refused", { ...fields, cause, status });
+}
+
 /** Creates the origin of a request. A call of a run inherits the route and priority of the outside request. */
 function createOrigin(routedRequest: RoutedRequest): Origin {
     const { route, parent, customer } = routedRequest;
@@ -386,6 +531,7 @@
         depth: 0,
         servedBefore: 0,
         ...(routedRequest.hasReturned ? { hasReturned: true } : {}),
+        paidAfter: routedRequest.plan?.paidAfter,
     };
 }
 
@@ -400,6 +546,7 @@
     if (routedRequest.parent !== undefined) {
         const knownUtilisation = Math.max(utilisation, dependencies.findUtilisation(call.service));
         routedRequest.parent.recordCall(describeDownstreamProblem(outcome), waitedMs, knownUtilisation);
+        recordCallTo(dependencies, routedRequest.parent, call, outcome);
         return;
     }
     // Only an error answer can count as overload: for a refusal or a failure, `waitedMs` is 0.
@@ -412,6 +559,22 @@
         { isOverloaded, utilisation },
         routedRequest.startedAt,
     );
+    const downstream = outcome.kind === "answer" ? outcome.downstream ?? [] : [];
+    dependencies.chains?.admission.recordAnswer(call.route.name, downstream, !hasFailed, routedRequest.plan);
+}
+
+/** Reports to the run that made a call which services it led to, and how much of their work they turn away. */
+function recordCallTo(
+    { chains, clock }: RoutedEntryDependencies,
+    run: RunInProgress,
+    call: RoutedCall,
+    outcome: ForwardOutcome,
+): void {
+    if (chains === undefined) {
+        return;
+    }
+    const called = chains.learnLevel(call.service) ?? { service: call.service, shedShare: 0, ageMs: Infinity };
+    run.recordCallTo(called, outcome.kind === "answer" ? outcome.downstream ?? [] : [], clock.readMonotonic());
 }
 
 /** Describes the problem that a call met: "crowd" means that the called service or one downstream was overloaded. */
@@ -443,6 +606,7 @@
         route: call.route.name,
         service: call.service,
         version: routedRequest.version,
+        customer: call.origin.customer,
         origin: call.origin.route,
         depth: call.origin.depth,
         ...describeSends(result),
@@ -451,6 +615,7 @@
         returned: routedRequest.hasReturned ? true : undefined,
         ms: Math.round(elapsedMs),
         timeoutMs: Math.round(call.deadline - routedRequest.startedAt),
+        paidAfter: call.origin.paidAfter,
     });
 }
 
--- a/src/version/customer.ts
+++ b/src/version/customer.ts
@@ -3,7 +3,7 @@
  *
  * Keys are kept as digests, so that they are found in constant time and no dump of the table shows one.
  */
-import { createHash } from "node:crypto";
+import { hash } from "node:crypto";
 
 /** Rate at which all nodes together admit a customer's requests. */
 export interface Quota {
@@ -43,16 +43,16 @@
         this.averageQuotaPerSecond = quotas.reduce((sum, quota) => sum + quota, 0) / Math.max(1, quotas.length);
     }
 
-    /** Whether the configuration lists customers. Without any, requests need no key. */
-    isEmpty(): boolean {
-        return this.customersByName.size === 0;
-    }
-
     /** Finds the customer that holds a key; `undefined` if none does. */
     findByKey(key: string): Customer | undefined {
         return this.customersByDigest.get(computeKeyDigest(key));
     }
 
+    /** Lists the customers with a quota. */
+    listLimited(): readonly Customer[] {
+        return [...this.customersByName.values()].filter(customer => customer.quota !== undefined);
+    }
+
     /** Finds a customer by its name; `undefined` if the configuration does not list it. */
     findByName(name: string): Customer | undefined {
         return this.customersByName.get(name);
@@ -69,5 +69,5 @@
 }
 
 function computeKeyDigest(key: string): string {
-    return createHash("sha256").update(key).digest("base64");
+    return hash("sha256", key, "base64");
 }
--- a/standin/platformUpstream.ts
+++ b/standin/platformUpstream.ts
@@ -35,6 +35,8 @@
     readonly runs: string[] = [];
     /** Headers of the last request. */
     lastHeaders: readonly string[] = [];
+    /** Headers of the last request of each attempt. */
+    readonly headersByAttempt = new Map<string, readonly string[]>();
     running = 0;
     mostRunning = 0;
     /** Runs whose caller's connection closed before the answer. */
@@ -49,6 +51,10 @@
     /** Requests a second that its answers say it takes; `undefined` if they name no limit. */
     namedLimit: number | undefined;
     id: string;
+    /** Id under which it starts again; `undefined` for a new one each time. */
+    fixedId: string | undefined;
+    /** Start that its reports state, in Unix milliseconds; `undefined` if they state none. */
+    born: number | undefined;
     private state: "ready" | "draining" = "ready";
     private number = 0;
     private life = 0;
@@ -97,6 +103,11 @@
     async sendHeartbeat(): Promise<boolean> {
         this.number += 1;
         return this.post(`/rpc?call=instances.heartbeat&of=${this.id}`, {
+            service: this.plan.service,
+            address: `${this.plan.address}:${this.plan.port}`,
+            dataCentre: "klaten",
+            version: "v1",
+            ...(this.born === undefined ? {} : { born: this.born }),
             slots: this.slots,
             state: this.state,
             reportNumber: this.number,
@@ -104,7 +115,7 @@
     }
 
     private createId(): string {
-        return `i-${this.plan.address}-${this.life}`;
+        return this.fixedId ?? `i-${this.plan.address}-${this.life}`;
     }
 
     private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -136,6 +147,7 @@
             return;
         }
         this.lastHeaders = request.rawHeaders;
+        this.headersByAttempt.set(String(attempt), request.rawHeaders);
         await this.run(String(attempt), echo, Buffer.concat(chunks), response);
     }
 
--- a/test/routed/deploy.test.ts
+++ b/test/routed/deploy.test.ts
@@ -1,8 +1,12 @@
 /** What keeps the product apart from the platform, and the files by which the platform runs it. */
 import { expect } from "chai";
-import { readdirSync, readFileSync } from "node:fs";
+import { spawnSync } from "node:child_process";
+import { copyFileSync, existsSync, mkdirSync, mkdtempSync, readdirSync, readFileSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
 import { parse as parseToml } from "smol-toml";
-import { hasReservedReturns, parseRoutedSettings } from "../../src/process/settings/routedSettings.js";
+import { hasPlannedChains, hasReservedReturns, parseRoutedSettings } from "../../src/process/settings/routedSettings.js";
 import { formatSettingsError } from "../../src/process/settings/settingsFile.js";
 import { formatConfigurationError, parseConfiguration } from "../../src/version/configuration.js";
 
@@ -18,6 +22,7 @@
     /keyed\.|op\/config|log-(append|read|newest|join)/,
     /instances\.(heartbeat|deregister)/,
     /sidecar|control_plane/,
+    /"tenant"|api_keys|requests_per_s\b/i,
     /TURMERICSPOKE_SETTINGS/,
 ];
 
@@ -48,12 +53,33 @@
     });
 });
 
-/** Fills in a template as the platform does, as far as ours needs it: `{{a.b}}` and `{{a.b|json}}`. */
+function findField(fields: unknown, path: string): unknown {
+    return path.split(".").reduce<unknown>((at, key) => (at as Record<string, unknown>)?.[key], fields);
+}
+
+/**
+ * Fills in a template as the platform does, as far as ours needs it: `{{a.b}}`, `{{a.b|json}}` and a section
+ * `{{#a.b}} .. {{/a.b}}`, which is there once if there is a value.
+ */
 function fillTemplate(template: string, fields: unknown): string {
-    return template.replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_match, path: string, isJson: string | undefined) => {
-        const value = path.split(".").reduce<unknown>((at, key) => (at as Record<string, unknown>)?.[key], fields);
-        return isJson === undefined ? String(value ?? "") : JSON.stringify(value);
-    });
+    return template
+        .replace(
+            /\{\{#([\w.]+)\}\}\n([^]*?)\{\{\/\1\}\}\n/g,
+            (_match, path: string, text: string) => findField(fields, path) === undefined ? "" : text,
+        )
+        .replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_match, path: string, isJson: string | undefined) => {
+            const value = findField(fields, path);
+            return isJson === undefined ? String(value ?? "") : JSON.stringify(value);
+        });
+}
+
+/** The template and the words of the command of the deployment's only role. */
+function readRole(): { readonly template: string; readonly words: readonly string[]; } {
+    const system = parseToml(readFileSync("deploy/system.toml", "utf8")) as {
+        roles: Record<string, { run: string; template: string; }>;
+    };
+    const [role] = Object.values(system.roles);
+    return { template: role!.template, words: role!.run.split(" ") };
 }
 
 describe("files of the deployment", () => {
@@ -91,13 +117,49 @@
         });
     }
 
+    it("render the bound on quotas where the deployment has it", () => {
+        const bounds = { ...fields.bounds, quota_window: 5, quota_overage: 0.1, quota_slack: 20 };
+        const text = fillTemplate(readFileSync("deploy/settings.toml", "utf8"), { ...fields, bounds });
+        const settings = parseRoutedSettings("settings.toml", text);
+        expect(settings.ok && settings.value.bounds)
+            .deep.include({ quotaWindowSeconds: 5, quotaOverage: 0.1, quotaSlack: 20 });
+    });
+
+    const deployments: readonly { readonly contracts: readonly string[]; readonly isPlanned: boolean; }[] = [
+        { contracts: ["base", "pressure"], isPlanned: false },
+        { contracts: ["base", "health", "pool", "pressure"], isPlanned: true },
+    ];
+    for (const { contracts, isPlanned } of deployments) {
+        it(`${isPlanned ? "plan" : "don't plan"} requests with the contracts ${contracts.join(", ")}`, () => {
+            const text = fillTemplate(readFileSync("deploy/settings.toml", "utf8"), { ...fields, contracts });
+            const settings = parseRoutedSettings("settings.toml", text);
+            expect(settings.ok && hasPlannedChains(settings.value)).equals(isPlanned);
+        });
+    }
+
     it("name a role whose template and program exist", () => {
-        const system = parseToml(readFileSync("deploy/system.toml", "utf8")) as {
-            roles: Record<string, { run: string; template: string; }>;
-        };
-        const [role] = Object.values(system.roles);
-        expect(role?.template).equals("deploy/settings.toml");
-        expect(role?.run).contains("target/platform/main.js");
+        const { template, words } = readRole();
+        expect(template).equals("deploy/settings.toml");
+        expect(words.at(-1)).equals("deploy/start.cjs");
+        expect(existsSync("deploy/start.cjs")).equals(true);
+    });
+
+    it("start the joined program from code that was compiled for the flags of the role", () => {
+        const folder = mkdtempSync(join(tmpdir(), "turmericspoke-"));
+        for (const name of ["deploy", "target"]) {
+            mkdirSync(join(folder, name));
+        }
+        copyFileSync("deploy/start.cjs", join(folder, "deploy/start.cjs"));
+        const bundle = ["tools/bundle.mjs", "dist/platform/main.js", join(folder, "target/node"), "deploy/system.toml"];
+        expect(spawnSync(process.execPath, bundle).status).equals(0);
+        const { status, stderr } = spawnSync(process.execPath, readRole().words.slice(1), {
+            cwd: folder,
+            encoding: "utf8",
+            env: { TURMERICSPOKE_SETTINGS: "missing.toml" },
+        });
+        rmSync(folder, { recursive: true });
+        expect(stderr).matches(/^missing\.toml: ENOENT[^\n]*\n$/);
+        expect(status).equals(2);
     });
 
     it("give the operator's configuration the product's names", () => {
--- a/test/routed/linkMessage.test.ts
+++ b/test/routed/linkMessage.test.ts
@@ -6,7 +6,7 @@
 import { encodeMessage, MessageReader } from "../../src/connection/linkMessage.js";
 import { readPropertyOptions } from "../fakes.js";
 
-const load = { running: 3, waiting: 1, limit: 9, failureShare: 0.25, isSettled: false, runMs: 42 };
+const load = { running: 3, waiting: 1, limit: 9, failureShare: 0.25, isSettled: false, runMs: 42, shedShare: 0.5 };
 const samples: readonly LinkMessage[] = [
     {
         kind: "run",
@@ -21,7 +21,15 @@
         headers: ["Host", "katalog.example"],
         body: Buffer.from("body"),
         isIdempotent: true,
-        origin: { route: "r", priority: 2, isRepeated: true, depth: 3, servedBefore: 2, customer: "weavers" },
+        origin: {
+            route: "r",
+            priority: 2,
+            isRepeated: true,
+            depth: 3,
+            servedBefore: 2,
+            customer: "weavers",
+            paidAfter: 2,
+        },
         timeLeftMs: 812.5,
         targetLeftMs: -3,
         callerService: "ekspor",
@@ -38,6 +46,7 @@
         behind: "crowd",
         pressure: 1.25,
         load,
+        downstream: [{ service: "mutu", calls: 8, inRow: 4, shedShare: 0.55, ageMs: 120 }],
     },
     { kind: "refused", id: 2, cause: "full", retryAfterMs: 12, load },
     { kind: "failed", id: 3, cause: "reset", ranMs: 1, load },
@@ -50,6 +59,17 @@
     { kind: "configuration", text: "{}" },
     { kind: "instances", records: ["{}"] },
     { kind: "crashes", fingerprints: ["f"], incident: "i" },
+    {
+        kind: "askUnits",
+        group: 2,
+        session: 4_294_967_295,
+        number: 3,
+        stamp: "1764812345678901 1000",
+        isSupporting: true,
+        nodes: 84,
+        items: [["weavers", 4, 1, 2]],
+    },
+    { kind: "grantUnits", group: 2, session: 7, number: 3, stamp: "", items: [["weavers", 5, -1], ["dyers", 0, 60]] },
 ];
 
 describe("messages between nodes", () => {
@@ -71,13 +91,63 @@
         );
     });
 
-    it("of an earlier build, which lack the newest field, are taken", () => {
-        const packr = new Packr({ useRecords: false });
-        const items = packr.unpack(encodeMessage(samples[0]!).subarray(4)) as unknown[];
-        const packed = packr.pack(items.slice(0, -1));
-        const framed = Buffer.concat([Buffer.alloc(4), packed]);
-        framed.writeUInt32BE(packed.length, 0);
-        expect(new MessageReader().read(framed)).deep.equals([{ ...samples[0]!, leavingEndpoint: undefined }]);
+    const earlier: readonly {
+        readonly name: string;
+        readonly sample: LinkMessage;
+        /** Removes what the earlier build does not send. */
+        readonly cut: (items: unknown[]) => unknown[];
+        readonly change: object;
+    }[] = [
+        {
+            name: "a run without the leaving endpoint",
+            sample: samples[0]!,
+            cut: items => items.slice(0, -1),
+            change: { leavingEndpoint: undefined },
+        },
+        {
+            name: "an answer without the services behind",
+            sample: samples[1]!,
+            cut: items => items.slice(0, -1),
+            change: { downstream: undefined },
+        },
+        {
+            name: "a load without the share that is turned away",
+            sample: { kind: "load", load },
+            cut: ([kind, fields]) => [kind, (fields as number[]).slice(0, -1)],
+            change: { load: { ...load, shedShare: 0 } },
+        },
+    ];
+    for (const { name, sample, cut, change } of earlier) {
+        it(`of an earlier build are taken: ${name}`, () => {
+            const packr = new Packr({ useRecords: false });
+            const packed = packr.pack(cut(packr.unpack(encodeMessage(sample).subarray(4)) as unknown[]));
+            const framed = Buffer.concat([Buffer.alloc(4), packed]);
+            framed.writeUInt32BE(packed.length, 0);
+            expect(new MessageReader().read(framed)).deep.equals([{ ...sample, ...change }]);
+        });
+    }
+
+    for (const field of ["customer", "servedBefore"] as const) {
+        it(`of an earlier build, whose origin ends before ${field}, are taken`, () => {
+            const packr = new Packr({ useRecords: false });
+            const items = packr.unpack(encodeMessage(samples[0]!).subarray(4)) as unknown[];
+            const origin = items.find(item => Array.isArray(item) && item.includes("weavers")) as unknown[];
+            const end = field === "customer" ? 5 : 4;
+            const packed = packr.pack(items.map(item => item === origin ? origin.slice(0, end) : item));
+            const framed = Buffer.concat([Buffer.alloc(4), packed]);
+            framed.writeUInt32BE(packed.length, 0);
+            const [message] = new MessageReader().read(framed) ?? expect.fail();
+            const read = message?.kind === "run" ? message.origin : expect.fail();
+            const servedBefore = field === "customer" ? 2 : 0;
+            const lacking = { customer: undefined, servedBefore };
+            expect(read).deep.equals({ route: "r", priority: 2, isRepeated: true, depth: 3, ...lacking });
+        });
+    }
+
+    it("with a request without a customer arrive as they were sent", () => {
+        const { origin, ...rest } = samples[0] as Extract<LinkMessage, { readonly kind: "run"; }>;
+        const sent: LinkMessage = { ...rest, origin: { ...origin, customer: undefined } };
+        expect(new MessageReader().read(encodeMessage(sent))).deep.equals([sent]);
     });
 
     it("that are malformed never fail the reader", () => {
