--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -297,13 +297,14 @@
 }
 
 function encodeOrigin(origin: Origin): unknown[] {
-    const { route, priority, isRepeated, depth, servedBefore, customer, paidAfter } = origin;
-    return [route, priority, isRepeated, depth, servedBefore, customer, paidAfter];
+    const { route, priority, isRepeated, depth, servedBefore, customer, paidAfter, hasReturned } = origin;
+    const items = [route, priority, isRepeated, depth, servedBefore, customer, paidAfter];
+    return hasReturned === true ? [...items, true] : items;
 }
 
 function decodeOrigin(value: unknown): Origin {
     const items = Array.isArray(value) ? value as unknown[] : [];
-    const [route, priority, isRepeated, depth, servedBefore, customer, paidAfter] = items;
+    const [route, priority, isRepeated, depth, servedBefore, customer, paidAfter, hasReturned] = items;
     return {
         route: String(route ?? ""),
         priority: Number(priority ?? 0),
@@ -312,6 +313,7 @@
         servedBefore: Number(servedBefore ?? 0),
         customer: typeof customer === "string" ? customer : undefined,
         paidAfter: typeof paidAfter === "number" ? paidAfter : undefined,
+        ...(hasReturned === true ? { hasReturned } : {}),
     };
 }
 
--- a/src/process/load/runsInProgress.ts
+++ b/src/process/load/runsInProgress.ts
@@ -24,6 +24,8 @@
     readonly depth: number;
     /** Calls of the same run that were served before this one. */
     readonly servedBefore: number;
+    /** Whether it was refused before and came back at the time that it was told. */
+    readonly hasReturned?: boolean | undefined;
     /**
      * Calls of one run that must be served before its repeats at a shedding service are paid for; `undefined` if the
      * client's request has no such plan. See `chainAdmission.ts`.
--- a/src/process/settings/routedSettings.ts
+++ b/src/process/settings/routedSettings.ts
@@ -57,6 +57,17 @@
         /** Requests of a customer that may run in one window in addition. */
         quotaSlack: v.optional(nonNegativeNumberSchema, 0),
     }),
+    /**
+     * Whether callers that are refused get reserved times to come back: where the deployment has one of the parts for
+     * which it is called for. Without, they get random ones.
+     */
+    returns: v.optional(
+        v.strictObject({
+            deploymentParts: v.array(shortTextSchema),
+            isReservedFor: v.array(shortTextSchema),
+        }),
+        { deploymentParts: [], isReservedFor: [] },
+    ),
     /**
      * Whether requests whose calls lead to a service that turns work away with room to spare are planned at their entry
      * node: they are if the deployment has contracts, and all that are listed here are among them.
@@ -86,6 +97,11 @@
     return readSettingsText(file, text => parseRoutedSettings(file, text));
 }
 
+/** Whether callers that are refused get reserved times to come back. */
+export function hasReservedReturns({ returns }: RoutedSettings): boolean {
+    return returns.isReservedFor.some(part => returns.deploymentParts.includes(part));
+}
+
 /** Parses and checks the text of a settings file; `file` is for messages only. */
 export function parseRoutedSettings(file: string, text: string): Result<RoutedSettings, SettingsError> {
     return parseSettingsText(routedSettingsSchema, file, text);
--- a/test/routed/deploy.test.ts
+++ b/test/routed/deploy.test.ts
@@ -6,7 +6,7 @@
 import { join } from "node:path";
 import process from "node:process";
 import { parse as parseToml } from "smol-toml";
-import { hasPlannedChains, parseRoutedSettings } from "../../src/process/settings/routedSettings.js";
+import { hasPlannedChains, hasReservedReturns, parseRoutedSettings } from "../../src/process/settings/routedSettings.js";
 import { formatSettingsError } from "../../src/process/settings/settingsFile.js";
 import { formatConfigurationError, parseConfiguration } from "../../src/version/configuration.js";
 
@@ -105,6 +105,18 @@
         expect(settings.ok && settings.value.bounds.graceSeconds).equals(6);
     });
 
+    const returnCases = [
+        { contracts: ["base", "pressure", "pool"], isReserved: false },
+        { contracts: ["base", "tenants", "quota"], isReserved: true },
+    ];
+    for (const { contracts, isReserved } of returnCases) {
+        it(`${isReserved ? "reserve" : "do not reserve"} times of return with ${contracts.join(", ")}`, () => {
+            const text = fillTemplate(readFileSync("deploy/settings.toml", "utf8"), { ...fields, contracts });
+            const settings = parseRoutedSettings("settings.toml", text);
+            expect(settings.ok && hasReservedReturns(settings.value)).equals(isReserved);
+        });
+    }
+
     it("render the bound on quotas where the deployment has it", () => {
         const bounds = { ...fields.bounds, quota_window: 5, quota_overage: 0.1, quota_slack: 20 };
         const text = fillTemplate(readFileSync("deploy/settings.toml", "utf8"), { ...fields, bounds });
