--- a/test/routed/deploy.test.ts
+++ b/test/routed/deploy.test.ts
@@ -6,7 +6,11 @@
 import { join } from "node:path";
 import process from "node:process";
 import { parse as parseToml } from "smol-toml";
-import { hasPlannedChains, hasReservedReturns, parseRoutedSettings } from "../../src/process/settings/routedSettings.js";
+import {
+    hasPlannedChains,
+    hasReservedReturns,
+    parseRoutedSettings,
+} from "../../src/process/settings/routedSettings.js";
 import { formatSettingsError } from "../../src/process/settings/settingsFile.js";
 import { formatConfigurationError, parseConfiguration } from "../../src/version/configuration.js";
 
