--- a/src/process/customers/customerQuotas.ts
+++ b/src/process/customers/customerQuotas.ts
@@ -118,7 +118,7 @@
             if (
                 quota === undefined || quota.requestsPerSecond < before.requestsPerSecond || quota.burst < before.burst
             ) {
-                this.holders[computeGroup(customer)]!.forgetUnits();
+                this.holders[computeGroup(customer)]!.forgetSession();
             }
         }
         this.quotas = quotas;
--- a/src/process/customers/unitGrantor.ts
+++ b/src/process/customers/unitGrantor.ts
@@ -76,11 +76,11 @@
     private share = 0;
     private shareComputedAt = -Infinity;
     /** Time at which the share last rose; since then it was never smaller than now. */
-    private fullSince = 0;
+    private shareRoseAt = 0;
 
     constructor(private readonly dependencies: UnitGrantorDependencies, private bounds: QuotaBounds) {}
 
-    /** Handles a message of a holder and answers it. Malformed fields throw or count as nothing. */
+    /** Handles a message of a holder and answers it. Its fields are those of a node of ours; they are not checked. */
     receive(holder: string, message: AskUnitsMessage): GrantUnitsMessage {
         const now = this.dependencies.clock.readMonotonic();
         this.updateShare(now);
@@ -164,7 +164,7 @@
         }
         if (share > this.share) {
             this.pools.forEach(pool => this.fill(pool, now));
-            this.fullSince = now;
+            this.shareRoseAt = now;
         }
         this.share = share;
         this.pools.forEach(pool => this.fill(pool, now));
@@ -242,7 +242,7 @@
             quota,
             supply,
             free: 0,
-            filledAt: this.fullSince,
+            filledAt: this.shareRoseAt,
             held: new Map(),
             granted: 0,
             wanted: new Map(),
--- a/src/process/customers/unitHolder.ts
+++ b/src/process/customers/unitHolder.ts
@@ -178,8 +178,8 @@
         }
     }
 
-    /** Drops the units of customers whose limits have changed. */
-    forgetUnits(): void {
+    /** Drops the units of the whole group, since the limits of customers in it have changed. */
+    forgetSession(): void {
         this.startSession(this.grantor);
     }
 
--- a/src/process/load/chainAdmission.ts
+++ b/src/process/load/chainAdmission.ts
@@ -18,7 +18,7 @@
 import type { Random } from "../base/random.js";
 import type { DownstreamCalls, SheddingLevels } from "./sheddingLevels.js";
 
-/** Part of the budget that the routes of one priority leave to the less urgent ones, so that none starves. */
+/** Part of the budget that each route leaves to those after it, so that none starves. */
 const leftShare = 0.2;
 /** Chance of success below which a request is refused at once: its work is nearly always wasted. */
 const minChance = 0.05;
@@ -26,6 +26,10 @@
 const rateHalfLifeMs = 4000;
 /** Weight of a served request in the average calls of its route. */
 const callsWeight = 0.2;
+/** Average calls of a request below which a service no longer counts as one behind its route. */
+const minKnownCalls = 0.5;
+/** Recent requests below which a route takes no part of the budget. */
+const minRecentRequests = 0.1;
 /** Successes that must have been expected before the estimate of the budget is corrected. */
 const expectedForCorrection = 3;
 /** Share of the expected successes above which the estimate rises; below the smaller one it falls. */
@@ -44,7 +48,7 @@
  */
 const minNeededRepeats = 4;
 /** Largest share of rejections that is counted with; above it, hardly any call can be paid for. */
-const maxShedShare = 0.95;
+export const maxShedShare = 0.95;
 
 /** What is decided for a request through a shedding service. */
 export interface ChainPlan {
@@ -139,15 +143,6 @@
         }
     }
 
-    /** Share of a route's requests that is begun now. */
-    getBegunShare(route: string): number {
-        const state = this.routes.get(route);
-        const shedding = state === undefined ? undefined : this.findShedding(state);
-        return shedding === undefined
-            ? 1
-            : this.choosePlans(state!, shedding).reduce((sum, plan) => sum + plan.share, 0);
-    }
-
     /** Factor by which the estimate of the budget is corrected. */
     getCorrection(): number {
         return this.correction;
@@ -168,8 +163,7 @@
 
     /** Goes through the routes from the most urgent, each of which may use all but a part of what is left. */
     private choosePlans(state: RouteState, { service, shedShare }: Shedding): readonly SharedPlan[] {
-        const routes = [...this.routes.values()].filter(each => each.calls.has(service));
-        routes.forEach(each => this.updateRequests(each));
+        const routes = this.listRecentRoutes(service);
         routes.sort((a, b) => a.priority - b.priority || a.calls.get(service)!.total - b.calls.get(service)!.total);
         const calls = routes.reduce((sum, each) => sum + each.requests * each.calls.get(service)!.total, 0);
         let budget = calls * this.getRetryRatio() * this.correction;
@@ -184,6 +178,13 @@
         return [];
     }
 
+    /** Routes with requests lately that lead to a service. */
+    private listRecentRoutes(service: string): RouteState[] {
+        const routes = [...this.routes.values()].filter(each => each.calls.has(service));
+        routes.forEach(each => this.updateRequests(each));
+        return routes.filter(each => each.requests >= minRecentRequests);
+    }
+
     private updateEstimate(chance: number, isServed: boolean): void {
         this.expected += chance;
         this.served += isServed ? 1 : 0;
@@ -265,6 +266,7 @@
 }
 
 function learnCalls(state: RouteState, downstream: readonly DownstreamCalls[]): void {
+    forgetUncalled(state, downstream);
     for (const { service, calls, inRow } of downstream) {
         const known = state.calls.get(service);
         if (known === undefined) {
@@ -275,3 +277,17 @@
         known.inRow += (inRow - known.inRow) * callsWeight;
     }
 }
+
+/** Lowers the calls to services that a served request did not call, until they are forgotten. */
+function forgetUncalled(state: RouteState, downstream: readonly DownstreamCalls[]): void {
+    for (const [service, known] of state.calls) {
+        if (downstream.some(each => each.service === service)) {
+            continue;
+        }
+        known.total *= 1 - callsWeight;
+        known.inRow *= 1 - callsWeight;
+        if (known.total < minKnownCalls) {
+            state.calls.delete(service);
+        }
+    }
+}
--- a/src/process/load/returnSchedule.ts
+++ b/src/process/load/returnSchedule.ts
@@ -9,7 +9,7 @@
  *   the most urgent first; who comes back at the reserved time goes before new requests of the same priority.
  * - Callers that repeat at once and often. A repetition before the reserved time goes with new requests and gets the
  *   same time again, so it gains nothing.
- * - A service that has just refused everywhere. For a moment its new requests of the same customer and of no higher priority
+ * - A service that has just refused a request wherever it was offered. For a moment its new requests of the same customer and of no higher priority
  *   are refused here, without a message to other nodes.
  *
  * A request that came back has a new id. It is known by what it asks for and by its end: the moment at which its caller gives
--- a/src/process/load/sheddingLevels.ts
+++ b/src/process/load/sheddingLevels.ts
@@ -80,7 +80,7 @@
     }
 
     /** Age of what is known of a service, in milliseconds; infinite if nothing is. */
-    getAgeMs(service: string): number {
+    private getAgeMs(service: string): number {
         const level = this.levels.get(service);
         return level === undefined ? Infinity : this.clock.readMonotonic() - level.measuredAt;
     }
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -8,10 +8,11 @@
  * Load pattern handled: endpoints that refuse a large part of the requests though they have room. Once a request has
  * reached as many endpoints as its route allows, it is offered to the same ones again, within the retry budget. Where
  * chains are planned (`chainAdmission.ts`), a call whose repeats are paid for is offered until it is hardly likely to have been
- * rejected each time, and to an endpoint other than the one that just rejected it: a rejected request has not run, so that it
+ * rejected each time, and to an endpoint other than the one that just rejected it, unless no other takes work: a rejected request has not run, so that it
  * still runs at one endpoint only.
  */
 import type { Clock } from "../process/base/clock.js";
+import { maxShedShare } from "../process/load/chainAdmission.js";
 import type { InstanceSelector } from "../process/load/instanceSelector.js";
 import type { Placement } from "../process/load/placement.js";
 import type { RunOutcome } from "../process/load/runOutcome.js";
@@ -251,7 +252,7 @@
     }
 
     private computeMaxRepeatedOffers(call: RoutedCall): number {
-        const shedShare = this.getShedShare(call);
+        const shedShare = Math.min(maxShedShare, this.getShedShare(call));
         return shedShare === 0 || !isPaidFor(call)
             ? maxRepeatedOffers
             : Math.max(maxRepeatedOffers, Math.ceil(Math.log(leftRejectionChance) / Math.log(shedShare)));
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -53,7 +53,7 @@
     runs: 0,
 };
 
-/** Result of a request whose service has just refused everywhere. */
+/** Result of a request whose service has just refused at as many instances as one request is offered to. */
 const noRoomResult: ForwardResult = {
     outcome: { kind: "refused", cause: "noRoom", retryAfterMs: 0 },
     instance: undefined,
@@ -245,7 +245,7 @@
     });
 }
 
-/** Forwards a request with a unit of its customer's quota, and gives the unit back if it ran nowhere. */
+/** Forwards a request with a unit of its customer's quota, and gives the unit back if it reached no endpoint. */
 async function forwardWithinQuota(
     dependencies: RoutedEntryDependencies,
     routedRequest: RoutedRequest,
@@ -275,8 +275,9 @@
     routedRequest: RoutedRequest,
     customer: string,
 ): Promise<SpentUnit | undefined> {
-    const { response, route, metadata, version } = routedRequest;
-    const maxWaitMs = Math.min(maxUnitWaitMs, route.targetLatencyMs * maxUnitWaitShare);
+    const { response, route, metadata, version, startedAt } = routedRequest;
+    const leftMs = startedAt + (metadata.deadlineMs ?? Infinity) - dependencies.clock.readMonotonic();
+    const maxWaitMs = Math.min(maxUnitWaitMs, route.targetLatencyMs * maxUnitWaitShare, leftMs);
     const taken = await dependencies.quotas.take(customer, maxWaitMs);
     if (taken.kind === "granted") {
         if (!response.destroyed) {
@@ -453,7 +454,7 @@
     return `${customer?.name ?? ""} ${request.method} ${request.headers.host}${request.url}`;
 }
 
-/** Whether the service of a new request has just refused everywhere, so that no other node needs to be asked. */
+/** Whether the service of a new request has just refused another wherever it was offered, so that no node needs to be asked. */
 function hasNoRoom(
     { returnSchedule }: RoutedEntryDependencies,
     { parent, hasReturned }: RoutedRequest,
--- a/test/routed/quotaUnits.test.ts
+++ b/test/routed/quotaUnits.test.ts
@@ -148,7 +148,7 @@
         const bench = new HolderBench();
         bench.take();
         bench.answer(["weavers", 5, 0]);
-        bench.holder.forgetUnits();
+        bench.holder.forgetSession();
         const taken = bench.take();
         await settle();
         expect(taken.result).equals(undefined);
