Look up recent loads and make unsent results in one place

Cause: five callers in placement told an unknown instance from a known one by hand, and the entry wrote out the result that the forwarder already makes. Change: the lookup takes an unknown instance, the entry calls the forwarder's function; behaviour is the same.

--- a/src/process/load/placement.ts
+++ b/src/process/load/placement.ts
@@ -120,7 +120,7 @@
     /** Whether an instance has a concurrency slot free or nothing recent is known of it. */
     hasRoom(address: string): boolean {
         const stats = this.statsByAddress.get(address);
-        const load = stats === undefined ? undefined : this.findRecentLoad(stats, this.clock.readMonotonic());
+        const load = this.findRecentLoad(stats, this.clock.readMonotonic());
         return load === undefined || load.running + load.waiting + stats!.sentSinceLoad < load.limit;
     }
 
@@ -180,7 +180,7 @@
         let capacity = 0;
         for (const { address } of records) {
             const stats = this.statsByAddress.get(address);
-            const load = stats === undefined ? undefined : this.findRecentLoad(stats, now);
+            const load = this.findRecentLoad(stats, now);
             if (load !== undefined) {
                 requests += load.running + load.waiting;
                 capacity += load.limit;
@@ -198,7 +198,7 @@
         const levels: Omit<ShedLevel, "service">[] = [];
         for (const { address } of records) {
             const stats = this.statsByAddress.get(address);
-            const load = stats === undefined ? undefined : this.findRecentLoad(stats, now);
+            const load = this.findRecentLoad(stats, now);
             if (load !== undefined && load.limit > 0) {
                 levels.push({ shedShare: load.shedShare, ageMs: now - stats!.loadReceivedAt });
             }
@@ -275,7 +275,7 @@
         let least = 1;
         for (const { address } of records) {
             const stats = this.statsByAddress.get(address);
-            const load = stats === undefined ? undefined : this.findRecentLoad(stats, now);
+            const load = this.findRecentLoad(stats, now);
             if (load !== undefined && load.limit > 0) {
                 least = Math.min(least, load.shedShare);
             }
@@ -288,7 +288,7 @@
         const runTimes: number[] = [];
         for (const { address } of records) {
             const stats = this.statsByAddress.get(address);
-            const runMs = stats === undefined ? 0 : this.findRecentLoad(stats, now)?.runMs ?? 0;
+            const runMs = this.findRecentLoad(stats, now)?.runMs ?? 0;
             if (runMs > 0) {
                 runTimes.push(runMs);
             }
@@ -297,8 +297,8 @@
         return runTimes[Math.floor((runTimes.length - 1) / 2)] ?? 0;
     }
 
-    private findRecentLoad(stats: InstanceStats, now: number): LoadReport | undefined {
-        return now - stats.loadReceivedAt < loadValidMs ? stats.load : undefined;
+    private findRecentLoad(stats: InstanceStats | undefined, now: number): LoadReport | undefined {
+        return stats !== undefined && now - stats.loadReceivedAt < loadValidMs ? stats.load : undefined;
     }
 
     private computeSlowness(stats: InstanceStats, now: number): number {
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -278,7 +278,7 @@
 }
 
 /** Result of a request that was refused before it was sent. */
-function createUnsentResult(cause: string, retryAfterMs: number): ForwardResult {
+export function createUnsentResult(cause: string, retryAfterMs: number): ForwardResult {
     return { outcome: { kind: "refused", cause, retryAfterMs }, instance: undefined, sends: 0, runs: 0 };
 }
 
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -20,6 +20,7 @@
 import { readBody } from "./body.js";
 import type { Dialect, RequestMetadata } from "./dialect.js";
 import type { Forwarder, ForwardOutcome, ForwardResult } from "./forwarder.js";
+import { createUnsentResult } from "./forwarder.js";
 import type { RoutedCall } from "./routedCall.js";
 
 /**
@@ -54,12 +55,7 @@
 };
 
 /** Result of a request whose service has just refused at as many instances as one request is offered to. */
-const noRoomResult: ForwardResult = {
-    outcome: { kind: "refused", cause: "noRoom", retryAfterMs: 0 },
-    instance: undefined,
-    sends: 0,
-    runs: 0,
-};
+const noRoomResult = createUnsentResult("noRoom", 0);
 
 /** Dependencies of {@link serveRoutedRequest}. */
 export interface RoutedEntryDependencies {
