Spend scarce repeats by their value, and remove the entry's plans of chains

Change: a repeat goes to the highest value, by priority and calls left, if the budget also covers what more valuable ones need for two seconds; the window before weighs 0.85 in the bound's average (0.6 before); a request is offered as long as the budget has room for it. Chain plans, levels of services on answers and their settings are gone; messages of earlier builds are still read (tests).

--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -11,7 +11,6 @@
 import type { AskUnitsMessage, GrantUnitsMessage } from "../process/customers/unitMessages.js";
 import type { AnsweredRun, FailedRun, RefusedRun } from "../process/load/runOutcome.js";
 import type { Origin } from "../process/load/runsInProgress.js";
-import type { DownstreamCalls } from "../process/load/sheddingLevels.js";
 import type { HeaderList } from "../request/headers.js";
 
 /** Load of a node's local endpoint, sent with the outcome of every request. */
@@ -155,7 +154,7 @@
         "callerService",
         "leavingEndpoint",
     ],
-    answer: ["id", "status", "headers", "body", "runMs", "waitedMs", "behind", "pressure", "load", "downstream"],
+    answer: ["id", "status", "headers", "body", "runMs", "waitedMs", "behind", "pressure", "load"],
     refused: ["id", "cause", "retryAfterMs", "load"],
     failed: ["id", "cause", "ranMs", "load"],
     cancel: ["id"],
@@ -172,7 +171,7 @@
 };
 
 /** Number of the last fields of a kind that a message of an earlier build lacks. */
-const optionalFieldsByKind: { readonly [Kind in LinkMessage["kind"]]?: number; } = { run: 1, answer: 1 };
+const optionalFieldsByKind: { readonly [Kind in LinkMessage["kind"]]?: number; } = { run: 1 };
 
 /** Maximum size of a message, in bytes. */
 const maxMessageBytes = 80_000_000;
@@ -272,8 +271,6 @@
             return encodeLoad(value as LoadReport);
         case "origin":
             return encodeOrigin(value as Origin);
-        case "downstream":
-            return value === undefined ? undefined : encodeDownstream(value as readonly DownstreamCalls[]);
         case "pressure":
             return Math.round(value as number * 100);
         default:
@@ -287,8 +284,6 @@
             return decodeLoad(value);
         case "origin":
             return decodeOrigin(value);
-        case "downstream":
-            return decodeDownstream(value);
         case "pressure":
             return Number(value) / 100;
         default:
@@ -296,15 +291,18 @@
     }
 }
 
+/** Stands for an item that earlier builds send and this one doesn't read. */
+const unusedOriginItem = null;
+
 function encodeOrigin(origin: Origin): unknown[] {
-    const { route, priority, isRepeated, depth, servedBefore, customer, paidAfter, hasReturned } = origin;
-    const items = [route, priority, isRepeated, depth, servedBefore, customer, paidAfter];
-    return hasReturned === true ? [...items, true] : items;
+    const { route, priority, isRepeated, depth, servedBefore, customer, hasReturned } = origin;
+    const items = [route, priority, isRepeated, depth, servedBefore, customer];
+    return hasReturned === true ? [...items, unusedOriginItem, true] : items;
 }
 
 function decodeOrigin(value: unknown): Origin {
     const items = Array.isArray(value) ? value as unknown[] : [];
-    const [route, priority, isRepeated, depth, servedBefore, customer, paidAfter, hasReturned] = items;
+    const [route, priority, isRepeated, depth, servedBefore, customer, _unused, hasReturned] = items;
     return {
         route: String(route ?? ""),
         priority: Number(priority ?? 0),
@@ -312,7 +310,6 @@
         depth: Number(depth ?? 0),
         servedBefore: Number(servedBefore ?? 0),
         customer: typeof customer === "string" ? customer : undefined,
-        paidAfter: typeof paidAfter === "number" ? paidAfter : undefined,
         ...(hasReturned === true ? { hasReturned } : {}),
     };
 }
@@ -324,31 +321,6 @@
     return [running, waiting, limit, percents[0]!, isSettled ? 1 : 0, Math.round(runMs), percents[1]!];
 }
 
-/** Encodes what a run's calls led to; shares are rounded to whole percent, ages to whole milliseconds. */
-function encodeDownstream(downstream: readonly DownstreamCalls[]): unknown[] {
-    return downstream.map(({ service, calls, inRow, shedShare, ageMs }) => [
-        service,
-        calls,
-        inRow,
-        Math.round(shedShare * 100),
-        Math.round(ageMs),
-    ]);
-}
-
-/** Decodes what a run's calls led to; `undefined` if an earlier build sent the answer. */
-function decodeDownstream(value: unknown): readonly DownstreamCalls[] | undefined {
-    if (!Array.isArray(value)) {
-        return undefined;
-    }
-    return value.filter(Array.isArray).map(([service, calls, inRow, percent, ageMs]) => ({
-        service: String(service),
-        calls: Number(calls),
-        inRow: Number(inRow),
-        shedShare: Number(percent) / 100,
-        ageMs: Number(ageMs),
-    }));
-}
-
 function decodeLoad(value: unknown): LoadReport {
     const items = Array.isArray(value) ? value as number[] : [];
     const [running, waiting, limit, percent, settled, runMs, shedPercent] = items;
--- a/src/process/endpoint/endpointRunner.ts
+++ b/src/process/endpoint/endpointRunner.ts
@@ -17,7 +17,6 @@
 import { RunQueue } from "../load/runQueue.js";
 import type { RunInProgress, RunsInProgress } from "../load/runsInProgress.js";
 import { RunTimeMonitor } from "../load/runTimeMonitor.js";
-import type { DownstreamCalls } from "../load/sheddingLevels.js";
 import { SheddingMonitor } from "../load/sheddingMonitor.js";
 import type { Logger } from "../telemetry/logger.js";
 import type { CrashDetector } from "./crashDetector.js";
@@ -63,8 +62,6 @@
     readonly recordLeaving: (endpointId: string) => void;
     /** Called with the limit that an answer of an endpoint's process names, if any, in requests per second. */
     readonly recordNamedLimit: (endpointId: string, perSecond: number | undefined) => void;
-    /** Lists what the calls of a run led to, if answers are to tell; `undefined` if they are not. */
-    readonly listDownstream?: ((run: RunInProgress) => readonly DownstreamCalls[]) | undefined;
     /** Whether it is known what earlier processes of this node knew of the endpoint. */
     readonly isRestored: () => boolean;
     /** Whether this node is stopping and gives the endpoint no more work. */
@@ -254,7 +251,7 @@
         if (request.isIdempotent) {
             cancellation.listen(cancel);
         }
-        const run = this.dependencies.runs.start(request.attemptId, request.origin);
+        const run = this.dependencies.runs.start(request.attemptId, request.origin, request.route);
         let result = await this.send(request, timeLeftMs, runCancellation);
         if (this.learnIncarnation(result)) {
             result = await this.send(request, timeLeftMs, runCancellation);
@@ -354,6 +351,9 @@
         if (!this.dependencies.quarantine.isEmpty()) {
             this.dependencies.quarantine.recordCompleted(computeRunFingerprint(request));
         }
+        if (status < 500) {
+            this.dependencies.runs.recordServed(request.route, run);
+        }
         return {
             kind: "answer",
             status,
@@ -363,7 +363,6 @@
             waitedMs: run.getWaitedMs(),
             behind: run.getDownstreamProblem(),
             pressure: run.getDownstreamUtilisation(),
-            downstream: this.dependencies.listDownstream?.(run),
         };
     }
 
--- a/src/process/load/placement.ts
+++ b/src/process/load/placement.ts
@@ -20,7 +20,6 @@
 import type { InstanceRecord } from "../../version/instanceRecord.js";
 import type { Clock } from "../base/clock.js";
 import type { Random } from "../base/random.js";
-import type { ShedLevel } from "./sheddingLevels.js";
 
 /** Weight of a new sample in the average slowness of an instance. */
 const slownessWeight = 0.1;
@@ -189,24 +188,6 @@
         return capacity === 0 ? 0 : requests / capacity;
     }
 
-    /**
-     * Share that a service turns away with room to spare at these instances: the lower quartile, since those that turn away
-     * least are chosen as long as they have room, and their measurements scatter. `undefined` if no recent load is known.
-     */
-    findShedLevel(records: readonly InstanceRecord[]): Omit<ShedLevel, "service"> | undefined {
-        const now = this.clock.readMonotonic();
-        const levels: Omit<ShedLevel, "service">[] = [];
-        for (const { address } of records) {
-            const stats = this.statsByAddress.get(address);
-            const load = this.findRecentLoad(stats, now);
-            if (load !== undefined && load.limit > 0) {
-                levels.push({ shedShare: load.shedShare, ageMs: now - stats!.loadReceivedAt });
-            }
-        }
-        levels.sort((a, b) => a.shedShare - b.shedShare);
-        return levels[Math.floor((levels.length - 1) / 4)];
-    }
-
     /** Average run time of a route over all instances, in milliseconds; `undefined` before the first run. */
     getAverageRunMs(route: string): number | undefined {
         return this.averageRunMsByRoute.get(route);
--- a/src/process/load/runOutcome.ts
+++ b/src/process/load/runOutcome.ts
@@ -1,7 +1,6 @@
 /** Outcome of one send of a request to an instance. */
 import type { HeaderList } from "../../request/headers.js";
 import type { DownstreamProblem } from "./runsInProgress.js";
-import type { DownstreamCalls } from "./sheddingLevels.js";
 
 /**
  * Why an instance's node refused a request before the endpoint ran it.
@@ -52,8 +51,6 @@
     readonly behind: DownstreamProblem;
     /** Utilisation of the fullest downstream service; above 1, requests wait there. */
     readonly pressure: number;
-    /** Services that the calls of the run led to; `undefined` if an earlier build ran it. */
-    readonly downstream?: readonly DownstreamCalls[] | undefined;
 }
 
 /** The request was not run, and this send of it never will be. */
--- a/src/process/load/runsInProgress.ts
+++ b/src/process/load/runsInProgress.ts
@@ -8,7 +8,7 @@
  * An attempt is one client's request or one call while it is routed. It may be sent to several instances, and more
  * than one of them may run it.
  */
-import type { DownstreamCalls, ShedLevel } from "./sheddingLevels.js";
+import { updateAverage } from "../base/average.js";
 
 /** The client's request, from outside, that a run or call descends from, and its place in the calls below it. */
 export interface Origin {
@@ -26,24 +26,6 @@
     readonly servedBefore: number;
     /** Whether it was refused before and came back at the time that it was told. */
     readonly hasReturned?: boolean | undefined;
-    /**
-     * Calls of one run that must be served before its repeats at a shedding service are paid for; `undefined` if the
-     * client's request has no such plan. See `chainAdmission.ts`.
-     */
-    readonly paidAfter?: number | undefined;
-}
-
-/** Calls of a run, and of the runs below it, to one service. */
-interface ServiceCalls {
-    /** Calls of this run itself. */
-    own: number;
-    /** Calls of the runs below. */
-    below: number;
-    /** Calls of the run below that made the most. */
-    inRowBelow: number;
-    shedShare: number;
-    /** When the share was measured, on the monotonic clock. */
-    measuredAt: number;
 }
 
 /** What the calls of a run met downstream: no problem, an overloaded service (`crowd`), or another failure. */
@@ -55,21 +37,29 @@
  */
 export const overloadedWaitShare = 0.3;
 
+/** Weight of a run in the average number of calls of its route. */
+const callsWeight = 0.2;
+
 /** One run in progress, and the results of its calls. */
 export class RunInProgress {
     private downstreamProblem: DownstreamProblem = "none";
     private waitedMs = 0;
     private servedCalls = 0;
     private downstreamUtilisation = 0;
-    private readonly callsByService = new Map<string, ServiceCalls>();
 
-    constructor(readonly origin: Origin) {}
+    /** `usualCalls`: calls that a run of its route usually makes; 0 if that isn't known. */
+    constructor(readonly origin: Origin, private readonly usualCalls: number) {}
 
     /** Calls of the run that were served so far; their work is wasted if the next one fails. */
     getServedCalls(): number {
         return this.servedCalls;
     }
 
+    /** Calls that the run is likely to have left, its next one included; at least 1. */
+    getCallsLeft(): number {
+        return Math.max(1, this.usualCalls - this.servedCalls);
+    }
+
     /** What the calls of the run met so far. An overloaded service takes precedence over another failure. */
     getDownstreamProblem(): DownstreamProblem {
         return this.downstreamProblem;
@@ -94,48 +84,16 @@
             this.downstreamProblem = problem;
         }
     }
-
-    /** Records a call of the run to a service, with the level that is known of it, and what the call itself led to. */
-    recordCallTo(called: ShedLevel, below: readonly DownstreamCalls[], now: number): void {
-        this.getServiceCalls(called, now).own += 1;
-        for (const each of below) {
-            const calls = this.getServiceCalls(each, now);
-            calls.below += each.calls;
-            calls.inRowBelow = Math.max(calls.inRowBelow, each.inRow);
-        }
-    }
-
-    /** What the calls of the run led to so far. */
-    listDownstreamCalls(now: number): readonly DownstreamCalls[] {
-        return [...this.callsByService].map(([service, { own, below, inRowBelow, shedShare, measuredAt }]) => ({
-            service,
-            calls: own + below,
-            inRow: Math.max(own, inRowBelow),
-            shedShare,
-            ageMs: now - measuredAt,
-        }));
-    }
-
-    /** Finds the calls to a service, with the newest level that was reported with them. */
-    private getServiceCalls({ service, shedShare, ageMs }: ShedLevel, now: number): ServiceCalls {
-        const measuredAt = now - ageMs;
-        const calls = this.callsByService.get(service) ?? { own: 0, below: 0, inRowBelow: 0, shedShare, measuredAt };
-        this.callsByService.set(service, calls);
-        if (measuredAt >= calls.measuredAt) {
-            calls.shedShare = shedShare;
-            calls.measuredAt = measuredAt;
-        }
-        return calls;
-    }
 }
 
 /** Runs in progress by the id of their attempt. */
 export class RunsInProgress {
     private readonly runs = new Map<string, RunInProgress>();
+    private readonly averageCallsByRoute = new Map<string, number>();
 
-    /** Records the start of a run. */
-    start(attemptId: string, origin: Origin): RunInProgress {
-        const run = new RunInProgress(origin);
+    /** Records the start of a run of a route. */
+    start(attemptId: string, origin: Origin, route: string): RunInProgress {
+        const run = new RunInProgress(origin, this.averageCallsByRoute.get(route) ?? 0);
         this.runs.set(attemptId, run);
         return run;
     }
@@ -147,6 +105,13 @@
         }
     }
 
+    /** Learns from a run that was served how many calls the runs of its route make. */
+    recordServed(route: string, run: RunInProgress): void {
+        const calls = run.getServedCalls();
+        const average = this.averageCallsByRoute.get(route) ?? calls;
+        this.averageCallsByRoute.set(route, updateAverage(average, calls, callsWeight));
+    }
+
     /** Finds the run that makes a call; `undefined` when no such run is in progress. */
     find(attemptId: string | undefined): RunInProgress | undefined {
         return attemptId === undefined ? undefined : this.runs.get(attemptId);
--- a/src/process/load/serviceRetryBudget.ts
+++ b/src/process/load/serviceRetryBudget.ts
@@ -18,17 +18,18 @@
  *   retry, and earned parts are kept only up to half of the node's part of the slack. The other half is earned over time.
  *
  * The calls of a run that was itself a retry count as retries. They may use the whole budget and new retries only a part
- * of it, and less urgent requests leave a part to the urgent ones.
+ * of it. Among new retries, `repeatOrder.ts` decides.
  */
 import type { Clock } from "../base/clock.js";
-import type { Origin } from "./runsInProgress.js";
+import type { RepeatOrigin } from "./repeatOrder.js";
+import { RepeatOrder } from "./repeatOrder.js";
 
 /** Slices of a window. A slice that lies partly in a window counts for the retries and not for the requests. */
 const slicesPerWindow = 50;
 /** Slices that are kept: those of two windows, and the oldest of them which lies only partly in them. */
 const keptSlices = 2 * slicesPerWindow + 1;
 /** Part of the ratio that the requests of the window before pay for; those of the window itself pay for the rest. */
-const earlierShare = 0.6;
+const earlierShare = 0.85;
 /** Part of the slack that is earned over each window without requests; the rest bounds what is earned and kept. */
 const refilledSlackShare = 0.5;
 /**
@@ -42,48 +43,9 @@
  * the requests that an endpoint gets twice without this node's doing.
  */
 const newRetryShare = 0.9;
-/** Part of the budget that requests other than the most urgent may use before any work was spent on them. */
-const lessUrgentShare = 0.3;
-/** Additional part for each call that was served before: its work is wasted if the request fails now. */
-const servedCallShare = 0.2;
-/** Largest part of the budget that requests other than the most urgent may use. */
-const maxLessUrgentShare = 0.8;
 /** Retries that {@link ServiceCounts.earnedForNew} may hold, in addition to the part of the slack. */
 const extraEarnedForNew = 4;
 
-/**
- * Part of the budget that requests may use whose repeats were not planned at their entry, for each call that was served
- * before, and its upper bound: what the planned ones leave goes to those that are furthest.
- */
-const unplannedCallShare = 0.15;
-const maxUnplannedShare = 0.45;
-/** Part of the budget that less urgent planned repeats may use: where the estimate was too high, they fail first. */
-const plannedLessUrgentShare = 0.7;
-
-/**
- * What decides on the part of the budget that a request may use; `isPlanned`: whether its entry node planned this repeat,
- * `undefined` if it planned none for or against the request.
- */
-export type RetryOrigin = Pick<Origin, "priority" | "servedBefore"> & { readonly isPlanned?: boolean | undefined; };
-
-/** Part of the budget that a request may use, by its priority and the work that was spent on it. */
-function computeUsableShare(origin: RetryOrigin): number {
-    if (origin.isPlanned !== undefined) {
-        return computePlannedShare(origin, origin.isPlanned) * newRetryShare;
-    }
-    const share = origin.priority === 0
-        ? 1
-        : Math.min(maxLessUrgentShare, lessUrgentShare + servedCallShare * origin.servedBefore);
-    return share * newRetryShare;
-}
-
-function computePlannedShare({ priority, servedBefore }: RetryOrigin, isPlanned: boolean): number {
-    if (!isPlanned) {
-        return Math.min(maxUnplannedShare, unplannedCallShare * servedBefore);
-    }
-    return priority === 0 ? 1 : plannedLessUrgentShare;
-}
-
 /** Requests and retries to one service. */
 interface ServiceCounts {
     /** Counts by slice, at its index modulo {@link keptSlices}. */
@@ -112,6 +74,7 @@
 /** Counts requests and retries by service, and limits the retries. */
 export class ServiceRetryBudget {
     private readonly services = new Map<string, ServiceCounts>();
+    private readonly order: RepeatOrder;
 
     /** `isFirstStart`: no process ran here before, so no earlier retries have to be allowed for. */
     constructor(
@@ -119,7 +82,9 @@
         private limits: RetryLimits,
         private readonly countNodes: () => number,
         private readonly isFirstStart: boolean,
-    ) {}
+    ) {
+        this.order = new RepeatOrder(clock);
+    }
 
     /** Replaces the limits; the counts are kept. */
     setLimits(limits: RetryLimits): void {
@@ -147,15 +112,15 @@
         return true;
     }
 
-    /** Takes one retry; `false` when the part of the budget that the request may use is used up. */
-    takeRetry(service: string, origin: RetryOrigin): boolean {
+    /** Takes one retry; `false` when the budget is used up, or kept for more valuable ones. */
+    takeRetry(service: string, origin: RepeatOrigin): boolean {
         const counts = this.getCounts(service);
-        const share = computeUsableShare(origin);
-        const earned = Math.min(1, counts.earned, counts.earnedForNew * share);
-        if (earned + this.computeAvailable(counts, share) < 1) {
+        const kept = this.order.recordWish(service, origin);
+        const earned = Math.min(1, counts.earned, counts.earnedForNew * newRetryShare);
+        if (earned + this.computeAvailable(counts, newRetryShare) - kept < 1) {
             return false;
         }
-        counts.earnedForNew -= earned / share;
+        counts.earnedForNew -= earned / newRetryShare;
         takeFrom(counts, earned);
         return true;
     }
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -27,7 +27,6 @@
 import { EndpointState } from "../endpoint/endpointState.js";
 import { Quarantine } from "../endpoint/quarantine.js";
 import { RemoteRuns } from "../endpoint/remoteRuns.js";
-import { ChainAdmission, isRepeatScarce } from "../load/chainAdmission.js";
 import { EntryThrottle } from "../load/entryThrottle.js";
 import { InstanceSelector } from "../load/instanceSelector.js";
 import { LoadRefresher } from "../load/loadRefresher.js";
@@ -36,15 +35,12 @@
 import { RunsInProgress } from "../load/runsInProgress.js";
 import type { RetryLimits } from "../load/serviceRetryBudget.js";
 import { ServiceRetryBudget } from "../load/serviceRetryBudget.js";
-import type { ShedLevel } from "../load/sheddingLevels.js";
-import { SheddingLevels } from "../load/sheddingLevels.js";
 import { WeightedRoundRobin } from "../load/weightedRoundRobin.js";
 import { ClusterState } from "../membership/clusterState.js";
 import { InstanceSubsets } from "../membership/instanceSubset.js";
 import { LinkKeeper } from "../membership/linkKeeper.js";
 import { hasReservedReturns } from "../settings/routedSettings.js";
 import type { RoutedSettings } from "../settings/routedSettings.js";
-import { hasPlannedChains } from "../settings/routedSettings.js";
 import type { Logger } from "../telemetry/logger.js";
 import { RoutedMetrics } from "../telemetry/routedMetrics.js";
 import { decideStopStep } from "./gracefulStop.js";
@@ -88,8 +84,6 @@
     /** Times at which refused callers come back; `undefined` where the settings don't call for it. */
     private readonly returnSchedule: ReturnSchedule | undefined;
     private readonly quotas: CustomerQuotas;
-    /** Levels of services that shed, and the plans that follow; `undefined` where chains are not planned. */
-    private readonly chains: { readonly levels: SheddingLevels; readonly admission: ChainAdmission; } | undefined;
     private readonly inFlightRequests: InFlightRequests;
     private readonly listeners: RoutedListeners;
     /**
@@ -100,8 +94,6 @@
     /** Time of the start on the monotonic clock, in milliseconds. */
     private readonly startedAt: number;
     private graceMs: number;
-    /** Retries that the bound allows for each request. */
-    private retryRatio: number;
     private isStopping = false;
     /** Whether the endpoint gets no new runs, since this process ends soon. */
     private isEndpointClosed = false;
@@ -114,7 +106,6 @@
     ) {
         const { address, dataCentre, bounds, endpoint } = settings;
         this.graceMs = bounds.graceSeconds * 1000;
-        this.retryRatio = bounds.retryRatio;
         this.startedAt = clock.readMonotonic();
         // One task for each peer listens to this signal, more than the default limit of listeners allows.
         setMaxListeners(0, this.stopController.signal);
@@ -124,7 +115,6 @@
         this.crashFlood = new CrashFlood(this.quarantine, report => this.postToOwnService(report));
         this.endpoint = new EndpointState(clock);
         this.pool = new EndpointConnectionPool(clock, endpoint.address.host, endpoint.address.port, platform.dialect);
-        this.chains = hasPlannedChains(settings) ? this.createChains() : undefined;
         this.runner = this.createRunner();
         this.remoteRuns = new RemoteRuns(clock, this.runner);
         const isReachable = (peer: string): boolean => peer === address || this.links.isReachable(peer);
@@ -221,7 +211,6 @@
     /** Applies changed settings. Only `bounds` take effect while the process runs; all others need a restart. */
     applySettings(settings: RoutedSettings): void {
         this.graceMs = settings.bounds.graceSeconds * 1000;
-        this.retryRatio = settings.bounds.retryRatio;
         this.retryBudget.setLimits(createRetryLimits(settings.bounds));
         this.quotas.setBounds(createQuotaBounds(settings.bounds));
     }
@@ -303,38 +292,9 @@
             findCustomerWeight: customer =>
                 this.clusterState.configurationHolder.getTable()?.customers.getWeight(customer) ?? 1,
             isSettled: () => this.isSettled(),
-            listDownstream: this.chains === undefined
-                ? undefined
-                : run => run.listDownstreamCalls(clock.readMonotonic()),
         });
     }
 
-    /** Share that a service turns away though it has room, if it is so large that repeats are scarce; otherwise 0. */
-    private findScarceShedShare(service: string): number {
-        this.learnShedLevel(service);
-        const share = this.chains?.levels.getShedShare(service) ?? 0;
-        return isRepeatScarce(share, this.retryRatio) ? share : 0;
-    }
-
-    private createChains(): { readonly levels: SheddingLevels; readonly admission: ChainAdmission; } {
-        const { clock, logger } = this;
-        const levels = new SheddingLevels(clock, ({ service, shedShare, ageMs }) => {
-            logger.info("shedLevelChanged", { service, share: shedShare.toFixed(2), ageMs: Math.round(ageMs) });
-        });
-        return { levels, admission: new ChainAdmission(clock, Math.random, levels, () => this.retryRatio) };
-    }
-
-    /** Learns the level of a service by the loads that its instances have reported here. */
-    private learnShedLevel(service: string): ShedLevel | undefined {
-        const found = this.placement.findShedLevel(this.clusterState.registry.listForService(service));
-        if (found === undefined) {
-            return undefined;
-        }
-        const level = { service, ...found };
-        this.chains?.levels.learn(level);
-        return level;
-    }
-
     /**
      * Whether this process is neither stopping nor just restarted. Other nodes prefer instances for which it is true.
      */
@@ -361,9 +321,6 @@
                 placement,
                 instanceSelector: this.createInstanceSelector(),
                 retryBudget,
-                getShedShare: this.chains === undefined
-                    ? undefined
-                    : called => this.findScarceShedShare(called),
                 sender: new Sender({
                     clock,
                     address,
@@ -380,12 +337,6 @@
             findUtilisation: serviceName => placement.computeUtilisation(registry.listForService(serviceName)),
             quotas: this.quotas,
             isStopping: () => this.isStopping,
-            chains: this.chains === undefined
-                ? undefined
-                : {
-                    admission: this.chains.admission,
-                    learnLevel: serviceName => this.learnShedLevel(serviceName),
-                },
         };
     }
 
@@ -611,11 +562,6 @@
             "Share of the recent requests that the endpoint turned away with room to spare.",
             () => runner.getLoad().shedShare,
         );
-        metrics.addGauge(
-            "chain_budget_correction",
-            "Factor on the estimated repeats for requests through shedding services; 1 where none are planned.",
-            () => this.chains?.admission.getCorrection() ?? 1,
-        );
         metrics.addGauge(
             "endpoint_named_limit",
             "Requests a second that the endpoint says it takes; -1 if it names no limit.",
--- a/src/process/settings/routedSettings.ts
+++ b/src/process/settings/routedSettings.ts
@@ -68,30 +68,12 @@
         }),
         { deploymentParts: [], isReservedFor: [] },
     ),
-    /**
-     * Whether requests whose calls lead to a service that turns work away with room to spare are planned at their entry
-     * node: they are if the deployment has contracts, and all that are listed here are among them.
-     */
-    chains: v.optional(
-        v.strictObject({
-            /** Contracts of the deployment for which requests are planned; none if it is empty. */
-            plannedFor: v.array(shortTextSchema),
-            /** Contracts that are in force in the deployment. */
-            contracts: v.array(shortTextSchema),
-        }),
-        { plannedFor: [], contracts: [] },
-    ),
     logging: v.optional(v.strictObject({ level: v.optional(v.picklist(logLevels), "info") }), {}),
 });
 
 /** Checked settings with every default filled in. */
 export type RoutedSettings = v.InferOutput<typeof routedSettingsSchema>;
 
-/** Whether requests through services that turn work away with room to spare are planned in this deployment. */
-export function hasPlannedChains({ chains: { plannedFor, contracts } }: RoutedSettings): boolean {
-    return plannedFor.length > 0 && plannedFor.every(name => contracts.includes(name));
-}
-
 /** Reads and checks a settings file. */
 export function readRoutedSettings(file: string): Result<RoutedSettings, SettingsError> {
     return readSettingsText(file, text => parseRoutedSettings(file, text));
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -6,19 +6,17 @@
  * service.
  *
  * Load pattern handled: endpoints that refuse a large part of the requests though they have room. Once a request has
- * reached as many endpoints as its route allows, it is offered to the same ones again, within the retry budget. Where
- * chains are planned (`chainAdmission.ts`), a call whose repeats are paid for is offered until it is hardly likely to have been
- * rejected each time, and to an endpoint other than the one that just rejected it, unless no other takes work: a rejected request has not run, so that it
- * still runs at one endpoint only.
+ * reached as many endpoints as its route allows, it is offered to the same ones again as long as the retry budget has room for
+ * a repeat of its value (`repeatOrder.ts`): a rejection makes the next offer neither better nor worse. It goes to another of them
+ * than the one that just rejected it, unless no other takes work. A rejected request has not run, so that it still runs at
+ * one endpoint only.
  */
 import type { Clock } from "../process/base/clock.js";
-import { maxShedShare } from "../process/load/chainAdmission.js";
 import type { InstanceSelector } from "../process/load/instanceSelector.js";
 import type { Placement } from "../process/load/placement.js";
 import type { RunOutcome } from "../process/load/runOutcome.js";
 import type { DownstreamProblem } from "../process/load/runsInProgress.js";
 import type { ServiceRetryBudget } from "../process/load/serviceRetryBudget.js";
-import type { DownstreamCalls } from "../process/load/sheddingLevels.js";
 import type { Logger } from "../process/telemetry/logger.js";
 import type { InstanceRecord } from "../version/instanceRecord.js";
 import type { HeaderList } from "./headers.js";
@@ -28,9 +26,7 @@
 /** Refusals for lack of capacity after which the refusal of a request is final. */
 const maxCapacityRefusals = 3;
 /** Sends of one request to instances whose endpoints refused it before. */
-const maxRepeatedOffers = 4;
-/** Chance of being rejected at each of its offers that a planned request has left. */
-const leftRejectionChance = 0.01;
+const maxRepeatedOffers = 20;
 /** Retry-after delay when no instance accepts requests, in milliseconds. */
 const noInstanceRetryMs = 400;
 
@@ -47,8 +43,6 @@
         readonly behind: DownstreamProblem;
         /** Utilisation of the busiest downstream service; above 1 if requests are queued there. */
         readonly pressure: number;
-        /** Services that the run's calls led to, if its node tells. */
-        readonly downstream?: readonly DownstreamCalls[] | undefined;
     }
     /** No send of the request has run or can still run. */
     | { readonly kind: "refused"; readonly cause: string; readonly retryAfterMs: number; }
@@ -74,11 +68,6 @@
     /** Retry budget of each service. */
     readonly retryBudget: ServiceRetryBudget;
     readonly sender: Pick<Sender, "send">;
-    /**
-     * Returns the share that a service turns away though it has room, if repeats at it are scarce, and 0 otherwise; left out
-     * where chains are not planned.
-     */
-    readonly getShedShare?: ((service: string) => number) | undefined;
 }
 
 /** State of one request over its sends. */
@@ -142,10 +131,8 @@
             return instanceSelector.select(call.service, progress.tried);
         }
         const last = progress.shedBy[progress.shedBy.length - 1]!;
-        const other = this.dependencies.getShedShare !== undefined
-            ? instanceSelector.selectAtOnce(call.service, new Set([last.address]))
-            : undefined;
-        return other ?? placement.choose(progress.shedBy, new Set());
+        return placement.choose(progress.shedBy, new Set([last.address]))
+            ?? placement.choose(progress.shedBy, new Set());
     }
 
     private chooseHedgeInstance(
@@ -230,20 +217,15 @@
     }
 
     private takeFromBudget(call: RoutedCall): boolean {
-        const isPlanned = this.getShedShare(call) === 0 ? undefined : isPaidFor(call);
-        return this.dependencies.retryBudget.takeRetry(call.service, { ...call.origin, isPlanned });
-    }
-
-    private getShedShare(call: RoutedCall): number {
-        return this.dependencies.getShedShare?.(call.service) ?? 0;
+        const { service, origin, callsLeft } = call;
+        return this.dependencies.retryBudget.takeRetry(service, { priority: origin.priority, callsLeft });
     }
 
     /** Takes one more offer to the instances that refused the request, if all that its route allows have done so. */
     private takeRepeatedOffer(call: RoutedCall, progress: ForwardProgress): boolean {
         const haveAllRefused = progress.runs >= call.route.maxRuns && progress.failure === undefined;
         if (
-            !haveAllRefused || progress.repeatedOffers >= this.computeMaxRepeatedOffers(call)
-            || !this.takeFromBudget(call)
+            !haveAllRefused || progress.repeatedOffers >= maxRepeatedOffers || !this.takeFromBudget(call)
         ) {
             return false;
         }
@@ -251,13 +233,6 @@
         return true;
     }
 
-    private computeMaxRepeatedOffers(call: RoutedCall): number {
-        const shedShare = Math.min(maxShedShare, this.getShedShare(call));
-        return shedShare === 0 || !isPaidFor(call)
-            ? maxRepeatedOffers
-            : Math.max(maxRepeatedOffers, Math.ceil(Math.log(leftRejectionChance) / Math.log(shedShare)));
-    }
-
     private logFurtherSend(
         event: "placedAgain" | "hedged",
         call: RoutedCall,
@@ -282,11 +257,6 @@
     return { outcome: { kind: "refused", cause, retryAfterMs }, instance: undefined, sends: 0, runs: 0 };
 }
 
-/** Whether the entry node planned the repeats of a call. */
-function isPaidFor({ origin }: RoutedCall): boolean {
-    return origin.paidAfter !== undefined && origin.servedBefore >= origin.paidAfter;
-}
-
 function describeCause(outcome: RunOutcome): string {
     return outcome.kind === "answer" ? String(outcome.status) : outcome.cause;
 }
--- a/src/request/routedCall.ts
+++ b/src/request/routedCall.ts
@@ -21,6 +21,8 @@
      * depth below that request, and the number of calls of the same run that were served before it.
      */
     readonly origin: Origin;
+    /** Calls that the run which makes the call still has to get served, this one included; 1 for an outside request. */
+    readonly callsLeft: number;
     readonly deadline: number;
     /** Time by which the answer meets the target latency of its route. */
     readonly target: number;
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -5,12 +5,10 @@
 import type { Clock } from "../process/base/clock.js";
 import type { CustomerQuotas } from "../process/customers/customerQuotas.js";
 import type { SpentUnit } from "../process/customers/unitHolder.js";
-import type { ChainAdmission, ChainPlan } from "../process/load/chainAdmission.js";
 import type { EntryThrottle } from "../process/load/entryThrottle.js";
 import type { ReturnSchedule } from "../process/load/returnSchedule.js";
 import type { DownstreamProblem, Origin, RunInProgress, RunsInProgress } from "../process/load/runsInProgress.js";
 import { overloadedWaitShare } from "../process/load/runsInProgress.js";
-import type { ShedLevel } from "../process/load/sheddingLevels.js";
 import type { WeightedRoundRobin } from "../process/load/weightedRoundRobin.js";
 import type { Logger } from "../process/telemetry/logger.js";
 import type { RoutedMetrics } from "../process/telemetry/routedMetrics.js";
@@ -78,12 +76,6 @@
     /** Limits the requests of customers with a quota. */
     readonly quotas: Pick<CustomerQuotas, "take" | "releaseUnit">;
     readonly isStopping: () => boolean;
-    /** Plans of requests through services that shed; `undefined` where chains are not planned. */
-    readonly chains?: {
-        readonly admission: ChainAdmission;
-        /** Learns and returns the level of a service that this node calls itself; `undefined` if none is known. */
-        readonly learnLevel: (service: string) => ShedLevel | undefined;
-    } | undefined;
 }
 
 /** A request whose body was read and whose route was found. */
@@ -103,8 +95,6 @@
     readonly target: number;
     /** Whether the request came back after a refusal at the time that it was told. */
     readonly hasReturned: boolean;
-    /** Plan of a request through a shedding service. */
-    readonly plan?: ChainPlan | undefined;
 }
 
 /**
@@ -189,44 +179,17 @@
         await forwardRequest(dependencies, routedRequest, metadata.attemptId);
         return;
     }
-    const admission = admitRequest(dependencies, routedRequest);
-    if (admission.kind === "refuse") {
-        refuseAtEntry(dependencies, routedRequest, admission.cause, admission.fields);
+    if (!routedRequest.hasReturned && !dependencies.entryThrottle.admit(route.name)) {
+        refuseAtEntry(dependencies, routedRequest);
         return;
     }
-    await forwardWithinQuota(dependencies, { ...routedRequest, plan: admission.plan }, metadata.attemptId);
+    await forwardWithinQuota(dependencies, routedRequest, metadata.attemptId);
 }
 
-/** Whether a caller's request is begun, by what is known of the services behind its route. */
-type EntryAdmission =
-    | { readonly kind: "begin"; readonly plan: ChainPlan | undefined; }
-    | { readonly kind: "refuse"; readonly cause: string; readonly fields: Readonly<Record<string, string>>; };
-
-function admitRequest(
-    dependencies: RoutedEntryDependencies,
-    { route, customer, hasReturned }: RoutedRequest,
-): EntryAdmission {
-    const { entryThrottle, chains } = dependencies;
-    if (!hasReturned && !entryThrottle.admit(route.name)) {
-        const share = entryThrottle.getAdmittedFraction(route.name).toFixed(2);
-        return { kind: "refuse", cause: "crowdedBehind", fields: { share } };
-    }
-    const decision = chains?.admission.decide(route.name, customer?.priority ?? route.priority);
-    if (decision?.kind === "refuse") {
-        const fields = { behind: decision.service, shedShare: decision.shedShare.toFixed(2) };
-        return { kind: "refuse", cause: "shedBehind", fields };
-    }
-    return { kind: "begin", plan: decision?.plan };
-}
-
-/** Refuses a caller's request before any work was spent on it. */
-function refuseAtEntry(
-    dependencies: RoutedEntryDependencies,
-    routedRequest: RoutedRequest,
-    cause: string,
-    fields: Readonly<Record<string, string>>,
-): void {
+/** Refuses a caller's request, before any work was spent on it, because a service behind its route is overloaded. */
+function refuseAtEntry(dependencies: RoutedEntryDependencies, routedRequest: RoutedRequest): void {
     const { response, metadata, route, version, customer } = routedRequest;
+    const cause = "crowdedBehind";
     const refusal = { kind: "refused", cause, retryAfterMs: overloadedRetryMs } as const;
     const status = sendOutcome(dependencies, response, routedRequest, refusal);
     dependencies.metrics.recordRequestOutcome(route.name, "refused", cause, 0);
@@ -236,7 +199,7 @@
         customer: customer?.name,
         version,
         cause,
-        ...fields,
+        share: dependencies.entryThrottle.getAdmittedFraction(route.name).toFixed(2),
         status,
     });
 }
@@ -320,6 +283,7 @@
         headers: dependencies.dialect.copyRequestHeaders(request.rawHeaders),
         body,
         origin: createOrigin(routedRequest),
+        callsLeft: routedRequest.parent?.getCallsLeft() ?? 1,
         deadline: startedAt + waitMs,
         target: routedRequest.target,
         cancellation: new Cancellation(),
@@ -528,7 +492,6 @@
         depth: 0,
         servedBefore: 0,
         ...(routedRequest.hasReturned ? { hasReturned: true } : {}),
-        paidAfter: routedRequest.plan?.paidAfter,
     };
 }
 
@@ -543,7 +506,6 @@
     if (routedRequest.parent !== undefined) {
         const knownUtilisation = Math.max(utilisation, dependencies.findUtilisation(call.service));
         routedRequest.parent.recordCall(describeDownstreamProblem(outcome), waitedMs, knownUtilisation);
-        recordCallTo(dependencies, routedRequest.parent, call, outcome);
         return;
     }
     // Only an error answer can count as overload: for a refusal or a failure, `waitedMs` is 0.
@@ -556,22 +518,6 @@
         { isOverloaded, utilisation },
         routedRequest.startedAt,
     );
-    const downstream = outcome.kind === "answer" ? outcome.downstream ?? [] : [];
-    dependencies.chains?.admission.recordAnswer(call.route.name, downstream, !hasFailed, routedRequest.plan);
-}
-
-/** Reports to the run that made a call which services it led to, and how much of their work they turn away. */
-function recordCallTo(
-    { chains, clock }: RoutedEntryDependencies,
-    run: RunInProgress,
-    call: RoutedCall,
-    outcome: ForwardOutcome,
-): void {
-    if (chains === undefined) {
-        return;
-    }
-    const called = chains.learnLevel(call.service) ?? { service: call.service, shedShare: 0, ageMs: Infinity };
-    run.recordCallTo(called, outcome.kind === "answer" ? outcome.downstream ?? [] : [], clock.readMonotonic());
 }
 
 /** Describes the problem that a call met: "crowd" means that the called service or one downstream was overloaded. */
@@ -612,7 +558,7 @@
         returned: routedRequest.hasReturned ? true : undefined,
         ms: Math.round(elapsedMs),
         timeoutMs: Math.round(call.deadline - routedRequest.startedAt),
-        paidAfter: call.origin.paidAfter,
+        callsLeft: call.origin.depth === 0 ? undefined : Math.round(call.callsLeft),
     });
 }
 
--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -63,7 +63,7 @@
             depth: 0,
             servedBefore: 0,
             customer: undefined,
-        });
+        }, "page");
         runs.find("a")?.recordCall("failure", 10, 0.5);
         runs.find("a")?.recordCall("crowd", 20, 1.25);
         runs.find("a")?.recordCall("none", 5, 0.25);
@@ -75,6 +75,32 @@
         runs.end("a", run);
         expect(runs.find("a")).equals(undefined);
     });
+
+    it("tell how many calls a run has left, by what served runs of its route made", () => {
+        const runs = new RunsInProgress();
+        const origin = {
+            route: "page",
+            priority: 2,
+            isRepeated: false,
+            depth: 1,
+            servedBefore: 0,
+            customer: undefined,
+        };
+        const served = runs.start("a", origin, "index");
+        for (let call = 0; call < 4; call += 1) {
+            served.recordCall("none", 0, 0);
+        }
+        expect(served.getCallsLeft()).equals(1);
+        runs.recordServed("index", served);
+        const next = runs.start("b", origin, "index");
+        const left = [0, 1, 2, 3, 4].map(() => {
+            const callsLeft = next.getCallsLeft();
+            next.recordCall("none", 0, 0);
+            return callsLeft;
+        });
+        expect(left).deep.equals([4, 3, 2, 1, 1]);
+        expect(runs.start("c", origin, "page").getCallsLeft()).equals(1);
+    });
 });
 
 describe("state of the endpoint beside a node", () => {
