Let the window before pay for nearly all repeats, in proportion to what is known of it

Change: the window before weighs 0.95, and less in proportion for windows that begin within one window of the first requests, whose own requests then pay; requests are counted per window in place of a bucket of earned repeats; new repeats may use 0.93. Test: the bound holds in every window for nine loads over ten nodes, two of them new; a burst after 1.3 windows gets 60 and more (17 before).

--- a/src/process/load/serviceRetryBudget.ts
+++ b/src/process/load/serviceRetryBudget.ts
@@ -9,13 +9,11 @@
  * two counts would not keep it: requests that move are the larger count of two nodes.) Only a node's own retries and
  * requests count, so that a restart neither adds to the budget nor takes from it.
  *
- * So the budget has two sources:
- *
- * - The requests of the window before, known to the end whenever the retry falls into a window. They may be used at once:
- *   many requests are lost together. When a service refuses much, call chains end early and fewer requests reach it, just
- *   when retries are worth most; the window before knows how many they were.
- * - The requests of the window itself, of which only those that came before the retry are known. Each earns a part of a
- *   retry, and earned parts are kept only up to half of the node's part of the slack. The other half is earned over time.
+ * The window before weighs most in the average: it is known to its end, and so may be used at once, when many requests are
+ * lost together. When a service refuses much, call chains end early and fewer requests reach it, just when retries are worth
+ * most; the window before knows how many they were. Of the window itself only the requests that came before the retry are
+ * known. While the first requests came less than a window before the window, they were few, and it weighs less in
+ * proportion. All nodes weigh a window alike, as far as their first requests to the service came at the same time.
  *
  * The calls of a run that was itself a retry count as retries. They may use the whole budget and new retries only a part
  * of it. Among new retries, `repeatOrder.ts` decides.
@@ -28,9 +26,9 @@
 const slicesPerWindow = 50;
 /** Slices that are kept: those of two windows, and the oldest of them which lies only partly in them. */
 const keptSlices = 2 * slicesPerWindow + 1;
-/** Part of the ratio that the requests of the window before pay for; those of the window itself pay for the rest. */
-const earlierShare = 0.85;
-/** Part of the slack that is earned over each window without requests; the rest bounds what is earned and kept. */
+/** Weight of the window before in the average, once requests came during all of it. */
+const earlierWeight = 0.95;
+/** Part of the slack that is refilled over each window; the rest bounds what is kept. */
 const refilledSlackShare = 0.5;
 /**
  * Retries that a node may always keep: a retry can't be sent in parts. With more nodes than retries in the slack the sum
@@ -42,24 +40,22 @@
  * Part of the budget that new retries may use. The rest is left to the calls of runs that are retries already, and to
  * the requests that an endpoint gets twice without this node's doing.
  */
-const newRetryShare = 0.9;
-/** Retries that {@link ServiceCounts.earnedForNew} may hold, in addition to the part of the slack. */
-const extraEarnedForNew = 4;
+const newRetryShare = 0.93;
 
 /** Requests and retries to one service. */
 interface ServiceCounts {
     /** Counts by slice, at its index modulo {@link keptSlices}. */
     readonly requests: Float64Array;
-    /** Retries that the window before pays for, or parts of them. */
+    /** Retries that requests pay for, or parts of them; the others are paid from the slack. */
     readonly retries: Float64Array;
     /** Index of the newest slice. */
     newest: number;
-    /** Retries that the requests of the window itself have paid for and that were not sent yet. */
-    earned: number;
-    /** The same for new retries, which take more than one each if they may use only a part of the budget. */
-    earnedForNew: number;
-    /** Time up to which the slack was earned, on the monotonic clock. */
+    /** Retries that the slack pays for now. */
+    slack: number;
+    /** Time up to which the slack was refilled, on the monotonic clock. */
     refilledAt: number;
+    /** Index of the slice of the first request. */
+    readonly first: number;
 }
 
 /** Limits of the retry budget. */
@@ -95,7 +91,6 @@
     recordRequest(service: string): void {
         const counts = this.getCounts(service);
         counts.requests[counts.newest % keptSlices]! += 1;
-        this.addEarned(counts, this.limits.ratio * (1 - earlierShare));
     }
 
     /**
@@ -103,79 +98,75 @@
      * is used up.
      */
     takeInheritedRetry(service: string): boolean {
-        const counts = this.getCounts(service);
-        const earned = Math.min(1, counts.earned);
-        if (earned + this.computeAvailable(counts, 1) < 1) {
-            return false;
-        }
-        takeFrom(counts, earned);
-        return true;
+        return this.take(this.getCounts(service), 1, 0);
     }
 
     /** Takes one retry; `false` when the budget is used up, or kept for more valuable ones. */
     takeRetry(service: string, origin: RepeatOrigin): boolean {
-        const counts = this.getCounts(service);
         const kept = this.order.recordWish(service, origin);
-        const earned = Math.min(1, counts.earned, counts.earnedForNew * newRetryShare);
-        if (earned + this.computeAvailable(counts, newRetryShare) - kept < 1) {
+        return this.take(this.getCounts(service), newRetryShare, kept);
+    }
+
+    /** Takes one retry from a share of the budget if it leaves `kept` others; a part of it from the slack, if there is some. */
+    private take(counts: ServiceCounts, share: number, kept: number): boolean {
+        const fromSlack = Math.min(1, counts.slack);
+        if (fromSlack + this.computeAvailable(counts, share) - kept < 1) {
             return false;
         }
-        counts.earnedForNew -= earned / newRetryShare;
-        takeFrom(counts, earned);
+        counts.slack -= fromSlack;
+        counts.retries[counts.newest % keptSlices]! += 1 - fromSlack;
         return true;
     }
 
     /**
-     * Retries that a share of what the window before pays for still allows now, in each window that the present moment
-     * lies in; 0 if others have used more than that share.
+     * Retries that a share of what requests pay for still allows now, in each window that the present moment lies in; 0 if
+     * others have used more than that share.
      */
-    private computeAvailable({ requests, retries, newest }: ServiceCounts, share: number): number {
-        const perRequest = this.limits.ratio * earlierShare * share;
+    private computeAvailable({ requests, retries, newest, first }: ServiceCounts, share: number): number {
         const getCount = (counts: Float64Array, slice: number): number => slice < 0 ? 0 : counts[slice % keptSlices]!;
-        // The windows begin in slice `first`, the oldest of them so that it ends now.
-        let first = newest - slicesPerWindow;
+        // The windows begin in slice `start`, the oldest of them so that it ends now.
+        let start = newest - slicesPerWindow;
         let requestsBefore = 0;
-        for (let slice = first - slicesPerWindow + 1; slice < first; slice += 1) {
+        for (let slice = start - slicesPerWindow + 1; slice < start; slice += 1) {
             requestsBefore += getCount(requests, slice);
         }
+        let requestsSince = 0;
         let retriesSince = 0;
-        for (let slice = first; slice <= newest; slice += 1) {
+        for (let slice = start; slice <= newest; slice += 1) {
+            requestsSince += slice === start ? 0 : getCount(requests, slice);
             retriesSince += getCount(retries, slice);
         }
         let available = Infinity;
-        for (; first <= newest; first += 1) {
-            available = Math.min(available, requestsBefore * perRequest - retriesSince);
-            requestsBefore += getCount(requests, first) - getCount(requests, first - slicesPerWindow + 1);
-            retriesSince -= getCount(retries, first);
+        for (; start <= newest; start += 1) {
+            const weight = earlierWeight * Math.min(1, Math.max(0, (start - first) / slicesPerWindow));
+            const average = weight * requestsBefore + (1 - weight) * requestsSince;
+            available = Math.min(available, average * this.limits.ratio * share - retriesSince);
+            requestsBefore += getCount(requests, start) - getCount(requests, start - slicesPerWindow + 1);
+            requestsSince -= getCount(requests, start + 1);
+            retriesSince -= getCount(retries, start);
         }
         return Math.max(0, available);
     }
 
-    /** After a restart nothing is earned yet: the earlier process may have used the slack in the same window. */
+    /** After a restart there is no slack yet: the earlier process may have used the slack in the same window. */
     private createCounts(newest: number, refilledAt: number): ServiceCounts {
-        const earned = this.isFirstStart ? this.computeMaxEarned() : 0;
         return {
             requests: new Float64Array(keptSlices),
             retries: new Float64Array(keptSlices),
             newest,
-            earned,
-            earnedForNew: earned,
+            slack: this.isFirstStart ? this.computeMaxSlack() : 0,
             refilledAt,
+            first: newest,
         };
     }
 
-    private addEarned(counts: ServiceCounts, retries: number): void {
-        const maxEarned = this.computeMaxEarned();
-        counts.earned = Math.min(maxEarned, counts.earned + retries);
-        counts.earnedForNew = Math.min(maxEarned + extraEarnedForNew, counts.earnedForNew + retries);
-    }
-
-    private computeMaxEarned(): number {
+    private computeMaxSlack(): number {
         return this.limits.slack === 0 ? 0 : Math.max(minKept, this.computeSlack() * (1 - refilledSlackShare));
     }
 
+    /** This node's part of the slack, without what new retries leave. */
     private computeSlack(): number {
-        return this.limits.slack / Math.max(1, this.countNodes());
+        return this.limits.slack * newRetryShare / Math.max(1, this.countNodes());
     }
 
     private getCounts(service: string): ServiceCounts {
@@ -184,7 +175,7 @@
         const counts = this.services.get(service) ?? this.createCounts(index, now);
         this.services.set(service, counts);
         const refilled = this.computeSlack() * refilledSlackShare * (now - counts.refilledAt) / this.limits.windowMs;
-        this.addEarned(counts, refilled);
+        counts.slack = Math.min(this.computeMaxSlack(), counts.slack + refilled);
         counts.refilledAt = now;
         for (; counts.newest < index; counts.newest += 1) {
             if (index - counts.newest > keptSlices) {
@@ -197,9 +188,3 @@
         return counts;
     }
 }
-
-/** Takes one retry, a part of it from what was earned and the rest from what the window before pays for. */
-function takeFrom(counts: ServiceCounts, earned: number): void {
-    counts.earned -= earned;
-    counts.retries[counts.newest % keptSlices]! += 1 - earned;
-}
--- a/test/routed/retryBound.test.ts
+++ b/test/routed/retryBound.test.ts
@@ -42,6 +42,14 @@
         name: "chains that end early from one moment on, after a calm time",
         getRate: (_node, at) => at < 13_000 ? 120 : 45,
     },
+    {
+        name: "a first burst, and little after it",
+        getRate: (_node, at) => at < 5000 ? 150 : 10,
+    },
+    {
+        name: "chains that end early soon after the first requests",
+        getRate: (_node, at) => at < 4000 ? 120 : 45,
+    },
     {
         name: "calls of repeated runs, late in the window",
         getRate: () => 60,
