--- a/test/routed/serviceRetryBudget.test.ts
+++ b/test/routed/serviceRetryBudget.test.ts
@@ -90,8 +90,8 @@
         const clock = new FakeClock();
         const budget = createBudget({ slack: 0 }, 1, clock);
         playCalm(budget, clock, 1300, 1.3 * windowMs);
-        // 0.1 of the 1000 requests of a window; the rule before gave 17 here.
-        expect(takeAll(budget)).within(60, 100);
+        // The least of all windows is that of 0.59 before: 0.093 of 643 requests in its average. The rule before gave 17 here.
+        expect(takeAll(budget)).within(56, 60);
     });
 
     it("gives nothing for the requests of another service", () => {
