Rate the slowness of an endpoint by route

Cause: a node averaged the times of its last ten or so runs whatever their routes, so at a service with routes of 15 and 240 ms one run of the long route made its endpoint look 2.5 times as slow, and its placement swung with the mix. Change: the sender states the usual time of the route, over all instances that it has seen; the node beside the endpoint averages times over usual ones and reports that. Earlier builds on either side read none and rely on their own measurements.

--- a/src/connection/link.ts
+++ b/src/connection/link.ts
@@ -203,6 +203,7 @@
         targetLeftMs: request.target - now,
         callerService: request.callerService,
         leavingEndpoint: request.leavingEndpoint,
+        usualRunMs: request.usualRunMs,
     };
 }
 
--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -25,10 +25,10 @@
     readonly failureShare: number;
     /** Whether the node is stable: neither just restarted nor about to stop. */
     readonly isSettled: boolean;
-    /** Recent average time of a run at the endpoint, in milliseconds; 0 when there was none. */
-    readonly runMs: number;
     /** Fraction of the recent requests that the endpoint turned away though it had room, from 0 to 1. */
     readonly shedShare: number;
+    /** Recent average time of a run at the endpoint over the usual one of its route; 0 when there was none. */
+    readonly slowness: number;
 }
 
 /** Asks a node for a run, which is one execution of a request at the node's local endpoint. */
@@ -58,6 +58,8 @@
     readonly callerService: string;
     /** Endpoint's process at the receiver that the sender knows to leave; it must not run the request. */
     readonly leavingEndpoint: string | undefined;
+    /** Usual time of a run of the route, in milliseconds; `undefined` if an earlier build sent it. */
+    readonly usualRunMs: number | undefined;
 }
 
 /** What a node has of the keyed log. */
@@ -153,6 +155,7 @@
         "targetLeftMs",
         "callerService",
         "leavingEndpoint",
+        "usualRunMs",
     ],
     answer: ["id", "status", "headers", "body", "runMs", "waitedMs", "behind", "pressure", "load"],
     refused: ["id", "cause", "retryAfterMs", "load"],
@@ -171,7 +174,7 @@
 };
 
 /** Number of the last fields of a kind that a message of an earlier build lacks. */
-const optionalFieldsByKind: { readonly [Kind in LinkMessage["kind"]]?: number; } = { run: 1 };
+const optionalFieldsByKind: { readonly [Kind in LinkMessage["kind"]]?: number; } = { run: 2 };
 
 /** Maximum size of a message, in bytes. */
 const maxMessageBytes = 80_000_000;
@@ -316,22 +319,23 @@
 
 /** Encodes a load report as an array; shares are rounded to whole percent. */
 function encodeLoad(load: LoadReport): number[] {
-    const { running, waiting, limit, failureShare, isSettled, runMs, shedShare } = load;
-    const percents = [failureShare, shedShare].map(share => Math.round(share * 100));
-    return [running, waiting, limit, percents[0]!, isSettled ? 1 : 0, Math.round(runMs), percents[1]!];
+    const { running, waiting, limit, failureShare, isSettled, shedShare, slowness } = load;
+    const percents = [failureShare, shedShare, slowness].map(share => Math.round(share * 100));
+    // Earlier builds read a run time at the sixth place; 0 means that none is known.
+    return [running, waiting, limit, percents[0]!, isSettled ? 1 : 0, 0, percents[1]!, percents[2]!];
 }
 
 function decodeLoad(value: unknown): LoadReport {
     const items = Array.isArray(value) ? value as number[] : [];
-    const [running, waiting, limit, percent, settled, runMs, shedPercent] = items;
+    const [running, waiting, limit, percent, settled, _runMs, shedPercent, slownessPercent] = items;
     return {
         running: running ?? 0,
         waiting: waiting ?? 0,
         limit: limit ?? 0,
         failureShare: (percent ?? 0) / 100,
         isSettled: settled !== 0,
-        runMs: runMs ?? 0,
-        // An earlier build reports none.
+        // Earlier builds report neither.
         shedShare: (shedPercent ?? 0) / 100,
+        slowness: (slownessPercent ?? 0) / 100,
     };
 }
--- a/src/process/endpoint/endpointRunner.ts
+++ b/src/process/endpoint/endpointRunner.ts
@@ -104,7 +104,7 @@
             limit: isUnavailable ? 0 : this.computeUsableLimit(),
             failureShare: this.computeFailureShare(),
             isSettled: this.dependencies.isSettled(),
-            runMs: this.runTimes.getAverageMs(),
+            slowness: this.runTimes.getAverage(),
             shedShare: this.shedding.getShare(),
         };
     }
@@ -134,7 +134,7 @@
             return refusal;
         }
         const startedAt = clock.readMonotonic();
-        const recordRunEnd = this.runTimes.start();
+        const recordRunEnd = this.runTimes.start(request.usualRunMs);
         const outcome = await this.runInSlot(request, startedAt, cancellation);
         recordRunEnd();
         this.endRun(request, outcome, clock.readMonotonic() - startedAt);
@@ -181,7 +181,7 @@
         if (perSecond === undefined) {
             return limit;
         }
-        const horizonMs = Math.max(minPaceHorizonMs, this.runTimes.getAverageMs());
+        const horizonMs = Math.max(minPaceHorizonMs, this.queue.getOverallAverageRunMs());
         return Math.min(limit, Math.max(1, Math.ceil(perSecond * horizonMs / 1000)));
     }
 
--- a/src/process/endpoint/remoteRuns.ts
+++ b/src/process/endpoint/remoteRuns.ts
@@ -118,6 +118,7 @@
             target: now + message.targetLeftMs,
             callerService: message.callerService,
             leavingEndpoint: message.leavingEndpoint,
+            usualRunMs: message.usualRunMs ?? 0,
         };
     }
 }
--- a/src/process/load/placement.ts
+++ b/src/process/load/placement.ts
@@ -93,14 +93,14 @@
     /** Chooses an instance that takes work; `undefined` when there is none except those in `tried` (addresses). */
     choose(records: readonly InstanceRecord[], tried: ReadonlySet<string>): InstanceRecord | undefined {
         const now = this.clock.readMonotonic();
-        const usualRunMs = this.computeUsualRunMs(records, now);
+        const usualSlowness = this.computeUsualSlowness(records, now);
         const leastShedShare = this.findLeastShedShare(records, now);
         let best: InstanceRecord | undefined;
         let bestCost = Infinity;
         for (const record of records) {
             if (!tried.has(record.address) && this.isAcceptingWork(record, now)) {
                 // The random part, up to 0.02, decides between instances of about the same cost.
-                const cost = this.computeCost(record, now, usualRunMs, leastShedShare) + this.random() * 0.02;
+                const cost = this.computeCost(record, now, usualSlowness, leastShedShare) + this.random() * 0.02;
                 if (cost < bestCost) {
                     best = record;
                     bestCost = cost;
@@ -211,7 +211,7 @@
     private computeCost(
         record: InstanceRecord,
         now: number,
-        usualRunMs: number,
+        usualSlowness: number,
         leastShedShare: number,
     ): number {
         const stats = this.statsByAddress.get(record.address);
@@ -226,7 +226,7 @@
         const reported = load === undefined ? 0 : load.running + load.waiting + stats.sentSinceLoad;
         const requests = Math.max(reported, stats.inFlight) + 1;
         const utilisation = requests / Math.max(1, load?.limit ?? record.slots);
-        const slowness = this.chooseSlowness(stats, now, load, usualRunMs);
+        const slowness = this.chooseSlowness(stats, now, load, usualSlowness);
         // Slowness above 1.5 costs half of the excess in addition, whatever the utilisation.
         const slownessCost = utilisation * slowness + Math.max(0, slowness - 1.5) * 0.5;
         const stateCost = load === undefined
@@ -241,13 +241,13 @@
         stats: InstanceStats,
         now: number,
         load: LoadReport | undefined,
-        usualRunMs: number,
+        usualSlowness: number,
     ): number {
         const own = this.computeSlowness(stats, now);
-        if (load === undefined || load.runMs === 0 || usualRunMs === 0) {
+        if (load === undefined || load.slowness === 0 || usualSlowness === 0) {
             return own;
         }
-        const reported = Math.min(maxReportedSlowness, Math.max(minReportedSlowness, load.runMs / usualRunMs));
+        const reported = Math.min(maxReportedSlowness, Math.max(minReportedSlowness, load.slowness / usualSlowness));
         return own > reported * ownSlownessFactor ? own : reported;
     }
 
@@ -264,18 +264,18 @@
         return least;
     }
 
-    /** Median of the run times that the nodes of these instances report, in milliseconds; 0 if none does. */
-    private computeUsualRunMs(records: readonly InstanceRecord[], now: number): number {
-        const runTimes: number[] = [];
+    /** Median of the slowness that the nodes of these instances report; 0 if none does. */
+    private computeUsualSlowness(records: readonly InstanceRecord[], now: number): number {
+        const reported: number[] = [];
         for (const { address } of records) {
             const stats = this.statsByAddress.get(address);
-            const runMs = this.findRecentLoad(stats, now)?.runMs ?? 0;
-            if (runMs > 0) {
-                runTimes.push(runMs);
+            const slowness = this.findRecentLoad(stats, now)?.slowness ?? 0;
+            if (slowness > 0) {
+                reported.push(slowness);
             }
         }
-        runTimes.sort((a, b) => a - b);
-        return runTimes[Math.floor((runTimes.length - 1) / 2)] ?? 0;
+        reported.sort((a, b) => a - b);
+        return reported[Math.floor((reported.length - 1) / 2)] ?? 0;
     }
 
     private findRecentLoad(stats: InstanceStats | undefined, now: number): LoadReport | undefined {
--- a/src/process/load/runQueue.ts
+++ b/src/process/load/runQueue.ts
@@ -70,7 +70,7 @@
     constructor(private readonly pace: Pace = noPace, findWeight: (customer: string) => number = findEqualWeight) {
         this.order = new FairOrder<T>({
             getRunMs: route => this.getAverageRunMs(route),
-            getAverageRunMs: () => this.computeOverallAverageRunMs(),
+            getAverageRunMs: () => this.getOverallAverageRunMs(),
             findWeight,
         });
     }
@@ -97,6 +97,15 @@
         return this.averageRunMsByRoute.get(route) ?? assumedRunMs;
     }
 
+    /** Average over the average run times of all routes, in milliseconds. */
+    getOverallAverageRunMs(): number {
+        let total = 0;
+        for (const averageMs of this.averageRunMsByRoute.values()) {
+            total += averageMs;
+        }
+        return this.averageRunMsByRoute.size === 0 ? assumedRunMs : total / this.averageRunMsByRoute.size;
+    }
+
     /** Asks for a concurrency slot. A request that has to wait is returned by {@link takeNext} when its turn comes. */
     offer(candidate: T, now: number): QueueDecision {
         if (candidate.customer !== undefined && !this.order.isActive()) {
@@ -205,19 +214,10 @@
         if (this.running < this.limit && ahead === 0) {
             return 0;
         }
-        const averageMs = ahead === 0 ? this.computeOverallAverageRunMs() : aheadMs / ahead;
+        const averageMs = ahead === 0 ? this.getOverallAverageRunMs() : aheadMs / ahead;
         return (ahead + 1) * averageMs / this.limit;
     }
 
-    /** Average over the average run times of all routes, in milliseconds. */
-    private computeOverallAverageRunMs(): number {
-        let total = 0;
-        for (const averageMs of this.averageRunMsByRoute.values()) {
-            total += averageMs;
-        }
-        return this.averageRunMsByRoute.size === 0 ? assumedRunMs : total / this.averageRunMsByRoute.size;
-    }
-
     /**
      * Longest wait that leaves time for the run, in milliseconds. The deadline limits every wait, the target only that
      * of a client's request, not of a call.
--- a/src/request/runRequest.ts
+++ b/src/request/runRequest.ts
@@ -17,6 +17,8 @@
     /** Endpoint's process that the sender knows to leave; it must not run the request. */
     readonly leavingEndpoint: string | undefined;
     readonly origin: Origin;
+    /** Usual time of a run of the route at the service's instances, as the sender has seen it, in milliseconds; 0 if unknown. */
+    readonly usualRunMs: number;
     /** Time after which the answer is of no use to the caller. */
     readonly deadline: number;
     /** Time by which the answer meets the target latency of its route. */
--- a/src/request/sender.ts
+++ b/src/request/sender.ts
@@ -198,6 +198,7 @@
             origin: progress.runs > 0 ? { ...origin, isRepeated: true } : origin,
             deadline: call.deadline,
             target: call.target,
+            usualRunMs: this.dependencies.placement.getAverageRunMs(route.name) ?? 0,
         };
     }
 }
--- a/test/routed/decisions.test.ts
+++ b/test/routed/decisions.test.ts
@@ -221,8 +221,8 @@
         limit: 10,
         failureShare: 0,
         isSettled: true,
-        runMs: 0,
         shedShare: 0,
+        slowness: 0,
     };
     const cases: readonly {
         readonly name: string;
@@ -280,7 +280,7 @@
         {
             name: "prefers instances whose nodes stay to one whose node stops or has just been started again",
             play: placement => {
-                placement.recordLoad("10.0.0.1", { ...idle, isSettled: false, runMs: 0 });
+                placement.recordLoad("10.0.0.1", { ...idle, isSettled: false });
                 placement.recordLoad("10.0.0.2", { ...idle, running: 5 });
             },
             chosen: "10.0.0.2",
@@ -288,7 +288,7 @@
         {
             name: "uses an instance whose node has just been started again when the others are full",
             play: placement => {
-                placement.recordLoad("10.0.0.1", { ...idle, isSettled: false, runMs: 0 });
+                placement.recordLoad("10.0.0.1", { ...idle, isSettled: false });
                 placement.recordLoad("10.0.0.2", { ...idle, running: 10 });
                 placement.recordLoad("10.0.0.3", { ...idle, running: 10 });
             },
--- a/test/routed/fleetPlacement.test.ts
+++ b/test/routed/fleetPlacement.test.ts
@@ -163,7 +163,7 @@
             return;
         }
         this.running.set(address, (this.running.get(address) ?? 0) + 1);
-        const recordEnd = this.monitors.get(address)!.start();
+        const recordEnd = this.monitors.get(address)!.start(400);
         this.clock.startTimer(this.getRunMs(address), () => {
             recordEnd();
             this.running.set(address, this.running.get(address)! - 1);
@@ -179,8 +179,8 @@
             limit: 38,
             failureShare: 0,
             isSettled: true,
-            runMs: this.monitors.get(address)!.getAverageMs(),
             shedShare: 0,
+            slowness: this.monitors.get(address)!.getAverage(),
         };
     }
 }
@@ -228,72 +228,86 @@
     }
 });
 
-describe("run times that a node measures at its endpoint", () => {
+describe("the slowness that a node measures at its endpoint", () => {
     const cases: readonly {
         readonly name: string;
         readonly play: (monitor: RunTimeMonitor, clock: FakeClock) => void;
-        readonly averageMs: number;
+        readonly average: number;
     }[] = [
-        { name: "are not known before the first run", play: () => undefined, averageMs: 0 },
+        { name: "is not known before the first run", play: () => undefined, average: 0 },
         {
-            name: "show that an endpoint turned slow before its runs end",
+            name: "shows that an endpoint turned slow before its runs end",
             play: (monitor, clock) => {
-                Array.from({ length: 4 }, () => monitor.start());
+                Array.from({ length: 4 }, () => monitor.start(100));
                 clock.addTime(900);
             },
-            averageMs: 1800,
+            average: 18,
         },
         {
-            name: "are forgotten when no run ended for a while, so that it is tried again",
+            name: "is forgotten when no run ended for a while, so that it is tried again",
             play: (monitor, clock) => {
-                const end = monitor.start();
+                const end = monitor.start(100);
                 clock.addTime(900);
                 end();
                 clock.addTime(2500);
             },
-            averageMs: 0,
+            average: 0,
         },
         {
-            name: "follow at once what the endpoint states of its machine",
+            name: "follows at once what the endpoint states of its machine",
             play: (monitor, clock) => {
-                const end = monitor.start();
+                const end = monitor.start(100);
                 clock.addTime(200);
                 end();
                 monitor.recordSlowness(2.5);
             },
-            averageMs: 500,
+            average: 5,
         },
         {
-            name: "are averaged as if the machine were as usual, so that a short slowdown leaves no trace",
+            name: "is averaged as if the machine were as usual, so that a short slowdown leaves no trace",
             play: (monitor, clock) => {
                 monitor.recordSlowness(2.5);
-                const end = monitor.start();
+                const end = monitor.start(100);
                 clock.addTime(400);
                 monitor.recordSlowness(2.5);
                 clock.addTime(100);
                 end();
                 monitor.recordSlowness(1);
             },
-            averageMs: 200,
+            average: 2,
         },
         {
-            name: "do not follow an old statement",
+            name: "is that of the endpoint, whatever routes its runs belong to",
             play: (monitor, clock) => {
-                const end = monitor.start();
+                const longRuns = Array.from({ length: 3 }, () => monitor.start(240));
+                for (let run = 0; run < 40; run += 1) {
+                    const end = monitor.start(15);
+                    clock.addTime(6);
+                    end();
+                }
+                longRuns.forEach(end => end());
+            },
+            // The short runs took 0.4 of their usual time, and the long ones, which ended last, all of it.
+            average: 0.4 + 0.6 * (1 - 0.9 ** 3),
+        },
+        {
+            name: "does not follow an old statement",
+            play: (monitor, clock) => {
+                const end = monitor.start(100);
                 clock.addTime(200);
                 end();
                 monitor.recordSlowness(2.5);
                 clock.addTime(600);
             },
-            averageMs: 200,
+            average: 2,
         },
     ];
-    for (const { name, play, averageMs } of cases) {
+    for (const { name, play, average } of cases) {
         it(name, () => {
             const clock = new FakeClock();
             const monitor = new RunTimeMonitor(clock);
             play(monitor, clock);
-            expect(monitor.getAverageMs()).closeTo(averageMs, 1);
+            expect(monitor.getAverage()).closeTo(average, 0.01);
         });
     }
 });
--- a/test/routed/linkMessage.test.ts
+++ b/test/routed/linkMessage.test.ts
@@ -6,7 +6,7 @@
 import { encodeMessage, MessageReader } from "../../src/connection/linkMessage.js";
 import { readPropertyOptions } from "../fakes.js";
 
-const load = { running: 3, waiting: 1, limit: 9, failureShare: 0.25, isSettled: false, runMs: 42, shedShare: 0.5 };
+const load = { running: 3, waiting: 1, limit: 9, failureShare: 0.25, isSettled: false, shedShare: 0.5, slowness: 1.25 };
 const samples: readonly LinkMessage[] = [
     {
         kind: "run",
@@ -33,6 +33,7 @@
         targetLeftMs: -3,
         callerService: "ekspor",
         leavingEndpoint: "i-7",
+        usualRunMs: 240,
     },
     {
         kind: "answer",
@@ -97,10 +98,10 @@
         readonly change: object;
     }[] = [
         {
-            name: "a run without the leaving endpoint",
+            name: "a run without the leaving endpoint and the usual run time",
             sample: samples[0]!,
-            cut: items => items.slice(0, -1),
-            change: { leavingEndpoint: undefined },
+            cut: items => items.slice(0, -2),
+            change: { leavingEndpoint: undefined, usualRunMs: undefined },
         },
         {
             name: "an answer that lists the services behind",
@@ -115,10 +116,16 @@
             change: {},
         },
         {
-            name: "a load without the share that is turned away",
+            name: "a load without the share that is turned away and the slowness",
             sample: { kind: "load", load },
-            cut: ([kind, fields]) => [kind, (fields as number[]).slice(0, -1)],
-            change: { load: { ...load, shedShare: 0 } },
+            cut: ([kind, fields]) => [kind, (fields as number[]).slice(0, -2)],
+            change: { load: { ...load, shedShare: 0, slowness: 0 } },
+        },
+        {
+            name: "a load with a run time",
+            sample: { kind: "load", load },
+            cut: ([kind, fields]) => [kind, (fields as number[]).map((item, index) => index === 5 ? 42 : item)],
+            change: {},
         },
     ];
     for (const { name, sample, cut, change } of earlier) {
--- a/test/routed/links.test.ts
+++ b/test/routed/links.test.ts
@@ -16,7 +16,7 @@
 import { createRecord } from "./samples.js";
 
 const clock = new SystemClock();
-const load = { running: 0, waiting: 0, limit: 5, failureShare: 0, isSettled: true, runMs: 0, shedShare: 0 };
+const load = { running: 0, waiting: 0, limit: 5, failureShare: 0, isSettled: true, shedShare: 0, slowness: 0 };
 const position = { version: 1, era: 0, isFollowing: false };
 const address = "127.0.0.1";
 
@@ -173,6 +173,7 @@
                 target: now + 4000,
                 callerService: "ekspor",
                 leavingEndpoint: undefined,
+                usualRunMs: 0,
             };
             const running = links.run(address, run, new Cancellation());
             await sleep(200);
--- a/test/routed/revocation.test.ts
+++ b/test/routed/revocation.test.ts
@@ -90,7 +90,7 @@
             : {
                 kind,
                 ...position,
-                load: { running: 0, waiting: 0, limit: 1, failureShare: 0, isSettled: true, runMs: 1, shedShare: 0 },
+                load: { running: 0, waiting: 0, limit: 1, failureShare: 0, isSettled: true, shedShare: 0, slowness: 0 },
             };
     }
 
