Know the demand for repeats within the first second, and let settings switch decisions off

Change: half-life 0.3 s. [decisions] off = [...] leaves out one of five decisions, for ablation and for operators.

--- a/src/process/endpoint/endpointRunner.ts
+++ b/src/process/endpoint/endpointRunner.ts
@@ -70,6 +70,8 @@
     readonly findCustomerWeight: (customer: string) => number;
     /** Whether this node is stable: it has run for a while and is not about to stop. */
     readonly isSettled: () => boolean;
+    /** Whether the load tells how slow the endpoint is, and what it turns away with room to spare. */
+    readonly isReporting: { readonly slowness: boolean; readonly shedShare: boolean; };
 }
 
 /** A request and the callback that ends its wait: `undefined` lets it run, a cause refuses it. */
@@ -98,14 +100,15 @@
     /** Load of the endpoint, as reported to the nodes that choose among instances. */
     getLoad(): LoadReport {
         const isUnavailable = this.findUnavailableCause() !== undefined;
+        const { isReporting } = this.dependencies;
         return {
             running: this.queue.getRunning(),
             waiting: this.queue.getWaiting(),
             limit: isUnavailable ? 0 : this.computeUsableLimit(),
             failureShare: this.computeFailureShare(),
             isSettled: this.dependencies.isSettled(),
-            slowness: this.runTimes.getAverage(),
-            shedShare: this.shedding.getShare(),
+            slowness: isReporting.slowness ? this.runTimes.getAverage() : 0,
+            shedShare: isReporting.shedShare ? this.shedding.getShare() : 0,
         };
     }
 
--- a/src/process/load/repeatOrder.ts
+++ b/src/process/load/repeatOrder.ts
@@ -15,7 +15,7 @@
 /** Time for which the more valuable repeats are provided for, in milliseconds. */
 const provisionMs = 2000;
 /** Half-life of the counts of wanted repeats, in milliseconds. */
-const demandHalfLifeMs = 1000;
+const demandHalfLifeMs = 300;
 /** Value of a request relative to one of the next more urgent priority. */
 const valueByPriority = 0.5;
 /** Calls still to be served beyond which the value doesn't fall further. */
--- a/src/process/load/serviceRetryBudget.ts
+++ b/src/process/load/serviceRetryBudget.ts
@@ -70,7 +70,6 @@
 /** Counts requests and retries by service, and limits the retries. */
 export class ServiceRetryBudget {
     private readonly services = new Map<string, ServiceCounts>();
-    private readonly order: RepeatOrder;
 
     /** `isFirstStart`: no process ran here before, so no earlier retries have to be allowed for. */
     constructor(
@@ -78,9 +77,9 @@
         private limits: RetryLimits,
         private readonly countNodes: () => number,
         private readonly isFirstStart: boolean,
-    ) {
-        this.order = new RepeatOrder(clock);
-    }
+        /** Decides on new retries; keeps some of the budget for the more valuable ones. */
+        private readonly order: Pick<RepeatOrder, "recordWish"> = new RepeatOrder(clock),
+    ) {}
 
     /** Replaces the limits; the counts are kept. */
     setLimits(limits: RetryLimits): void {
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -31,6 +31,7 @@
 import { InstanceSelector } from "../load/instanceSelector.js";
 import { LoadRefresher } from "../load/loadRefresher.js";
 import { Placement } from "../load/placement.js";
+import { RepeatOrder } from "../load/repeatOrder.js";
 import { ReturnSchedule } from "../load/returnSchedule.js";
 import { RunsInProgress } from "../load/runsInProgress.js";
 import type { RetryLimits } from "../load/serviceRetryBudget.js";
@@ -40,7 +41,7 @@
 import { InstanceSubsets } from "../membership/instanceSubset.js";
 import { LinkKeeper } from "../membership/linkKeeper.js";
 import { hasReservedReturns } from "../settings/routedSettings.js";
-import type { RoutedSettings } from "../settings/routedSettings.js";
+import type { RoutedSettings, SwitchableDecision } from "../settings/routedSettings.js";
 import type { Logger } from "../telemetry/logger.js";
 import { RoutedMetrics } from "../telemetry/routedMetrics.js";
 import { decideStopStep } from "./gracefulStop.js";
@@ -168,6 +169,7 @@
             createRetryLimits(bounds),
             () => registry.count(),
             settings.isFirstStart,
+            this.isOn("repeatOrder") ? new RepeatOrder(clock) : firstComeOrder,
         );
         this.returnSchedule = hasReservedReturns(settings) ? new ReturnSchedule(clock, Math.random) : undefined;
         this.quotas = this.createQuotas();
@@ -292,9 +294,14 @@
             findCustomerWeight: customer =>
                 this.clusterState.configurationHolder.getTable()?.customers.getWeight(customer) ?? 1,
             isSettled: () => this.isSettled(),
+            isReporting: { slowness: this.isOn("reportedSlowness"), shedShare: this.isOn("shedAvoidance") },
         });
     }
 
+    private isOn(decision: SwitchableDecision): boolean {
+        return !this.settings.decisions.off.includes(decision);
+    }
+
     /**
      * Whether this process is neither stopping nor just restarted. Other nodes prefer instances for which it is true.
      */
@@ -323,6 +330,7 @@
                 retryBudget,
                 sender: new Sender({
                     clock,
+                    isHedging: this.isOn("hedging"),
                     address,
                     service,
                     placement,
@@ -332,7 +340,7 @@
                 }),
             }),
             runs,
-            entryThrottle: new EntryThrottle(clock, Math.random),
+            entryThrottle: this.isOn("entryThrottle") ? new EntryThrottle(clock, Math.random) : openThrottle,
             returnSchedule: this.returnSchedule,
             findUtilisation: serviceName => placement.computeUtilisation(registry.listForService(serviceName)),
             quotas: this.quotas,
@@ -570,6 +578,16 @@
     }
 }
 
+/** Throttle that admits all requests. */
+const openThrottle: RoutedEntryDependencies["entryThrottle"] = {
+    admit: () => true,
+    getAdmittedFraction: () => 1,
+    recordAnswer: () => undefined,
+};
+
+/** Order of repeats in which whoever comes first gets them. */
+const firstComeOrder: Pick<RepeatOrder, "recordWish"> = { recordWish: () => 0 };
+
 function createRetryLimits(bounds: RoutedSettings["bounds"]): RetryLimits {
     return {
         ratio: bounds.retryRatio,
--- a/src/process/settings/routedSettings.ts
+++ b/src/process/settings/routedSettings.ts
@@ -14,6 +14,24 @@
         return { host: host!, port: Number(port) };
     }),
 );
+/**
+ * Decisions that can be switched off, to see what each is worth under a load:
+ *
+ * - `entryThrottle`: refusing a share of a route's requests while a service behind it is overloaded.
+ * - `hedging`: sending an idempotent request to a second instance when its answer is unusually late.
+ * - `repeatOrder`: keeping scarce repeats for those of the highest value; without, whoever comes first gets them.
+ * - `reportedSlowness`: reporting how slow the local endpoint is; without, nodes rely on their own measurements.
+ * - `shedAvoidance`: reporting what the local endpoint turns away with room to spare; without, it is not avoided.
+ */
+export const switchableDecisions = [
+    "entryThrottle",
+    "hedging",
+    "repeatOrder",
+    "reportedSlowness",
+    "shedAvoidance",
+] as const;
+export type SwitchableDecision = typeof switchableDecisions[number];
+
 const nonNegativeNumberSchema = v.pipe(v.number(), v.minValue(0));
 
 const routedSettingsSchema = v.strictObject({
@@ -68,6 +86,8 @@
         }),
         { deploymentParts: [], isReservedFor: [] },
     ),
+    /** Decisions that this node leaves out; all are on by default. */
+    decisions: v.optional(v.strictObject({ off: v.array(v.picklist(switchableDecisions)) }), { off: [] }),
     logging: v.optional(v.strictObject({ level: v.optional(v.picklist(logLevels), "info") }), {}),
 });
 
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -68,7 +68,7 @@
     /** Runs of the local endpoint, whose calls enter here too. */
     readonly runs: RunsInProgress;
     /** Refuses a share of the outside requests to routes whose downstream services are overloaded. */
-    readonly entryThrottle: EntryThrottle;
+    readonly entryThrottle: Pick<EntryThrottle, "admit" | "getAdmittedFraction" | "recordAnswer">;
     /** Reserves times for refused requests and knows them when they come back; `undefined` if it isn't called for. */
     readonly returnSchedule?: ReturnSchedule | undefined;
     /** Returns the share of a service's concurrency limit that is in use, as far as it is known here. */
--- a/src/request/sender.ts
+++ b/src/request/sender.ts
@@ -55,6 +55,8 @@
     readonly placement: Placement;
     readonly links: PeerLinks;
     readonly runner: EndpointRunner;
+    /** Whether idempotent requests are hedged. */
+    readonly isHedging: boolean;
     /** Returns the endpoint's process at an address that was last known to leave. */
     readonly findLeavingEndpoint: (address: string) => string | undefined;
 }
@@ -102,7 +104,7 @@
     /** Computes the delay before hedging, in milliseconds; `undefined` if the request is not to be hedged. */
     private computeHedgeDelayMs(call: RoutedCall): number | undefined {
         const averageRunMs = this.dependencies.placement.getAverageRunMs(call.route.name);
-        if (call.route.repetition !== "idempotent" || averageRunMs === undefined) {
+        if (!this.dependencies.isHedging || call.route.repetition !== "idempotent" || averageRunMs === undefined) {
             return undefined;
         }
         const hedgeDelayMs = averageRunMs * hedgeDelayFactor + minHedgeDelayMs;
--- a/test/routed/deploy.test.ts
+++ b/test/routed/deploy.test.ts
@@ -134,6 +134,16 @@
             .deep.include({ quotaWindowSeconds: 5, quotaOverage: 0.1, quotaSlack: 20 });
     });
 
+    it("leave decisions out that the settings switch off, and no others", () => {
+        const text = fillTemplate(readFileSync("deploy/settings.toml", "utf8"), fields);
+        const parse = (words: string) =>
+            parseRoutedSettings("settings.toml", `${text}\n[decisions]\noff = [${words}]\n`);
+        const settings = parse("\"hedging\", \"repeatOrder\"");
+        expect(settings.ok && settings.value.decisions.off).deep.equals(["hedging", "repeatOrder"]);
+        const unknown = parse("\"hedge\"");
+        expect(unknown.ok ? "" : formatSettingsError(unknown.error)).contains("decisions.off");
+    });
+
     it("name a role whose template and program exist", () => {
         const { template, words } = readRole();
         expect(template).equals("deploy/settings.toml");
--- a/test/routed/serviceRetryBudget.test.ts
+++ b/test/routed/serviceRetryBudget.test.ts
@@ -112,12 +112,12 @@
         const clock = new FakeClock();
         const budget = createBudget({}, 15, clock);
         playCalm(budget, clock, 2000, 2 * windowMs);
-        const wanted = 20;
+        const wanted = 5;
         for (let index = 0; index < wanted; index += 1) {
             budget.takeRetry("mutu", urgent);
         }
-        // 20 wanted in the last second, with a half-life of one, make 14 a second, for two seconds.
-        const kept = Math.ceil(wanted * Math.LN2 * 2);
+        // 5 wanted just now, with a half-life of 0.3 s, make 11.6 a second, for two seconds.
+        const kept = Math.floor(wanted * Math.LN2 / 0.3 * 2);
         expect([takeAll(budget, 2, 4), takeAll(budget)]).deep.equals([87 - wanted - kept, kept]);
     });
 
--- a/test/routed/shedding.test.ts
+++ b/test/routed/shedding.test.ts
@@ -77,11 +77,11 @@
     }[] = [
         { shape: "one run", shedShare: 0.3, forMs: 3000, worth: 0.94, urgent: 0.99 },
         { shape: "one run", shedShare: 0.3, forMs: 8000, worth: 1.1, urgent: 1.3 },
-        { shape: "one run", shedShare: 0.55, forMs: 8000, worth: 1.4, urgent: 1.9 },
+        { shape: "one run", shedShare: 0.55, forMs: 8000, worth: 1.5, urgent: 2.2 },
         { shape: "one run", shedShare: 0.55, forMs: Infinity, worth: 1.5, urgent: 2.2 },
         { shape: "one run", shedShare: 0.8, forMs: 8000, worth: 2, urgent: 3 },
         { shape: "two runs", shedShare: 0.3, forMs: 8000, worth: 1, urgent: 1.2 },
-        { shape: "two runs", shedShare: 0.55, forMs: 8000, worth: 0.97, urgent: 1.4 },
+        { shape: "two runs", shedShare: 0.55, forMs: 8000, worth: 1, urgent: 1.6 },
         { shape: "two runs", shedShare: 0.55, forMs: Infinity, worth: 1, urgent: 1.8 },
     ];
     for (const { shape, shedShare, forMs, worth, urgent } of cases) {
