--- a/src/process/load/serviceRetryBudget.ts
+++ b/src/process/load/serviceRetryBudget.ts
@@ -41,6 +41,22 @@
  * the requests that an endpoint gets twice without this node's doing.
  */
 const newRetryShare = 0.93;
+/**
+ * Part of a window's budget that new retries may use at once; the rest follows evenly over the window. So a burst of rejections
+ * finds repeats in all of its seconds, and they go to the most valuable ones.
+ */
+const burstShare = 1 / 3;
+/** Retries that may always be used at once, as far as the window's budget goes. */
+const minBurst = 5;
+
+/** Part of the budget of each window that a kind of retry may use, in all and at once. */
+interface UsableShare {
+    readonly total: number;
+    readonly atOnce: number;
+}
+
+const inheritedRetryShare: UsableShare = { total: 1, atOnce: 1 };
+const usableNewRetryShare: UsableShare = { total: newRetryShare, atOnce: burstShare };
 
 /** Requests and retries to one service. */
 interface ServiceCounts {
@@ -97,17 +113,17 @@
      * is used up.
      */
     takeInheritedRetry(service: string): boolean {
-        return this.take(this.getCounts(service), 1, 0);
+        return this.take(this.getCounts(service), inheritedRetryShare, 0);
     }
 
     /** Takes one retry; `false` when the budget is used up, or kept for more valuable ones. */
     takeRetry(service: string, origin: RepeatOrigin): boolean {
         const kept = this.order.recordWish(service, origin);
-        return this.take(this.getCounts(service), newRetryShare, kept);
+        return this.take(this.getCounts(service), usableNewRetryShare, kept);
     }
 
     /** Takes one retry from a share of the budget if it leaves `kept` others; a part of it from the slack, if there is some. */
-    private take(counts: ServiceCounts, share: number, kept: number): boolean {
+    private take(counts: ServiceCounts, share: UsableShare, kept: number): boolean {
         const fromSlack = Math.min(1, counts.slack);
         if (fromSlack + this.computeAvailable(counts, share) - kept < 1) {
             return false;
@@ -121,7 +137,7 @@
      * Retries that a share of what requests pay for still allows now, in each window that the present moment lies in; 0 if
      * others have used more than that share.
      */
-    private computeAvailable({ requests, retries, newest, first }: ServiceCounts, share: number): number {
+    private computeAvailable({ requests, retries, newest, first }: ServiceCounts, share: UsableShare): number {
         const getCount = (counts: Float64Array, slice: number): number => slice < 0 ? 0 : counts[slice % keptSlices]!;
         // The windows begin in slice `start`, the oldest of them so that it ends now.
         let start = newest - slicesPerWindow;
@@ -139,7 +155,10 @@
         for (; start <= newest; start += 1) {
             const weight = earlierWeight * Math.min(1, Math.max(0, (start - first) / slicesPerWindow));
             const average = weight * requestsBefore + (1 - weight) * requestsSince;
-            available = Math.min(available, average * this.limits.ratio * share - retriesSince);
+            const budget = average * this.limits.ratio * share.total;
+            const usableShare = Math.min(1, share.atOnce + (newest - start) / slicesPerWindow);
+            const usable = Math.min(budget, Math.max(minBurst, budget * usableShare));
+            available = Math.min(available, usable - retriesSince);
             requestsBefore += getCount(requests, start) - getCount(requests, start - slicesPerWindow + 1);
             requestsSince -= getCount(requests, start + 1);
             retriesSince -= getCount(retries, start);
