--- a/src/process/load/serviceRetryBudget.ts
+++ b/src/process/load/serviceRetryBudget.ts
@@ -85,6 +85,8 @@
 
 /** Counts requests and retries by service, and limits the retries. */
 export class ServiceRetryBudget {
+    /** New retries that were sent and that the budget had no room for, since the start. */
+    readonly counts = { sent: 0, refused: 0 };
     private readonly services = new Map<string, ServiceCounts>();
 
     /** `isFirstStart`: no process ran here before, so no earlier retries have to be allowed for. */
@@ -119,7 +121,9 @@
     /** Takes one retry; `false` when the budget is used up, or kept for more valuable ones. */
     takeRetry(service: string, origin: RepeatOrigin): boolean {
         const kept = this.order.recordWish(service, origin);
-        return this.take(this.getCounts(service), usableNewRetryShare, kept);
+        const isTaken = this.take(this.getCounts(service), usableNewRetryShare, kept);
+        this.counts[isTaken ? "sent" : "refused"] += 1;
+        return isTaken;
     }
 
     /** Takes one retry from a share of the budget if it leaves `kept` others; a part of it from the slack, if there is some. */
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -555,6 +555,9 @@
             "Number of times that the log was restored from an older copy; -1 before the first read.",
             () => clusterState.getLogPosition().era,
         );
+        const { counts } = this.retryBudget;
+        metrics.addGauge("repeats_sent", "Repeats that the budget paid for.", () => counts.sent);
+        metrics.addGauge("repeats_refused", "Repeats that the budget had no room for.", () => counts.refused);
         this.addReturnGauges();
         metrics.addGauge("instances_known", "Known instances.", () => clusterState.registry.count());
         metrics.addGauge("links_open", "Open links to other nodes.", () => links.countOpenLinks());
--- a/test/routed/serviceRetryBudget.test.ts
+++ b/test/routed/serviceRetryBudget.test.ts
@@ -148,6 +148,7 @@
             inherited += 1;
         }
         expect([ofNew, inherited]).deep.equals([29, 65]);
+        expect(budget.counts).deep.equals({ sent: 29, refused: 1 });
     });
 });
 
