Use the shared moving average, and drop what a replay no longer needs

Change: both call updateAverage as it is; the dead parts of the replay are gone. Behaviour and assertions are the same.

--- a/src/process/load/runTimeMonitor.ts
+++ b/src/process/load/runTimeMonitor.ts
@@ -10,6 +10,7 @@
  *   its runs can follow. Its answers say how long work takes there at the moment, so runs are averaged as if the machine
  *   were as usual, and the average is multiplied by what was stated last.
  */
+import { updateAverage } from "../base/average.js";
 import type { Clock } from "../base/clock.js";
 
 /** Weight of a new run in the average. */
@@ -61,7 +62,7 @@
             const average = this.getRecentAverage();
             this.lastEndAt = this.clock.readMonotonic();
             const sample = (this.lastEndAt - startedAt) / usualMs * 2 / (slownessAtStart + this.getSlowness());
-            this.average = average === 0 ? sample : average + (sample - average) * runWeight;
+            this.average = updateAverage(average, sample, runWeight);
         };
     }
 
--- a/src/process/load/runsInProgress.ts
+++ b/src/process/load/runsInProgress.ts
@@ -107,9 +107,8 @@
 
     /** Learns from a run that was served how many calls the runs of its route make. */
     recordServed(route: string, run: RunInProgress): void {
-        const calls = run.getServedCalls();
-        const average = this.averageCallsByRoute.get(route) ?? calls;
-        this.averageCallsByRoute.set(route, updateAverage(average, calls, callsWeight));
+        const average = this.averageCallsByRoute.get(route) ?? 0;
+        this.averageCallsByRoute.set(route, updateAverage(average, run.getServedCalls(), callsWeight));
     }
 
     /** Finds the run that makes a call; `undefined` when no such run is in progress. */
--- a/test/routed/sheddingReplay.ts
+++ b/test/routed/sheddingReplay.ts
@@ -20,8 +20,6 @@
     /** `firstCome`: repeats go to whoever asks while the budget lasts; `byValue`: to those that bring most. */
     readonly policy: "firstCome" | "byValue";
     readonly random: Random;
-    /** Factor on the rates at a time, from the start. */
-    readonly getRateFactor?: (at: number) => number;
 }
 
 const callsEach = 4;
@@ -29,7 +27,7 @@
 const repeatMs = 3;
 const ownMs = 150;
 const callers = 4;
-export const shedsFromMs = 21_000;
+const shedsFromMs = 21_000;
 const windowMs = 10_000;
 const bounds = { ratio: 0.2, slack: 20, windowMs };
 /** Offers of one call. */
@@ -46,9 +44,6 @@
     readonly byKind: ReadonlyMap<string, ChainTally>;
     /** Worth that was served, as a share of all, while the service shed. */
     readonly servedWorth: number;
-    /** Repeats while the service shed, and runs at the deep service for requests that failed. */
-    readonly repeats: number;
-    readonly wastedRuns: number;
 }
 
 /** Plays a plan. */
@@ -60,8 +55,6 @@
     const endsMs = shedsFromMs + Math.min(plan.forMs, 25_000);
     const budgets = Array.from({ length: callers }, () => new ServiceRetryBudget(clock, bounds, () => 16, true));
     const byKind = new Map(kinds.map(kind => [kind.name, { asked: 0, served: 0 }]));
-    let repeats = 0;
-    let wastedRuns = 0;
     const isShedding = (): boolean => getAt() >= shedsFromMs && getAt() < shedsFromMs + plan.forMs;
     const send = (kind: ChainKind): void => {
         const tally = byKind.get(kind.name)!;
@@ -69,7 +62,6 @@
         tally.asked += isCounted ? 1 : 0;
         let left = kind.branches;
         let hasFailed = false;
-        let runs = 0;
         const finish = (isServed: boolean): void => {
             left -= 1;
             hasFailed ||= !isServed;
@@ -77,7 +69,6 @@
                 return;
             }
             tally.served += isCounted && !hasFailed ? 1 : 0;
-            wastedRuns += isCounted && hasFailed ? runs : 0;
         };
         const call = (budget: ServiceRetryBudget, served: number, offers: number): void => {
             if (served === callsEach) {
@@ -89,7 +80,6 @@
             }
             const isShed = isShedding() && random() < plan.shedShare;
             if (!isShed) {
-                runs += 1;
                 clock.startTimer(callMs * (0.5 + random()), () => call(budget, served + 1, 0));
                 return;
             }
@@ -97,7 +87,6 @@
                 ? { priority: 0, callsLeft: 1 }
                 : { priority: kind.priority, callsLeft: callsEach - served };
             if (offers + 1 < maxOffers && budget.takeRetry("deep", origin)) {
-                repeats += 1;
                 clock.startTimer(repeatMs, () => call(budget, served, offers + 1));
                 return;
             }
@@ -111,8 +100,7 @@
     const arrive = (kind: ChainKind): void => {
         if (getAt() < endsMs) {
             send(kind);
-            const rate = kind.perSecond * (plan.getRateFactor?.(getAt()) ?? 1);
-            clock.startTimer(-Math.log(1 - random() * 0.999) * 1000 / rate, () => arrive(kind));
+            clock.startTimer(-Math.log(1 - random() * 0.999) * 1000 / kind.perSecond, () => arrive(kind));
         }
     };
     kinds.forEach(arrive);
@@ -120,5 +108,5 @@
     const sumWorth = (read: (tally: ChainTally) => number): number =>
         kinds.reduce((sum, kind) => sum + kind.worth * read(byKind.get(kind.name)!), 0);
     const servedWorth = sumWorth(tally => tally.served) / sumWorth(tally => tally.asked);
-    return { byKind, servedWorth, repeats, wastedRuns };
+    return { byKind, servedWorth };
 }
