Come back sooner after all nodes stopped: links at once, promises from the process's start, 503 without a grantor

Cause: a node that started opened its kept links at its first housekeeping, after 1,001 ms, and until then asked nobody for units; the promise that it waits out for its predecessor was counted from its first code, not from the start of its process; who got no unit since nobody could be asked was told 429, as if the customer had used its quota, and to come back after 700 ms whatever was known. Change: links to new instances are chosen 20 ms after they become known; a node that opens a link ends the pause before the next attempt to connect to it; the promise counts from the process's start; no grantor is 503, with the end of the promise in Retry-After.

--- a/src/connection/peerLinks.ts
+++ b/src/connection/peerLinks.ts
@@ -73,15 +73,20 @@
     private readonly peers = new Map<string, Peer>();
     /** Callbacks by address; each wakes the reconnection task of its node when the link is lost. */
     private readonly lossListeners = new Map<string, () => void>();
+    /** Ends of pauses before the next attempt to connect, by address. */
+    private readonly pauses = new Map<string, AbortController>();
 
     constructor(private readonly dependencies: PeerLinksDependencies, private readonly signal: AbortSignal) {}
 
-    /** Adds an instance that links can be opened to. If its address is known already, only its port is updated. */
-    add(record: InstanceRecord): void {
+    /**
+     * Adds an instance that links can be opened to. If its address is known already, only its port is updated. Returns whether
+     * the address is new.
+     */
+    add(record: InstanceRecord): boolean {
         const known = this.peers.get(record.address);
         if (known !== undefined) {
             known.port = record.port;
-            return;
+            return false;
         }
         const peer: Peer = {
             address: record.address,
@@ -94,6 +99,12 @@
             consecutiveFailures: 0,
         };
         this.peers.set(record.address, peer);
+        return true;
+    }
+
+    /** Records that a node has just opened a link to this one: it is up, so a pause before the next attempt to connect ends. */
+    recordAlive(address: string): void {
+        this.pauses.get(address)?.abort();
     }
 
     /** Keeps the links to these addresses open from now on, and no others. */
@@ -189,7 +200,7 @@
 
     /** Reopens the link to one node whenever it is lost, for as long as it is kept and the instance is known. */
     private async runReconnection(peer: Peer): Promise<void> {
-        const { clock, random, isKnownInstance } = this.dependencies;
+        const { random, isKnownInstance } = this.dependencies;
         while (!this.signal.aborted && peer.isKept && isKnownInstance(peer.address)) {
             const link = peer.link ?? await this.open(peer);
             if (link !== undefined) {
@@ -197,7 +208,7 @@
                 continue;
             }
             const maxDelayMs = Math.min(maxBackoffMs, minBackoffMs * 2 ** Math.min(10, peer.consecutiveFailures));
-            await clock.sleep(maxDelayMs * (0.5 + random() / 2), this.signal);
+            await this.waitBeforeRetry(peer.address, maxDelayMs * (0.5 + random() / 2));
         }
         if (!isKnownInstance(peer.address)) {
             // The cause `not wanted` in the log means that the instance is no longer known.
@@ -206,6 +217,17 @@
         }
     }
 
+    /** Waits before the next attempt to connect to an address. */
+    private async waitBeforeRetry(address: string, milliseconds: number): Promise<void> {
+        const pause = new AbortController();
+        const end = (): void => pause.abort();
+        this.signal.addEventListener("abort", end);
+        this.pauses.set(address, pause);
+        await this.dependencies.clock.sleep(milliseconds, pause.signal);
+        this.pauses.delete(address);
+        this.signal.removeEventListener("abort", end);
+    }
+
     /** Opens a link; concurrent callers share one attempt. */
     private open(peer: Peer): Promise<Link | undefined> {
         peer.opening ??= this.connect(peer).finally(() => peer.opening = undefined);
--- a/src/process/customers/unitHolder.ts
+++ b/src/process/customers/unitHolder.ts
@@ -34,6 +34,8 @@
 const stockKeptMs = 150;
 /** Time after which a refused request may come back while nobody grants units, in milliseconds. */
 const noGrantorWaitMs = 700;
+/** Time from the moment at which nodes may support a grantor again to its first units, in milliseconds. */
+const firstUnitsMs = 200;
 
 /** A unit that was spent on a request. */
 export interface SpentUnit {
@@ -45,7 +47,7 @@
 /** Result of {@link UnitHolder.take}. */
 export type TakeResult =
     | { readonly kind: "granted"; readonly unit: SpentUnit; }
-    /** `noGrantor`: no node could grant units of the customer, whether its quota is used up or not. */
+    /** `noGrantor`: no node could grant units of the customer, whether its quota is used up or not; not its own doing. */
     | { readonly kind: "none"; readonly cause: "quota" | "noGrantor"; readonly retryAfterMs: number; };
 
 /** Units of one customer in the session in progress. */
@@ -113,7 +115,8 @@
     constructor(private readonly dependencies: UnitHolderDependencies) {
         const { clock, isFirstStart } = dependencies;
         this.session = this.createSession();
-        this.supportedUntil = isFirstStart ? -Infinity : clock.readMonotonic() + supportMs;
+        // The process before this one ended before this one was started, and promised nothing since.
+        this.supportedUntil = isFirstStart ? -Infinity : clock.readProcessStart() + supportMs;
     }
 
     /** Takes a unit for a request of a customer; waits for one for `maxWaitMs` at most. */
@@ -309,7 +312,18 @@
     private endWait(account: Account, waiter: Waiter): void {
         account.waiting.splice(account.waiting.indexOf(waiter), 1);
         const cause = account.hasGrantor ? "quota" : "noGrantor";
-        waiter.resolve({ kind: "none", cause, retryAfterMs: noGrantorWaitMs });
+        waiter.resolve({ kind: "none", cause, retryAfterMs: this.computeNoGrantorWaitMs() });
+    }
+
+    /**
+     * Time after which units are likely to be granted again, in milliseconds. Nodes that were all started together may support a
+     * grantor again at about the same time.
+     */
+    private computeNoGrantorWaitMs(): number {
+        const heldBackMs = this.supported === undefined
+            ? this.supportedUntil - this.dependencies.clock.readMonotonic()
+            : 0;
+        return heldBackMs > 0 ? heldBackMs + firstUnitsMs : noGrantorWaitMs;
     }
 
     private countHeld(account: Account, now: number): number {
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -54,6 +54,8 @@
 const stabilisationMs = 3500;
 /** Time between removals of the expired outcomes of runs for other nodes, in milliseconds. */
 const housekeepingIntervalMs = 1000;
+/** Time in which new instances are collected before links to them are chosen, in milliseconds. */
+const newInstancesMs = 20;
 
 /** Platform-specific parts: access to the keyed log, and the headers by which requests carry their metadata. */
 export interface PlatformAdapters {
@@ -96,6 +98,8 @@
     private readonly startedAt: number;
     private graceMs: number;
     private isStopping = false;
+    /** Whether links are about to be chosen, since instances became known. */
+    private isChoosingLinks = false;
     /** Whether the endpoint gets no new runs, since this process ends soon. */
     private isEndpointClosed = false;
 
@@ -145,7 +149,11 @@
             ping: peer => void this.links.ping(peer),
             post: (peer, message) => this.links.post(peer, message),
             restoreFromOwnRecord: record => this.endpointLifecycle.restoreFromOwnRecord(record),
-            handleInstanceRecord: record => this.links.add(record),
+            handleInstanceRecord: record => {
+                if (this.links.add(record)) {
+                    this.keepLinksSoon();
+                }
+            },
         });
         this.endpointLifecycle = new EndpointLifecycle({
             clock,
@@ -398,6 +406,21 @@
         this.links.keep(kept);
     }
 
+    /**
+     * Keeps the links to new instances without waiting for the next housekeeping: a node that has just started can't ask for units
+     * of quotas, nor send, before they are open.
+     */
+    private keepLinksSoon(): void {
+        if (this.isChoosingLinks) {
+            return;
+        }
+        this.isChoosingLinks = true;
+        this.clock.startTimer(newInstancesMs, () => {
+            this.isChoosingLinks = false;
+            this.keepLinks();
+        });
+    }
+
     private createLinks(): PeerLinks {
         return new PeerLinks({
             clock: this.clock,
@@ -425,7 +448,10 @@
     private createLinkServer(): LinkServer {
         return new LinkServer({
             createHello: () => this.createHello(),
-            handleHello: (hello, link) => this.clusterState.gossip.handleHello(hello, link.post),
+            handleHello: (hello, link) => {
+                this.clusterState.gossip.handleHello(hello, link.post);
+                this.links.recordAlive(hello.address);
+            },
             run: (message, link) => this.remoteRuns.start(message, link),
             cancel: (id, link) => this.remoteRuns.cancel(id, link),
             handleMessage: (message, link) => {
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -226,8 +226,7 @@
 }
 
 /**
- * Takes a unit of the customer's quota. Without one, the request is answered with 429. Returns `undefined` if the request
- * has ended.
+ * Takes a unit of the customer's quota. Without one, the request is refused. Returns `undefined` if the request has ended.
  */
 async function takeUnit(
     dependencies: RoutedEntryDependencies,
@@ -245,7 +244,9 @@
         dependencies.quotas.releaseUnit(taken.unit);
         return undefined;
     }
-    sendEmptyAnswer(response, 429, taken.retryAfterMs * (1 + dependencies.random() / 2));
+    // Only a used quota is the customer's own limit. Where no unit could be asked for, it may have much of it left.
+    const status = taken.cause === "quota" ? 429 : 503;
+    sendEmptyAnswer(response, status, taken.retryAfterMs * (1 + dependencies.random() / 2));
     dependencies.metrics.recordRequestOutcome(route.name, "refused", taken.cause, 0);
     logRequest(dependencies, "refused", {
         request: metadata.attemptId,
@@ -253,7 +254,7 @@
         customer,
         cause: taken.cause,
         version,
-        status: 429,
+        status,
     });
     return undefined;
 }
--- a/test/fakes.ts
+++ b/test/fakes.ts
@@ -13,6 +13,7 @@
 /** Clock that stands still until a test moves it. */
 export class FakeClock implements Clock {
     private now = 1_000_000;
+    private readonly startedAt = this.now;
     /** In the order in which they expire. */
     private timers: { readonly at: number; readonly expire: () => void; }[] = [];
 
@@ -24,6 +25,10 @@
         return new Date(this.now);
     }
 
+    readProcessStart(): number {
+        return this.startedAt;
+    }
+
     startTimer(milliseconds: number, expire: () => void): Timer {
         const timer = { at: this.now + milliseconds, expire };
         const next = this.timers.findIndex(each => each.at > timer.at);
@@ -36,6 +41,10 @@
         await Promise.resolve();
     }
 
+    sleepToTick(milliseconds: number): Promise<void> {
+        return this.sleep(milliseconds);
+    }
+
     /** Moves the time forward; timers that are due expire in their order. */
     addTime(milliseconds: number): void {
         const end = this.now + milliseconds;
--- a/test/routed/customers.test.ts
+++ b/test/routed/customers.test.ts
@@ -174,6 +174,19 @@
         });
     }
 
+    const unitCases = [
+        { cause: "quota", status: 429 },
+        { cause: "noGrantor", status: 503 },
+    ] as const;
+    for (const { cause, status } of unitCases) {
+        it(`gets ${status} where its customer gets no unit for the cause ${cause}`, async () => {
+            publish([{ ...weavers, requestsPerSecond: 5, burst: 3 } as CustomerSample]);
+            play.unitCause = cause;
+            expect(await play.send([attempt, bearer])).equals(status);
+            expect(play.calls).deep.equals([]);
+        });
+    }
+
     it("needs no key where the configuration has no customers, and names none", async () => {
         publish();
         expect(await play.send([attempt, bearer, "Tenant: weavers"])).equals(200);
--- a/test/routed/entryPlay.ts
+++ b/test/routed/entryPlay.ts
@@ -36,6 +36,8 @@
     /** Lines that the node logged. */
     readonly lines: string[] = [];
     isStopping = false;
+    /** Why a customer with a quota gets no unit. */
+    unitCause: "quota" | "noGrantor" = "quota";
     /** What the forwarder does with a call. */
     forward: (call: RoutedCall) => Promise<ForwardOutcome> = async call => createAnswer(call.attemptId);
     private readonly clock = new SystemClock();
@@ -82,7 +84,7 @@
             runs: this.runs,
             entryThrottle: new EntryThrottle(this.clock, Math.random),
             quotas: {
-                take: () => Promise.resolve({ kind: "none", cause: "quota", retryAfterMs: 500 } as const),
+                take: () => Promise.resolve({ kind: "none", cause: this.unitCause, retryAfterMs: 500 } as const),
                 releaseUnit: () => undefined,
             },
             findUtilisation: () => 0,
--- a/test/routed/links.test.ts
+++ b/test/routed/links.test.ts
@@ -188,6 +188,25 @@
         });
     }
 
+    it("are opened as soon as the other node opens one, not at the end of the pause after a refused attempt", async () => {
+        const node = new AnsweringNode(1);
+        const stopping = new AbortController();
+        const links = createLinks(stopping.signal);
+        const port = 10_000 + process.pid % 20_000;
+        links.add(createRecord(address, { port }));
+        links.keep(new Set([address]));
+        await sleep(60);
+        await node.server.start(address, port);
+        await sleep(40);
+        expect(links.isLinked(address)).equals(false);
+        links.recordAlive(address);
+        await sleep(60);
+        expect(links.isLinked(address)).equals(true);
+        stopping.abort();
+        links.close();
+        node.server.stop();
+    });
+
     it("that fell silent together are all noticed soon after the first", async () => {
         const node = new AnsweringNode(1);
         const stopping = new AbortController();
--- a/test/routed/quotaSimulation.ts
+++ b/test/routed/quotaSimulation.ts
@@ -133,7 +133,7 @@
         const { life } = place;
         this.clock.startTimer(downMs, () => {
             if (place.life === life) {
-                this.start(place, false);
+                this.start(place, false, this.random() * downMs);
             }
         });
     }
@@ -214,13 +214,17 @@
         }
     }
 
-    private start(place: Place, isFirstStart: boolean): void {
+    /** Starts a process, whose code begins to run `startMs` milliseconds after the process. */
+    private start(place: Place, isFirstStart: boolean, startMs = 0): void {
         place.isAlive = true;
+        const processStart = this.clock.readMonotonic() - place.lagMs - startMs;
         const clock: Clock = {
             readMonotonic: () => this.clock.readMonotonic() - place.lagMs,
             readDate: () => new Date(this.clock.readMonotonic() + place.dateOffsetMs),
+            readProcessStart: () => processStart,
             startTimer: (milliseconds, expire) => this.clock.startTimer(milliseconds, expire),
             sleep: milliseconds => this.clock.sleep(milliseconds),
+            sleepToTick: milliseconds => this.clock.sleepToTick(milliseconds),
         };
         const quotas = new CustomerQuotas({
             clock,
--- a/test/routed/quotaUnits.test.ts
+++ b/test/routed/quotaUnits.test.ts
@@ -17,12 +17,11 @@
 
 /** A holder whose grantors answer when a test says so. */
 class HolderBench {
-    readonly clock = new FakeClock();
     readonly sent: { readonly to: string; readonly message: AskUnitsMessage; readonly at: number; }[] = [];
     readonly lost = new Set<string>();
     readonly holder: UnitHolder;
 
-    constructor(isFirstStart = true) {
+    constructor(isFirstStart = true, readonly clock = new FakeClock()) {
         this.holder = new UnitHolder({
             clock: this.clock,
             random: createRandom(3),
@@ -172,6 +171,26 @@
         expect(bench.sent.map(({ message }) => message.isSupporting)).not.include(true);
     });
 
+    it("counts the time that a process took to run its first code to that second", () => {
+        const clock = new FakeClock();
+        clock.addTime(supportMs - 300);
+        const bench = new HolderBench(false, clock);
+        bench.wait(200);
+        expect(bench.sent.map(({ message }) => message.isSupporting)).not.include(true);
+        bench.wait(600);
+        const [first] = bench.sent.filter(({ message }) => message.isSupporting);
+        expect(first!.at - clock.readProcessStart()).within(supportMs, supportMs + 400);
+    });
+
+    it("tells a request that it refuses before it may support anybody to come back soon after", async () => {
+        const bench = new HolderBench(false);
+        const taken = bench.take();
+        bench.clock.addTime(400);
+        await settle();
+        const retryAfterMs = supportMs - 400 + 200;
+        expect(taken.result).deep.equals({ kind: "none", cause: "noGrantor", retryAfterMs });
+    });
+
     it("asks the next grantor when one does not answer", () => {
         const bench = new HolderBench();
         bench.take();
