Let the repeating tasks of a node wake it together

Cause: at rest a node was woken by some 35 timers a second; each wake-up on a cold processor costs more than what it does.

--- a/src/connection/endpointConnectionPool.ts
+++ b/src/connection/endpointConnectionPool.ts
@@ -78,7 +78,7 @@
     /** Closes connections that exceed their idle timeout, until the signal aborts. */
     async runPruning(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            await this.clock.sleep(pruneIntervalMs, signal);
+            await this.clock.sleepToTick(pruneIntervalMs, signal);
             const kept = this.idle.filter(connection => this.isReusableWithin(connection, maxIdleMs));
             this.idle.filter(connection => !kept.includes(connection)).forEach(connection => connection.destroy());
             this.idle = kept;
--- a/src/connection/peerLinks.ts
+++ b/src/connection/peerLinks.ts
@@ -183,7 +183,7 @@
     async runLivenessChecks(): Promise<void> {
         const { clock } = this.dependencies;
         while (!this.signal.aborted) {
-            await clock.sleep(livenessCheckIntervalMs, this.signal);
+            await clock.sleepToTick(livenessCheckIntervalMs, this.signal);
             const idlePingAfterMs = Math.max(minIdlePingMs, this.countOpenLinks() * idlePingMsPerLink);
             for (const peer of this.peers.values()) {
                 peer.link?.checkLiveness(idlePingAfterMs);
--- a/src/process/customers/customerQuotas.ts
+++ b/src/process/customers/customerQuotas.ts
@@ -140,7 +140,7 @@
     /** Does what is due at intervals until the signal aborts. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            await this.dependencies.clock.sleep(updateIntervalMs, signal);
+            await this.dependencies.clock.sleepToTick(updateIntervalMs, signal);
             if (this.usedGroups.size > 0) {
                 this.update();
             }
--- a/src/process/membership/logReading.ts
+++ b/src/process/membership/logReading.ts
@@ -128,7 +128,7 @@
         const isWanted = (): boolean => !this.dependencies.hasConfiguration() || this.isFollower();
         while (!signal.aborted) {
             await this.followWhile(this.configurationFollower, isWanted, signal);
-            await this.dependencies.clock.sleep(checkIntervalMs, signal);
+            await this.dependencies.clock.sleepToTick(checkIntervalMs, signal);
         }
     }
 
@@ -147,7 +147,7 @@
                 this.isFollowingInstances = false;
                 logger.info("logLeftToReaders");
             }
-            await clock.sleep(checkIntervalMs, signal);
+            await clock.sleepToTick(checkIntervalMs, signal);
         }
     }
 
@@ -171,7 +171,7 @@
 
     private async cancelWhenUnwanted(isWanted: () => boolean, controller: AbortController): Promise<void> {
         while (isWanted() && !controller.signal.aborted) {
-            await this.dependencies.clock.sleep(checkIntervalMs, controller.signal);
+            await this.dependencies.clock.sleepToTick(checkIntervalMs, controller.signal);
         }
         controller.abort();
     }
--- a/src/process/membership/peerGossip.ts
+++ b/src/process/membership/peerGossip.ts
@@ -114,7 +114,7 @@
     async runContacts(signal: AbortSignal): Promise<void> {
         const { clock, random, ping, listReaders } = this.dependencies;
         for (let turn = 0; !signal.aborted; turn += 1) {
-            await clock.sleep(contactIntervalMs * (0.75 + random() / 2), signal);
+            await clock.sleepToTick(contactIntervalMs * (0.75 + random() / 2), signal);
             const readers = listReaders();
             if (readers.length > 0) {
                 ping(readers[turn % readers.length]!);
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -526,7 +526,7 @@
 
     private async runHousekeeping(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            await this.clock.sleep(housekeepingIntervalMs, signal);
+            await this.clock.sleepToTick(housekeepingIntervalMs, signal);
             this.remoteRuns.prune();
             this.keepLinks();
         }
--- a/src/process/settings/settingsWatcher.ts
+++ b/src/process/settings/settingsWatcher.ts
@@ -26,7 +26,7 @@
     /** Polls the file until the signal aborts. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            await this.clock.sleep(checkIntervalMs, signal);
+            await this.clock.sleepToTick(checkIntervalMs, signal);
             this.checkFile();
         }
     }
