Ping idle links less often

Cause: each node sent up to 8 pings a second on links that carry nothing, and answered as many; a request that is placed on an instance without a recent load pings it first, so the idle ones tell little.

--- a/src/connection/peerLinks.ts
+++ b/src/connection/peerLinks.ts
@@ -14,11 +14,11 @@
 import type { LinkMessage, LoadReport, LogPosition } from "./linkMessage.js";
 
 /** Interval at which links are checked for nodes that no longer respond, in milliseconds. */
-const livenessCheckIntervalMs = 150;
+const livenessCheckIntervalMs = 200;
 /** Shortest time without received data after which an idle link is pinged, in milliseconds. */
 const minIdlePingMs = 1500;
-/** Time by which that is longer for each open link, in milliseconds, so that a node sends at most 8 such pings a second. */
-const idlePingMsPerLink = 125;
+/** Time by which that is longer for each open link, in milliseconds, so that a node sends at most 2 such pings a second. */
+const idlePingMsPerLink = 500;
 /** Time after which the loss of a link that isn't kept is disregarded, in milliseconds. */
 const lossValidMs = 5000;
 /** Minimum backoff between attempts to connect to a node, in milliseconds; it doubles with each failed attempt. */
