Make no long poll once a node has what it reads the log for

Cause: a node that starts reads the configuration once; its follower went on with a long poll, which was broken off at the next check, 300 ms later, and is paid for like any other call. Change: a follower looks before each read whether it is wanted.

--- a/src/connection/keyedLogFollower.ts
+++ b/src/connection/keyedLogFollower.ts
@@ -67,12 +67,12 @@
     }
 
     /**
-     * Follows the topic until the signal aborts. A later call goes on where an earlier one ended. Never rejects unless
-     * `applyPage` throws.
+     * Follows the topic until the signal aborts, or a read finds that it is not wanted any more. A later call goes on where an
+     * earlier one ended. Never rejects unless `applyPage` throws.
      */
-    async run(signal: AbortSignal): Promise<void> {
+    async run(signal: AbortSignal, isWanted: () => boolean): Promise<void> {
         const { clock, random, batchDelayMs } = this.dependencies;
-        while (!signal.aborted) {
+        while (!signal.aborted && isWanted()) {
             const hasRecords = await this.readNext(signal);
             if (hasRecords && batchDelayMs > 0) {
                 await clock.sleep(batchDelayMs * (0.5 + random()), signal);
--- a/src/process/membership/logReading.ts
+++ b/src/process/membership/logReading.ts
@@ -165,8 +165,9 @@
         const stop = (): void => controller.abort();
         signal.addEventListener("abort", stop);
         void this.cancelWhenUnwanted(isWanted, controller);
-        await follower.run(controller.signal);
+        await follower.run(controller.signal, isWanted);
         signal.removeEventListener("abort", stop);
+        controller.abort();
     }
 
     private async cancelWhenUnwanted(isWanted: () => boolean, controller: AbortController): Promise<void> {
