Build after a whole install only, with declared tools

Cause: the deploy file took any node_modules that is newer than the lock file for an install; after one that was cut off, npx asked the registry for a foreign package of the name tsc.

--- a/test/routed/deploy.test.ts
+++ b/test/routed/deploy.test.ts
@@ -10,9 +10,10 @@
     readFileSync,
     readlinkSync,
     rmSync,
+    writeFileSync,
 } from "node:fs";
 import { tmpdir } from "node:os";
-import { join, resolve } from "node:path";
+import { dirname, join, resolve } from "node:path";
 import process from "node:process";
 import { parse as parseToml } from "smol-toml";
 import { hasReservedReturns, parseRoutedSettings } from "../../src/process/settings/routedSettings.js";
@@ -106,6 +107,45 @@
         bounds: { grace: 6, budget_ratio: 0.2, budget_slack: 49, budget_window: 10 },
     };
 
+    it("build with declared tools only, after an install that is whole", () => {
+        const { build } = parseToml(readFileSync("deploy/system.toml", "utf8")) as { build: string; };
+        const [ready, ...others] = build.split(" && ");
+        expect(ready).equals("node tools/ready.mjs");
+        const programs = others.map(command => command.split(" ").slice(0, 2));
+        expect(programs.every(([runtime, file]) => runtime === "node" && existsSync(file!)), build).equals(true);
+    });
+
+    const installCases: readonly {
+        readonly name: string;
+        readonly files: readonly string[];
+        readonly installs: number;
+    }[] = [
+        { name: "no packages", files: [], installs: 1 },
+        { name: "packages of an install that was cut off", files: ["node_modules/tsc/package.json"], installs: 1 },
+        { name: "packages of a whole install", files: ["node_modules/.package-lock.json"], installs: 0 },
+    ];
+    for (const { name, files, installs } of installCases) {
+        it(`install ${installs === 0 ? "nothing" : "the locked packages"} where there are ${name}`, () => {
+            const folder = mkdtempSync(join(tmpdir(), "turmericspoke-"));
+            const count = join(folder, "count");
+            writeFileSync(join(folder, "package-lock.json"), "{}");
+            for (const file of files) {
+                mkdirSync(dirname(join(folder, file)), { recursive: true });
+                writeFileSync(join(folder, file), "{}");
+            }
+            mkdirSync(join(folder, "bin"));
+            writeFileSync(join(folder, "bin/npm"), `#!/bin/sh\necho $1 >> ${count}\n`, { mode: 0o755 });
+            const { status } = spawnSync(process.execPath, [resolve("tools/ready.mjs")], {
+                cwd: folder,
+                env: { ...process.env, PATH: `${join(folder, "bin")}:${process.env["PATH"]}` },
+            });
+            const calls = existsSync(count) ? readFileSync(count, "utf8").trim().split("\n") : [];
+            rmSync(folder, { recursive: true });
+            expect(status).equals(0);
+            expect(calls).deep.equals(Array.from({ length: installs }, () => "ci"));
+        });
+    }
+
     it("render settings that the node takes", () => {
         const text = fillTemplate(readFileSync("deploy/settings.toml", "utf8"), fields);
         const settings = parseRoutedSettings("settings.toml", text);
