Let what needs least of a short service go first there, direct requests too

Cause: among customers' requests of one priority every step above a call was a head start, so a direct request with a short target waited behind all calls of longer chains, and was refused. Change: the head start follows from the endpoint time that a request still needs there (calls left by what runs of its client's route were seen to make, times the run time); steps elsewhere count little. The number of calls is learned from the calls.

--- a/src/process/endpoint/endpointRunner.ts
+++ b/src/process/endpoint/endpointRunner.ts
@@ -208,6 +208,7 @@
             priority,
             customer,
             hasReturned,
+            originRoute: origin.route,
             route,
             deadline,
             target,
--- a/src/process/load/fairOrder.ts
+++ b/src/process/load/fairOrder.ts
@@ -9,40 +9,43 @@
  *   ones by their expected run times, so a customer with much waiting work waits behind itself, not before others.
  * - Many customers, a few of them large. A customer that waits for nothing saves up no credit, and one that was ahead is
  *   even again once nobody waits at its priority, so only competition is counted.
- * - Runs that make several calls. A call starts virtually earlier by some run times for each step that was served for
- *   it, so begun work goes before new work until its customer is far ahead of the others; the head start is bounded, so
- *   it starves nobody.
+ * - Runs that make several calls, beside direct requests. Each starts virtually later by a multiple of the time that it still
+ *   needs here (`remainingUse.ts`), so work that was begun here goes before new work until its customer is far ahead of
+ *   the others; the difference is bounded, so it starves nobody.
  *
  * Where no request names a customer, nothing here takes part.
  */
 
+import type { UseCandidate } from "./remainingUse.js";
+
 /** What the order needs to know of a request. Times are on the monotonic clock, in milliseconds. */
-export interface FairCandidate {
+export interface FairCandidate extends UseCandidate {
     /** Customer of the client's request; `undefined` without one. Such requests share as one customer. */
     readonly customer?: string | undefined;
     readonly priority: number;
-    readonly depth: number;
-    readonly servedBefore: number;
     /** Whether the request was refused before and came back at the time that it was told. */
     readonly hasReturned?: boolean | undefined;
-    readonly route: string;
     readonly target: number;
 }
 
 /** A waiting request with its place in the order. Virtual times are of the endpoint's time, divided by weights. */
 export interface FairWaiter<T extends FairCandidate> {
     readonly candidate: T;
-    /** Steps that were served for the request. */
-    readonly steps: number;
+    /** By how much its remaining use sets the request back, in virtual time. */
+    setback: number;
     virtualStart: number;
-    /** Virtual start less the head start; the lowest goes first inside a priority. */
+    /** Virtual start and setback; the lowest goes first inside a priority. */
     rank: number;
 }
 
-/** Head start for each step that was served for a request, in average run times. */
-const headStartRuns = 4;
-/** Steps beyond which a request gets no further head start. */
-const maxHeadStartSteps = 8;
+/** Virtual time by which a request is set back for each millisecond that it still needs at the endpoint. */
+const setbackByUse = 8;
+/** Average run times of remaining use beyond which a request is set back no further. */
+const maxSetbackRuns = 4;
+/** Head start of a request that was refused before and came back at its time, in average run times. */
+const returnHeadStartRuns = 4;
+/** Head start of a call before a direct request that needs as much, since refusing it wastes what its run did elsewhere. */
+const callHeadStartRuns = 0.5;
 /** Name under which requests without a customer share. */
 const noCustomer = "";
 
@@ -67,6 +70,8 @@
     readonly getRunMs: (route: string) => number;
     /** Average run time over the routes, in milliseconds. */
     readonly getAverageRunMs: () => number;
+    /** Time of the endpoint that a request still needs, its later calls included, in milliseconds. */
+    readonly estimateRemainingMs: (candidate: UseCandidate) => number;
     /** Weight of a customer; 1 is usual. */
     readonly findWeight: (customer: string) => number;
 }
@@ -94,14 +99,14 @@
     computeRank(candidate: T): number {
         const state = this.states.get(candidate.priority);
         const share = state?.sharesByCustomer.get(candidate.customer ?? noCustomer);
-        const steps = countSteps(candidate);
+        const setback = this.computeSetback(candidate);
         let virtualStart = state === undefined ? 0 : Math.max(state.now, share?.nextStart ?? 0);
         for (const other of share?.waiting ?? []) {
-            if (!isBeforeInShare(candidate, steps, other)) {
+            if (!isBeforeInShare(candidate, setback, other)) {
                 virtualStart += this.computeCost(other.candidate);
             }
         }
-        return virtualStart - steps * this.computeStepMs();
+        return virtualStart + setback;
     }
 
     /** Adds a request to its customer's share. Ranks of other requests of that share may rise. */
@@ -113,11 +118,26 @@
         const share: Share<T> = state.sharesByCustomer.get(customer) ?? { nextStart: 0, waiting: [] };
         state.sharesByCustomer.set(customer, share);
         state.waitingCount += 1;
-        const index = share.waiting.findIndex(other => isBeforeInShare(waiter.candidate, waiter.steps, other));
+        waiter.setback = this.computeSetback(waiter.candidate);
+        const index = share.waiting.findIndex(other => isBeforeInShare(waiter.candidate, waiter.setback, other));
         share.waiting.splice(index === -1 ? share.waiting.length : index, 0, waiter);
         this.updateRanks(state, share);
     }
 
+    /** Ranks the waiting requests anew, since what their routes need here has changed. */
+    refresh(waiting: FairWaiter<T>[]): void {
+        for (const waiter of waiting) {
+            waiter.setback = this.computeSetback(waiter.candidate);
+        }
+        for (const state of this.states.values()) {
+            for (const share of state.sharesByCustomer.values()) {
+                share.waiting.sort((a, b) => a.setback - b.setback || a.candidate.target - b.candidate.target);
+                this.updateRanks(state, share);
+            }
+        }
+        rankWaiting(waiting);
+    }
+
     /** Takes a request out that was not started, which gives its place back: ranks of the share behind it fall. */
     remove(waiter: FairWaiter<T>): void {
         const { priority, customer = noCustomer } = waiter.candidate;
@@ -154,11 +174,10 @@
     }
 
     private updateRanks(state: PriorityState<T>, share: Share<T>): void {
-        const stepMs = this.computeStepMs();
         let virtualStart = Math.max(state.now, share.nextStart);
         for (const waiter of share.waiting) {
             waiter.virtualStart = virtualStart;
-            waiter.rank = virtualStart - waiter.steps * stepMs;
+            waiter.rank = virtualStart + waiter.setback;
             virtualStart += this.computeCost(waiter.candidate);
         }
     }
@@ -168,14 +187,19 @@
         return this.terms.getRunMs(route) / weight;
     }
 
-    private computeStepMs(): number {
-        return this.terms.getAverageRunMs() * headStartRuns;
+    private computeSetback(candidate: T): number {
+        const { getAverageRunMs, estimateRemainingMs } = this.terms;
+        const averageMs = getAverageRunMs();
+        const remainingMs = Math.min(maxSetbackRuns * averageMs, estimateRemainingMs(candidate));
+        const headStartRuns = (candidate.depth > 0 ? callHeadStartRuns : 0)
+            + (candidate.hasReturned === true ? returnHeadStartRuns : 0);
+        return remainingMs * setbackByUse - headStartRuns * averageMs;
     }
 }
 
 /** Creates a waiting request that has no rank yet. */
 export function createFairWaiter<T extends FairCandidate>(candidate: T): FairWaiter<T> {
-    return { candidate, steps: countSteps(candidate), virtualStart: 0, rank: 0 };
+    return { candidate, setback: 0, virtualStart: 0, rank: 0 };
 }
 
 /** Sorts waiting requests by priority, then by rank. */
@@ -185,12 +209,7 @@
     );
 }
 
-/** Steps that were served for a request: calls above it, calls of the same run, and the wait after a refusal. */
-function countSteps({ depth, servedBefore, hasReturned }: FairCandidate): number {
-    return Math.min(maxHeadStartSteps, depth + servedBefore + (hasReturned === true ? 1 : 0));
-}
-
-/** Whether a request goes before another of its customer: by the work already spent, then by the time to its target. */
-function isBeforeInShare<T extends FairCandidate>(candidate: T, steps: number, other: FairWaiter<T>): boolean {
-    return steps === other.steps ? candidate.target < other.candidate.target : steps > other.steps;
+/** Whether a request goes before another of its customer: by what it still needs, then by the time to its target. */
+function isBeforeInShare<T extends FairCandidate>(candidate: T, setback: number, other: FairWaiter<T>): boolean {
+    return setback === other.setback ? candidate.target < other.candidate.target : setback < other.setback;
 }
--- a/src/process/load/runQueue.ts
+++ b/src/process/load/runQueue.ts
@@ -18,6 +18,7 @@
 
 import { createFairWaiter, FairOrder, rankWaiting } from "./fairOrder.js";
 import type { FairCandidate, FairWaiter } from "./fairOrder.js";
+import { RemainingUse } from "./remainingUse.js";
 import type { RunPacer } from "./runPacer.js";
 
 /** A request that asks for a concurrency slot at the endpoint. Times are on the monotonic clock, in milliseconds. */
@@ -63,6 +64,7 @@
     private readonly order: FairOrder<T>;
     /** Average run time of each route, in milliseconds. */
     private readonly averageRunMsByRoute = new Map<string, number>();
+    private readonly remainingUse = new RemainingUse(route => this.getAverageRunMs(route));
     private running = 0;
     private limit = 1;
 
@@ -71,6 +73,7 @@
         this.order = new FairOrder<T>({
             getRunMs: route => this.getAverageRunMs(route),
             getAverageRunMs: () => this.getOverallAverageRunMs(),
+            estimateRemainingMs: candidate => this.remainingUse.estimateMs(candidate),
             findWeight,
         });
     }
@@ -111,6 +114,9 @@
         if (candidate.customer !== undefined && !this.order.isActive()) {
             this.order.start(this.waiting);
         }
+        if (this.remainingUse.recordArrival(candidate) && this.order.isActive()) {
+            this.order.refresh(this.waiting);
+        }
         if (this.running < this.limit && this.waiting.length === 0 && this.pace.take()) {
             this.running += 1;
             return { kind: "run" };
--- a/test/routed/customerReplay.ts
+++ b/test/routed/customerReplay.ts
@@ -22,6 +22,17 @@
     readonly directShare: number;
     /** Whether requests name their customers. */
     readonly isNamed: boolean;
+    /** Time of a direct run at the deep service, if it differs from that of a call, and target of a direct request; in milliseconds. */
+    readonly directMs?: number;
+    readonly directTargetMs?: number;
+}
+
+/** What became of the requests of one kind. */
+export interface KindTally {
+    asked: number;
+    served: number;
+    /** Served by their target. */
+    inTime: number;
 }
 
 /** Average time of a run without its calls, in milliseconds. */
@@ -39,11 +50,16 @@
     readonly finish: (isServed: boolean) => void;
 }
 
+export function createTally(): KindTally {
+    return { asked: 0, served: 0, inTime: 0 };
+}
+
 /** Plays the requests of the customers; returns the served share of each, 1 for one that asked for nothing. */
 export function playCustomers(
     customers: readonly ReplayCustomer[],
     plan: CustomerPlan,
     random: Random,
+    kinds: { readonly chain: KindTally; readonly direct: KindTally; } = { chain: createTally(), direct: createTally() },
 ): Map<string, number> {
     const clock = new FakeClock();
     const startedAt = clock.readMonotonic();
@@ -58,7 +74,7 @@
     const refuseLate = (queue: RunQueue<Waiting>): void =>
         queue.removeLate(clock.readMonotonic()).forEach(late => late.finish(false));
     const run = (queue: RunQueue<Waiting>, waiting: Waiting): void => {
-        const ranMs = runMs * (0.5 + random());
+        const ranMs = (waiting.originRoute === "deep" ? plan.directMs ?? runMs : runMs) * (0.5 + random());
         clock.startTimer(ranMs, () => {
             queue.release(waiting.route, ranMs);
             waiting.finish(true);
@@ -90,8 +106,15 @@
             deadline: now + timeoutMs,
             target: now + targetMs,
         };
+        const isDirect = random() < plan.directShare;
+        const kind = isDirect ? kinds.direct : kinds.chain;
+        const directTarget = now + (plan.directTargetMs ?? targetMs);
+        kind.asked += isCounted ? 1 : 0;
         const end = (isServed: boolean): void => {
+            const isInTime = isServed && clock.readMonotonic() <= (isDirect ? directTarget : shared.target);
             tally.served += isCounted && isServed ? 1 : 0;
+            kind.served += isCounted && isServed ? 1 : 0;
+            kind.inTime += isCounted && isInTime ? 1 : 0;
         };
         const call = (servedBefore: number): void => {
             if (servedBefore === plan.callsEach) {
@@ -102,14 +125,32 @@
             const calledAt = clock.readMonotonic();
             const deadline = Math.min(shared.deadline, calledAt + callTimeoutMs);
             const target = calledAt + callTargetMs;
-            offer(deep, { ...shared, deadline, target, depth: 1, servedBefore, route: "deep", finish });
+            offer(deep, {
+                ...shared,
+                deadline,
+                target,
+                depth: 1,
+                servedBefore,
+                originRoute: "chain",
+                route: "deep",
+                finish,
+            });
         };
-        if (random() < plan.directShare) {
-            offer(deep, { ...shared, depth: 0, servedBefore: 0, route: "deep", finish: end });
+        if (isDirect) {
+            const target = directTarget;
+            offer(deep, {
+                ...shared,
+                target,
+                depth: 0,
+                servedBefore: 0,
+                originRoute: "deep",
+                route: "direct",
+                finish: end,
+            });
             return;
         }
         const finish = (isServed: boolean): void => isServed ? call(0) : end(false);
-        offer(front, { ...shared, depth: 0, servedBefore: 0, route: "front", finish });
+        offer(front, { ...shared, depth: 0, servedBefore: 0, originRoute: "chain", route: "front", finish });
     };
     const startNext = (customer: ReplayCustomer): void => {
         const at = clock.readMonotonic() - startedAt;
--- a/test/routed/deepServiceReplay.ts
+++ b/test/routed/deepServiceReplay.ts
@@ -111,6 +111,7 @@
                 depth: 2,
                 servedBefore: served,
                 priority: kind.priority,
+                originRoute: kind.name,
                 route: "deep",
                 deadline: Math.min(enteredAt + timeoutMs, now + callTimeoutMs),
                 target: now + 300,
--- a/test/routed/fairOrder.test.ts
+++ b/test/routed/fairOrder.test.ts
@@ -5,7 +5,7 @@
 import { CustomerTable } from "../../src/version/customer.js";
 import { createRandom } from "../../standin/random.js";
 import type { CustomerPlan } from "./customerReplay.js";
-import { createCustomers, playCustomers } from "./customerReplay.js";
+import { createCustomers, createTally, playCustomers } from "./customerReplay.js";
 
 /** Requests a second that the narrowest service of every plan takes. */
 const capacity = 400;
@@ -71,11 +71,40 @@
     }
 });
 
+describe("a short service that is asked directly and by runs with four calls", () => {
+    const plan: CustomerPlan = {
+        frontLimit: 400,
+        deepLimit: 55,
+        callsEach: 4,
+        directShare: 0.2,
+        isNamed: true,
+        directMs: 160,
+        directTargetMs: 450,
+    };
+    /** Endpoint time of a request there on average, in milliseconds: four calls of 50, or one run of 160. */
+    const useMs = 0.8 * 4 * 50 + 0.2 * 160;
+    const loads = [0.9, 1, 1.1, 1.3];
+    for (const load of loads) {
+        it(`serves both in time alike at ${load} times its room`, () => {
+            const perSecond = plan.deepLimit * 1000 / useMs * load;
+            const customers = createCustomers(84, perSecond, 0.8, new Map(), true);
+            const kinds = { chain: createTally(), direct: createTally() };
+            playCustomers(customers, plan, createRandom(5), kinds);
+            const direct = kinds.direct.inTime / kinds.direct.asked;
+            const chain = kinds.chain.inTime / kinds.chain.asked;
+            const shares = `direct ${direct.toFixed(3)}, chain ${chain.toFixed(3)}`;
+            expect(direct, shares).at.least(chain - 0.05);
+            expect(0.2 * direct + 0.8 * chain, shares).at.least(0.9 / Math.max(1, load) - 0.05);
+        });
+    }
+});
+
 describe("the order of customers' requests", () => {
     const create = (name: string, change: Partial<Candidate>): Candidate & { readonly name: string; } => ({
         name,
         priority: 1,
         customer: "weavers",
+        originRoute: "page",
         depth: 0,
         servedBefore: 0,
         route: "page",
--- a/test/routed/returnReplay.ts
+++ b/test/routed/returnReplay.ts
@@ -137,7 +137,16 @@
                 finish(false, 0);
                 return;
             }
-            const candidate = { depth: 0, servedBefore: 0, priority, route: name, deadline, target, hasReturned };
+            const candidate = {
+                depth: 0,
+                servedBefore: 0,
+                priority,
+                originRoute: name,
+                route: name,
+                deadline,
+                target,
+                hasReturned,
+            };
             place({
                 ...candidate,
                 finish: (isServed, waitMs) => {
--- a/test/routed/runPacer.test.ts
+++ b/test/routed/runPacer.test.ts
@@ -49,6 +49,7 @@
                 depth: 0,
                 servedBefore: 0,
                 priority,
+                originRoute: "r",
                 route: "r",
                 deadline: now + 2000,
                 target: now + 1000,
--- a/test/routed/runQueue.test.ts
+++ b/test/routed/runQueue.test.ts
@@ -70,6 +70,7 @@
         return {
             at,
             name,
+            originRoute: name,
             route: name,
             priority,
             depth,
