Admit less urgent routes to a full service no more than the urgent ones that are throttled

Cause: the throttle moves each route by its own failures, so a route with eight calls to the short service is throttled before one with four, however urgent it is. Change: a route that leads to a full service is admitted no more than any more urgent route.

--- a/src/process/load/entryThrottle.ts
+++ b/src/process/load/entryThrottle.ts
@@ -9,9 +9,13 @@
  *   admits the fraction that gets through; the rest is refused at once.
  * - A short peak. Answers to requests that were admitted before the last change of the fraction say nothing about the
  *   new one, so they don't lower it again, and the fraction recovers soon after the peak.
+ * - Routes of different priority that lead to the same overloaded service. The one that makes more calls there meets the overload more
+ *   often, however urgent it is. So a less urgent route that leads to a full service is admitted no more than the more urgent
+ *   ones that are throttled: it makes room for them, and keeps at least their fraction, so that it doesn't starve.
  * - Many nodes with few requests each. One answer says little, but each carries the utilisation of the fullest
  *   downstream service; near full utilisation the fraction rises slowly.
  */
+import { updateAverage } from "../base/average.js";
 import type { Clock } from "../base/clock.js";
 import type { Random } from "../base/random.js";
 
@@ -29,6 +33,10 @@
     { utilisationBelow: 0.9, factor: 1.5 },
     { utilisationBelow: Infinity, factor: 1.05 },
 ] as const;
+/** Downstream utilisation from which on a route counts as leading to a full service. */
+const fullUtilisation = 0.9;
+/** Weight of a window in the average utilisation of a route. */
+const utilisationWeight = 0.5;
 /** Smallest admitted fraction, so that the end of the overload is noticed. */
 const minAdmittedFraction = 0.08;
 
@@ -42,7 +50,11 @@
 
 /** Throttling state of one route. */
 interface RouteState {
+    /** Priority of the route; 0 is the most urgent. */
+    priority: number;
     admittedFraction: number;
+    /** Average utilisation of the fullest downstream service over the last windows. */
+    utilisation: number;
     changedAt: number;
     /** Earliest time of the next change of the admitted fraction. */
     windowEnd: number;
@@ -60,20 +72,34 @@
 
     /** Decides at random, by the admitted fraction, whether a request of a route is admitted. */
     admit(route: string): boolean {
-        const state = this.states.get(route);
-        return state === undefined || state.admittedFraction >= 1 || this.random() < state.admittedFraction;
+        const fraction = this.getAdmittedFraction(route);
+        return fraction >= 1 || this.random() < fraction;
     }
 
     /** Fraction of a route's requests that is admitted, 0 to 1. */
     getAdmittedFraction(route: string): number {
-        return this.states.get(route)?.admittedFraction ?? 1;
+        const state = this.states.get(route);
+        if (state === undefined || state.utilisation < fullUtilisation) {
+            return state?.admittedFraction ?? 1;
+        }
+        let fraction = state.admittedFraction;
+        for (const other of this.states.values()) {
+            if (other.priority < state.priority) {
+                fraction = Math.min(fraction, other.admittedFraction);
+            }
+        }
+        return fraction;
     }
 
-    /** Records what a request met that was admitted at `admittedAt` (on the monotonic clock, in milliseconds). */
-    recordAnswer(route: string, sample: DownstreamSample, admittedAt: number): void {
+    /**
+     * Records what a request met that was admitted at `admittedAt` (on the monotonic clock, in milliseconds); `priority` is that of
+     * its route.
+     */
+    recordAnswer(route: string, priority: number, sample: DownstreamSample, admittedAt: number): void {
         const now = this.clock.readMonotonic();
         const state = this.states.get(route) ?? createRouteState(now);
         this.states.set(route, state);
+        state.priority = priority;
         if (admittedAt < state.changedAt) {
             return;
         }
@@ -88,7 +114,9 @@
 
 function createRouteState(now: number): RouteState {
     return {
+        priority: 0,
         admittedFraction: 1,
+        utilisation: 0,
         changedAt: -Infinity,
         windowEnd: now + minWindowMs,
         answers: 0,
@@ -99,9 +127,11 @@
 
 function updateAdmittedFraction(state: RouteState, now: number): void {
     const overloadedFraction = state.overloadedAnswers / state.answers;
+    const utilisation = state.utilisationSum / state.answers;
     const factor = overloadedFraction > toleratedOverloadFraction
         ? 1 - decreaseGain * overloadedFraction
-        : getIncreaseFactor(state.utilisationSum / state.answers);
+        : getIncreaseFactor(utilisation);
+    state.utilisation = updateAverage(state.utilisation, utilisation, utilisationWeight);
     state.admittedFraction = Math.min(1, Math.max(minAdmittedFraction, state.admittedFraction * factor));
     state.changedAt = now;
     state.windowEnd = now + minWindowMs;
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -516,6 +516,7 @@
     const isOverloaded = isDownstreamOverload || (hasWaitedLong && hasFailed);
     dependencies.entryThrottle.recordAnswer(
         call.route.name,
+        call.route.priority,
         { isOverloaded, utilisation },
         routedRequest.startedAt,
     );
--- a/test/routed/deepServiceReplay.ts
+++ b/test/routed/deepServiceReplay.ts
@@ -97,7 +97,7 @@
         }
         let utilisation = 0;
         const finish = (isServed: boolean): void => {
-            throttle.recordAnswer(kind.name, { isOverloaded: !isServed, utilisation }, enteredAt);
+            throttle.recordAnswer(kind.name, kind.priority, { isOverloaded: !isServed, utilisation }, enteredAt);
             tally.served += isCounted && isServed ? 1 : 0;
             this.usefulRuns += isCounted && isServed ? callsEach : 0;
         };
--- a/test/routed/entryThrottle.test.ts
+++ b/test/routed/entryThrottle.test.ts
@@ -22,6 +22,7 @@
                         inTenth += 1;
                         throttle.recordAnswer(
                             "page",
+                            2,
                             { isOverloaded: inTenth > capacity, utilisation: 0.5 },
                             clock.readMonotonic(),
                         );
@@ -43,20 +44,49 @@
         const throttle = new EntryThrottle(clock, createRandom(5));
         for (let index = 0; index < 100; index += 1) {
             clock.addTime(50);
-            throttle.recordAnswer("page", overloadedSample, clock.readMonotonic());
-            throttle.recordAnswer("advance", { isOverloaded: false, utilisation: 0.5 }, clock.readMonotonic());
+            throttle.recordAnswer("page", 2, overloadedSample, clock.readMonotonic());
+            throttle.recordAnswer("advance", 0, { isOverloaded: false, utilisation: 0.5 }, clock.readMonotonic());
         }
         expect(throttle.getAdmittedFraction("page")).below(0.2);
         expect(throttle.getAdmittedFraction("advance")).equals(1);
     });
 
+    const cases: readonly {
+        readonly name: string;
+        readonly priority: number;
+        readonly utilisation: number;
+        readonly isAdmittedLess: boolean;
+    }[] = [
+        { name: "less urgent that leads to a full service", priority: 2, utilisation: 1.2, isAdmittedLess: true },
+        { name: "less urgent that leads to services with room", priority: 2, utilisation: 0.6, isAdmittedLess: false },
+        { name: "as urgent", priority: 1, utilisation: 1.2, isAdmittedLess: false },
+        { name: "more urgent", priority: 0, utilisation: 1.2, isAdmittedLess: false },
+    ];
+    for (const { name, priority, utilisation, isAdmittedLess } of cases) {
+        it(`${isAdmittedLess ? "admits" : "doesn't hold"} a route ${name} ${
+            isAdmittedLess ? "no more than" : "to"
+        } an urgent one that makes more calls there`, () => {
+            const clock = new FakeClock();
+            const throttle = new EntryThrottle(clock, createRandom(5));
+            for (let index = 0; index < 60; index += 1) {
+                clock.addTime(50);
+                const isOverloaded = index % 3 === 0;
+                throttle.recordAnswer("advance", 1, { isOverloaded, utilisation: 1.2 }, clock.readMonotonic());
+                throttle.recordAnswer("other", priority, { isOverloaded: false, utilisation }, clock.readMonotonic());
+            }
+            const admitted = throttle.getAdmittedFraction("advance");
+            expect(admitted).within(0.08, 0.6);
+            expect(throttle.getAdmittedFraction("other")).equals(isAdmittedLess ? admitted : 1);
+        });
+    }
+
     it("closes once for one peak, whatever its requests met before", () => {
         const clock = new FakeClock();
         const throttle = new EntryThrottle(clock, createRandom(5));
         const admittedAt = clock.readMonotonic();
         for (let index = 0; index < 40; index += 1) {
             clock.addTime(50);
-            throttle.recordAnswer("page", overloadedSample, admittedAt);
+            throttle.recordAnswer("page", 2, overloadedSample, admittedAt);
         }
         expect(throttle.getAdmittedFraction("page")).closeTo(0.4, 0.01);
     });
