Value repeats by the priority of the route beside the customer's

Cause: on this deployment customers have priorities of their own, which replaced those of the routes everywhere; so an advance and a page view of one customer were worth the same to the order of repeats. Change: the origin of a request carries its route's priority where the customer has another (an additional last item, ignored by earlier builds, taken for the customer's where it is missing); a repeat is worth by the mean of both. Less urgent routes are admitted as often as urgent ones get through, for as often as those are admitted.

--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -298,14 +298,17 @@
 const unusedOriginItem = null;
 
 function encodeOrigin(origin: Origin): unknown[] {
-    const { route, priority, isRepeated, depth, servedBefore, customer, hasReturned } = origin;
+    const { route, priority, isRepeated, depth, servedBefore, customer, hasReturned, routePriority } = origin;
     const items = [route, priority, isRepeated, depth, servedBefore, customer];
+    if (routePriority !== undefined) {
+        return [...items, unusedOriginItem, hasReturned === true, routePriority];
+    }
     return hasReturned === true ? [...items, unusedOriginItem, true] : items;
 }
 
 function decodeOrigin(value: unknown): Origin {
     const items = Array.isArray(value) ? value as unknown[] : [];
-    const [route, priority, isRepeated, depth, servedBefore, customer, _unused, hasReturned] = items;
+    const [route, priority, isRepeated, depth, servedBefore, customer, _unused, hasReturned, routePriority] = items;
     return {
         route: String(route ?? ""),
         priority: Number(priority ?? 0),
@@ -314,6 +317,8 @@
         servedBefore: Number(servedBefore ?? 0),
         customer: typeof customer === "string" ? customer : undefined,
         ...(hasReturned === true ? { hasReturned } : {}),
+        // Earlier builds send none.
+        ...(typeof routePriority === "number" ? { routePriority } : {}),
     };
 }
 
--- a/src/process/load/entryThrottle.ts
+++ b/src/process/load/entryThrottle.ts
@@ -10,8 +10,8 @@
  * - A short peak. Answers to requests that were admitted before the last change of the fraction say nothing about the
  *   new one, so they don't lower it again, and the fraction recovers soon after the peak.
  * - Routes of different priority that lead to the same overloaded service. The one that makes more calls there meets the overload more
- *   often, however urgent it is. So a less urgent route that leads to a full service is admitted no more than the more urgent
- *   ones that are throttled: it makes room for them, and keeps at least their fraction, so that it doesn't starve.
+ *   often, however urgent it is. So of a less urgent route that leads to a full service no more is admitted than of the more
+ *   urgent ones gets through: it makes room for them until they get through as often, and doesn't starve.
  * - Many nodes with few requests each. One answer says little, but each carries the utilisation of the fullest
  *   downstream service; near full utilisation the fraction rises slowly.
  */
@@ -35,8 +35,8 @@
 ] as const;
 /** Downstream utilisation from which on a route counts as leading to a full service. */
 const fullUtilisation = 0.9;
-/** Weight of a window in the average utilisation of a route. */
-const utilisationWeight = 0.5;
+/** Weight of a window in the average utilisation and the average overload of a route. */
+const windowWeight = 0.15;
 /** Smallest admitted fraction, so that the end of the overload is noticed. */
 const minAdmittedFraction = 0.08;
 
@@ -55,6 +55,8 @@
     admittedFraction: number;
     /** Average utilisation of the fullest downstream service over the last windows. */
     utilisation: number;
+    /** Average fraction of the admitted requests that met an overloaded service, over the last windows. */
+    overloadedFraction: number;
     changedAt: number;
     /** Earliest time of the next change of the admitted fraction. */
     windowEnd: number;
@@ -85,10 +87,10 @@
         let fraction = state.admittedFraction;
         for (const other of this.states.values()) {
             if (other.priority < state.priority) {
-                fraction = Math.min(fraction, other.admittedFraction);
+                fraction = Math.min(fraction, computeServedFraction(other));
             }
         }
-        return fraction;
+        return Math.max(minAdmittedFraction, fraction);
     }
 
     /**
@@ -117,6 +119,7 @@
         priority: 0,
         admittedFraction: 1,
         utilisation: 0,
+        overloadedFraction: 0,
         changedAt: -Infinity,
         windowEnd: now + minWindowMs,
         answers: 0,
@@ -125,13 +128,20 @@
     };
 }
 
+/** Fraction of a route's requests that is admitted and meets no overloaded service. */
+function computeServedFraction({ admittedFraction, overloadedFraction }: RouteState): number {
+    return admittedFraction * (1 - overloadedFraction);
+}
+
 function updateAdmittedFraction(state: RouteState, now: number): void {
     const overloadedFraction = state.overloadedAnswers / state.answers;
     const utilisation = state.utilisationSum / state.answers;
     const factor = overloadedFraction > toleratedOverloadFraction
         ? 1 - decreaseGain * overloadedFraction
         : getIncreaseFactor(utilisation);
-    state.utilisation = updateAverage(state.utilisation, utilisation, utilisationWeight);
+    state.utilisation = updateAverage(state.utilisation, utilisation, windowWeight);
+    // Not by the shared average, to which 0 says that there is no sample yet.
+    state.overloadedFraction += (overloadedFraction - state.overloadedFraction) * windowWeight;
     state.admittedFraction = Math.min(1, Math.max(minAdmittedFraction, state.admittedFraction * factor));
     state.changedAt = now;
     state.windowEnd = now + minWindowMs;
--- a/src/process/load/repeatOrder.ts
+++ b/src/process/load/repeatOrder.ts
@@ -25,6 +25,8 @@
 export interface RepeatOrigin {
     /** Priority of the client's request; 0 is the most urgent. */
     readonly priority: number;
+    /** Priority of its route where its customer has another. */
+    readonly routePriority?: number | undefined;
     /** Calls that the run which makes the call still has to get served, this one included. */
     readonly callsLeft: number;
 }
@@ -63,8 +65,10 @@
     }
 }
 
-function computeValue({ priority, callsLeft }: RepeatOrigin): number {
-    return valueByPriority ** priority / Math.min(maxCallsLeft, Math.max(1, Math.round(callsLeft)));
+/** Where a customer has a priority of its own, it counts as much as that of the route, which says what the request is worth. */
+function computeValue({ priority, routePriority = priority, callsLeft }: RepeatOrigin): number {
+    return valueByPriority ** ((priority + routePriority) / 2)
+        / Math.min(maxCallsLeft, Math.max(1, Math.round(callsLeft)));
 }
 
 function computeCount({ count, countedAt }: Demand, now: number): number {
--- a/src/process/load/runsInProgress.ts
+++ b/src/process/load/runsInProgress.ts
@@ -14,8 +14,10 @@
 export interface Origin {
     /** Name of its route. */
     readonly route: string;
-    /** Priority of its route; 0 is the most urgent (in `Admission`, 0 is the lowest priority). */
+    /** Priority of its customer, or of its route; 0 is the most urgent (in `Admission`, 0 is the lowest priority). */
     readonly priority: number;
+    /** Priority of its route where its customer has another; `undefined` where `priority` is that of the route. */
+    readonly routePriority?: number | undefined;
     /** Customer that sent it; `undefined` if it came without a customer's key. */
     readonly customer: string | undefined;
     /** Whether this run or call, or one that led to it, is a retry. */
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -218,7 +218,8 @@
 
     private takeFromBudget(call: RoutedCall): boolean {
         const { service, origin, callsLeft } = call;
-        return this.dependencies.retryBudget.takeRetry(service, { priority: origin.priority, callsLeft });
+        const { priority, routePriority } = origin;
+        return this.dependencies.retryBudget.takeRetry(service, { priority, routePriority, callsLeft });
     }
 
     /** Takes one more offer to the instances that refused the request, if all that its route allows have done so. */
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -488,6 +488,7 @@
     return {
         route: route.name,
         priority: customer?.priority ?? route.priority,
+        ...(customer?.priority === undefined ? {} : { routePriority: route.priority }),
         customer: customer?.name,
         isRepeated: false,
         depth: 0,
--- a/test/routed/serviceRetryBudget.test.ts
+++ b/test/routed/serviceRetryBudget.test.ts
@@ -1,5 +1,7 @@
 /** The bound on repeats, and what a service that turns much away gets from it, in virtual time. */
 import { expect } from "chai";
+import type { RepeatOrigin } from "../../src/process/load/repeatOrder.js";
+import { RepeatOrder } from "../../src/process/load/repeatOrder.js";
 import type { RetryLimits } from "../../src/process/load/serviceRetryBudget.js";
 import { ServiceRetryBudget } from "../../src/process/load/serviceRetryBudget.js";
 import type { Random } from "../../standin/random.js";
@@ -125,6 +127,39 @@
         expect(takeAll(budget)).equals(13);
     });
 
+    const valueCases: readonly {
+        readonly name: string;
+        readonly wanted: RepeatOrigin;
+        readonly other: RepeatOrigin;
+        readonly isKept: boolean;
+    }[] = [
+        {
+            name: "of a more urgent route where customers are equal",
+            wanted: { priority: 1, routePriority: 0, callsLeft: 4 },
+            other: { priority: 1, routePriority: 2, callsLeft: 4 },
+            isKept: true,
+        },
+        {
+            name: "that is further though its route is less urgent",
+            wanted: { priority: 1, routePriority: 2, callsLeft: 1 },
+            other: { priority: 1, routePriority: 0, callsLeft: 4 },
+            isKept: true,
+        },
+        {
+            name: "of an equal route and customer",
+            wanted: { priority: 1, routePriority: 2, callsLeft: 4 },
+            other: { priority: 1, routePriority: 2, callsLeft: 4 },
+            isKept: false,
+        },
+    ];
+    for (const { name, wanted, other, isKept } of valueCases) {
+        it(`${isKept ? "keeps repeats for one" : "keeps none for one"} ${name}`, () => {
+            const order = new RepeatOrder(new FakeClock());
+            order.recordWish("mutu", wanted);
+            expect(order.recordWish("mutu", other) > 0).equals(isKept);
+        });
+    }
+
     it("keeps for more valuable repeats what they need for a while, by how many were wanted lately", () => {
         const clock = new FakeClock();
         const budget = createBudget({}, 15, clock);
