Rank by whole calls, with the head start of before for a step, and let no idle route bound others

The learned number of calls fell a little with each first call, so what came later went before what waited already, and every fourth call ranked the whole queue anew; a more urgent route without requests went on bounding the less urgent ones.

--- a/src/process/customers/unitHolder.ts
+++ b/src/process/customers/unitHolder.ts
@@ -47,7 +47,7 @@
 /** Result of {@link UnitHolder.take}. */
 export type TakeResult =
     | { readonly kind: "granted"; readonly unit: SpentUnit; }
-    /** `noGrantor`: no node could grant units of the customer, whether its quota is used up or not; not its own doing. */
+    /** `noGrantor`: no node could grant units of the customer, whether its quota is used up or not. */
     | { readonly kind: "none"; readonly cause: "quota" | "noGrantor"; readonly retryAfterMs: number; };
 
 /** Units of one customer in the session in progress. */
--- a/src/process/load/entryThrottle.ts
+++ b/src/process/load/entryThrottle.ts
@@ -35,6 +35,8 @@
 ] as const;
 /** Downstream utilisation from which on a route counts as leading to a full service. */
 const fullUtilisation = 0.9;
+/** Time after the last window of a route in which it bounds less urgent ones, in milliseconds. */
+const boundValidMs = 2000;
 /** Weight of a window in the average utilisation and the average overload of a route. */
 const windowWeight = 0.15;
 /** Smallest admitted fraction, so that the end of the overload is noticed. */
@@ -84,9 +86,10 @@
         if (state === undefined || state.utilisation < fullUtilisation) {
             return state?.admittedFraction ?? 1;
         }
+        const boundSince = this.clock.readMonotonic() - boundValidMs;
         let fraction = state.admittedFraction;
         for (const other of this.states.values()) {
-            if (other.priority < state.priority) {
+            if (other.priority < state.priority && other.changedAt > boundSince) {
                 fraction = Math.min(fraction, computeServedFraction(other));
             }
         }
--- a/src/process/load/fairOrder.ts
+++ b/src/process/load/fairOrder.ts
@@ -39,7 +39,7 @@
 }
 
 /** Virtual time by which a request is set back for each millisecond that it still needs at the endpoint. */
-const setbackByUse = 8;
+const setbackByUse = 4;
 /** Average run times of remaining use beyond which a request is set back no further. */
 const maxSetbackRuns = 4;
 /** Head start of a request that was refused before and came back at its time, in average run times. */
@@ -197,7 +197,7 @@
     }
 }
 
-/** Creates a waiting request that has no rank yet. */
+/** Creates a waiting request that has no setback and no rank yet; {@link FairOrder.add} sets them. */
 export function createFairWaiter<T extends FairCandidate>(candidate: T): FairWaiter<T> {
     return { candidate, setback: 0, virtualStart: 0, rank: 0 };
 }
--- a/src/process/load/remainingUse.ts
+++ b/src/process/load/remainingUse.ts
@@ -34,7 +34,7 @@
 
     constructor(private readonly getRunMs: (route: string) => number) {}
 
-    /** Learns from a request that has come. Returns whether it shows more calls than were known of its route. */
+    /** Learns from a request that has come. Returns whether it shows another number of calls than was known of its route. */
     recordArrival({ originRoute, depth, servedBefore }: UseCandidate): boolean {
         if (depth === 0) {
             return false;
@@ -42,12 +42,13 @@
         const shown = Math.min(maxCalls, servedBefore + 1);
         const known = this.callsByRoute.get(originRoute) ?? shown;
         this.callsByRoute.set(originRoute, Math.max(shown, known + (shown - known) * forgetWeight));
-        return shown > known;
+        return shown > Math.round(known);
     }
 
     /** Time of the endpoint that a request still needs, in milliseconds. */
     estimateMs({ originRoute, route, depth, servedBefore }: UseCandidate): number {
-        const calls = depth === 0 ? 1 : this.callsByRoute.get(originRoute) ?? 1;
+        // In whole calls: otherwise what comes later would need a little less than what waits already.
+        const calls = depth === 0 ? 1 : Math.round(this.callsByRoute.get(originRoute) ?? 1);
         return Math.max(1, calls - servedBefore) * this.getRunMs(route);
     }
 }
--- a/test/routed/entryThrottle.test.ts
+++ b/test/routed/entryThrottle.test.ts
@@ -93,6 +93,24 @@
         );
     }
 
+    it("holds no route to a more urgent one that brings no requests any more", () => {
+        const clock = new FakeClock();
+        const throttle = new EntryThrottle(clock, createRandom(5));
+        const meet = (route: string, priority: number, isOverloaded: boolean): void =>
+            throttle.recordAnswer(route, priority, { isOverloaded, utilisation: 1.2 }, clock.readMonotonic());
+        for (let index = 0; index < 60; index += 1) {
+            clock.addTime(50);
+            meet("advance", 0, true);
+            meet("page", 2, false);
+        }
+        expect(throttle.getAdmittedFraction("page")).below(0.5);
+        for (let index = 0; index < 60; index += 1) {
+            clock.addTime(50);
+            meet("page", 2, false);
+        }
+        expect(throttle.getAdmittedFraction("page")).equals(1);
+    });
+
     it("closes once for one peak, whatever its requests met before", () => {
         const clock = new FakeClock();
         const throttle = new EntryThrottle(clock, createRandom(5));
--- a/test/routed/fairOrder.test.ts
+++ b/test/routed/fairOrder.test.ts
@@ -1,5 +1,6 @@
 /** Customers that compete for an endpoint: who waits before whom, replayed in virtual time. */
 import { expect } from "chai";
+import { RemainingUse } from "../../src/process/load/remainingUse.js";
 import type { Candidate } from "../../src/process/load/runQueue.js";
 import { RunQueue } from "../../src/process/load/runQueue.js";
 import { CustomerTable } from "../../src/version/customer.js";
@@ -168,6 +169,16 @@
         it(name, () => expect(take(fill(offered), first.length)).deep.equals(first));
     }
 
+    it("learns how many calls a run makes, and ranks anew only when it learns of another number", () => {
+        const use = new RemainingUse(() => 50);
+        const arrive = (servedBefore: number): boolean =>
+            use.recordArrival({ originRoute: "page", route: "deep", depth: 1, servedBefore });
+        expect([0, 1, 2, 3, 0, 3, 2, 3].map(arrive)).deep.equals([false, true, true, true, false, false, false, false]);
+        const estimate = (depth: number, servedBefore: number): number =>
+            Math.round(use.estimateMs({ originRoute: "page", route: "deep", depth, servedBefore }));
+        expect([estimate(0, 0), estimate(1, 0), estimate(1, 3)]).deep.equals([50, 200, 50]);
+    });
+
     it("does not let calls of a customer that is far ahead push out new work of others", () => {
         const calls = Array.from({ length: 40 }, (_, index) => create(`call${index}`, { customer: "hot", depth: 1 }));
         expect(take(fill([...calls, create("new", {})]), 12)).contains("new");
