Count calls only where customers are ranked, and end a pause by a joined signal

The calls of runs were counted for each arrival also where no request names a customer, and nothing reads the count there; the pause before an attempt to connect joined two signals by hand, as logFollower.ts does with AbortSignal.any. Change: both; where customers compete the order is the same.

--- a/src/connection/peerLinks.ts
+++ b/src/connection/peerLinks.ts
@@ -220,12 +220,9 @@
     /** Waits before the next attempt to connect to an address. */
     private async waitBeforeRetry(address: string, milliseconds: number): Promise<void> {
         const pause = new AbortController();
-        const end = (): void => pause.abort();
-        this.signal.addEventListener("abort", end);
         this.pauses.set(address, pause);
-        await this.dependencies.clock.sleep(milliseconds, pause.signal);
+        await this.dependencies.clock.sleep(milliseconds, AbortSignal.any([this.signal, pause.signal]));
         this.pauses.delete(address);
-        this.signal.removeEventListener("abort", end);
     }
 
     /** Opens a link; concurrent callers share one attempt. */
--- a/src/process/load/runQueue.ts
+++ b/src/process/load/runQueue.ts
@@ -114,7 +114,7 @@
         if (candidate.customer !== undefined && !this.order.isActive()) {
             this.order.start(this.waiting);
         }
-        if (this.remainingUse.recordArrival(candidate) && this.order.isActive()) {
+        if (this.order.isActive() && this.remainingUse.recordArrival(candidate)) {
             this.order.refresh(this.waiting);
         }
         if (this.running < this.limit && this.waiting.length === 0 && this.pace.take()) {
