Refuse what a stopping node can't be sure to answer before its end

Cause: a stop waited for the requests in progress but admitted new ones without end, so under a steady load some were always in progress when the time was over.

Change: GracefulStop decides which requests are still taken. In the first 0.45 of the grace time all are; later only those whose deadline lies before the end of the process, and calls of runs in progress while 1 s is left. The others get 503 with a Retry-After at once, before they use a unit of a quota or a reserved return. What still waits at the end is cancelled and, if it has not run, refused, in place of a closed connection.

--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -44,12 +44,14 @@
 import type { RoutedSettings, SwitchableDecision } from "../settings/routedSettings.js";
 import type { Logger } from "../telemetry/logger.js";
 import { RoutedMetrics } from "../telemetry/routedMetrics.js";
-import { decideStopStep } from "./gracefulStop.js";
+import { GracefulStop } from "./gracefulStop.js";
 import { InFlightRequests } from "./inFlightRequests.js";
 import { RoutedListeners } from "./routedListeners.js";
 
 /** Poll interval of the graceful stop, in milliseconds. */
 const waitPollMs = 50;
+/** Time for the last answers at the end of a stop, in milliseconds. */
+const lastAnswersMs = 100;
 /** Time after a restart for which other nodes prefer other instances, in milliseconds. */
 const stabilisationMs = 3500;
 /** Time between removals of the expired outcomes of runs for other nodes, in milliseconds. */
@@ -96,8 +98,7 @@
     private readonly incarnation: number;
     /** Time of the start on the monotonic clock, in milliseconds. */
     private readonly startedAt: number;
-    private graceMs: number;
-    private isStopping = false;
+    private readonly gracefulStop: GracefulStop;
     /** Whether links are about to be chosen, since instances became known. */
     private isChoosingLinks = false;
     /** Whether the endpoint gets no new runs, since this process ends soon. */
@@ -110,7 +111,7 @@
         private readonly logger: Logger,
     ) {
         const { address, dataCentre, bounds, endpoint } = settings;
-        this.graceMs = bounds.graceSeconds * 1000;
+        this.gracefulStop = new GracefulStop(clock, bounds.graceSeconds * 1000);
         this.startedAt = clock.readMonotonic();
         // One task for each peer listens to this signal, more than the default limit of listeners allows.
         setMaxListeners(0, this.stopController.signal);
@@ -220,7 +221,7 @@
 
     /** Applies changed settings. Only `bounds` take effect while the process runs; all others need a restart. */
     applySettings(settings: RoutedSettings): void {
-        this.graceMs = settings.bounds.graceSeconds * 1000;
+        this.gracefulStop.setGrace(settings.bounds.graceSeconds * 1000);
         this.retryBudget.setLimits(createRetryLimits(settings.bounds));
         this.quotas.setBounds(createQuotaBounds(settings.bounds));
     }
@@ -230,17 +231,14 @@
      * requests in progress.
      */
     async stop(): Promise<void> {
-        const stopStartedAt = this.clock.readMonotonic();
-        this.isStopping = true;
+        this.gracefulStop.start();
         this.announceLoad();
         this.logger.info("stopping", {
             requests: this.inFlightRequests.getCount(),
             running: this.runner.getLoad().running,
         });
         for (;;) {
-            const step = decideStopStep({
-                elapsedMs: this.clock.readMonotonic() - stopStartedAt,
-                graceMs: this.graceMs,
+            const step = this.gracefulStop.decideStep({
                 isEndpointClosed: this.isEndpointClosed,
                 hasOtherInstance: this.hasOtherInstance(),
                 inProgress: this.inFlightRequests.getCount() + this.runner.getLoad().running,
@@ -253,6 +251,8 @@
             }
             await this.clock.sleep(waitPollMs);
         }
+        this.gracefulStop.ending.cancel();
+        await this.inFlightRequests.drain(lastAnswersMs);
         this.logger.info("stopped", {
             requests: this.inFlightRequests.getCount(),
             running: this.runner.getLoad().running,
@@ -265,7 +265,7 @@
 
     /** Why the node is not ready for callers; `undefined` when it is. */
     findNotReadyCause(): string | undefined {
-        if (this.isStopping) {
+        if (this.gracefulStop.hasStarted()) {
             return "stopping";
         }
         if (this.clusterState.configurationHolder.getVersion() < 0) {
@@ -315,7 +315,7 @@
      */
     private isSettled(): boolean {
         const isJustStarted = this.clock.readMonotonic() - this.startedAt < stabilisationMs;
-        return !this.isStopping && (this.settings.isFirstStart || !isJustStarted);
+        return !this.gracefulStop.hasStarted() && (this.settings.isFirstStart || !isJustStarted);
     }
 
     private createEntryDependencies(): RoutedEntryDependencies {
@@ -352,7 +352,7 @@
             returnSchedule: this.returnSchedule,
             findUtilisation: serviceName => placement.computeUtilisation(registry.listForService(serviceName)),
             quotas: this.quotas,
-            isStopping: () => this.isStopping,
+            stop: this.gracefulStop,
         };
     }
 
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -39,6 +39,9 @@
 /** Retry-after delay for requests that are refused because a downstream service is overloaded, in milliseconds. */
 const overloadedRetryMs = 900;
 
+/** Retry-after delay while this process stops: the time until the next one takes its place, in milliseconds. */
+const stoppingRetryMs = 800;
+
 /** Longest time for which a request waits for a unit of its customer's quota, in milliseconds. */
 const maxUnitWaitMs = 800;
 /** The same as a part of the time to the route's latency target. */
@@ -75,7 +78,19 @@
     readonly findUtilisation: (service: string) => number;
     /** Limits the requests of customers with a quota. */
     readonly quotas: Pick<CustomerQuotas, "take" | "releaseUnit">;
-    readonly isStopping: () => boolean;
+    readonly stop: EntryStop;
+}
+
+/** The stop of this process, as far as requests are concerned. */
+export interface EntryStop {
+    readonly hasStarted: () => boolean;
+    /**
+     * Whether a request is taken that is answered at `deadline` (monotonic, in milliseconds) at the latest; `isCall` says that
+     * a run at the local endpoint makes it.
+     */
+    readonly canTake: (deadline: number, isCall: boolean) => boolean;
+    /** Cancelled when the process ends. */
+    readonly ending: Cancellation;
 }
 
 /** A request whose body was read and whose route was found. */
@@ -87,6 +102,8 @@
     readonly version: number;
     readonly body: Buffer;
     readonly startedAt: number;
+    /** Monotonic time by which the request is answered in any case, in milliseconds. */
+    readonly deadline: number;
     /** The run that makes the call; `undefined` for a request of an outside caller. */
     readonly parent: RunInProgress | undefined;
     /** Customer whose key came with the request; `undefined` for a call of a run or without a key. */
@@ -108,7 +125,7 @@
     turn: PipelineTurn,
 ): Promise<void> {
     const startedAt = dependencies.clock.readMonotonic();
-    if (dependencies.isStopping()) {
+    if (dependencies.stop.hasStarted()) {
         response.setHeader("connection", "close");
     }
     // Bodies of requests that wait for their turn stay unread, so that they take no memory here.
@@ -159,6 +176,16 @@
         });
         return;
     }
+    const deadline = startedAt + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs);
+    if (!dependencies.stop.canTake(deadline, parent !== undefined)) {
+        refuseWhileStopping(dependencies, response, deadline, {
+            request: metadata.attemptId,
+            route: route.name,
+            customer: customer?.name,
+            version,
+        });
+        return;
+    }
     const returned = parent === undefined
         ? takeReturn(dependencies, request, metadata, customer, startedAt)
         : undefined;
@@ -170,6 +197,7 @@
         version,
         body,
         startedAt,
+        deadline,
         parent,
         customer,
         target: returned?.target ?? startedAt + route.targetLatencyMs,
@@ -186,6 +214,20 @@
     await forwardWithinQuota(dependencies, routedRequest, metadata.attemptId);
 }
 
+/** Refuses a request that might not be answered before this process ends. */
+function refuseWhileStopping(
+    dependencies: RoutedEntryDependencies,
+    response: ServerResponse,
+    deadline: number,
+    fields: { readonly route: string; readonly [name: string]: string | number | undefined; },
+): void {
+    const leftMs = deadline - dependencies.clock.readMonotonic();
+    const spreadMs = stoppingRetryMs * (0.75 + dependencies.random() * 0.5);
+    sendEmptyAnswer(response, 503, Math.max(minRetryMs, Math.min(spreadMs, leftMs * maxRetryShare)));
+    dependencies.metrics.recordRequestOutcome(fields.route, "refused", "stopping", 0);
+    logRequest(dependencies, "refused", { ...fields, cause: "stopping", status: 503 });
+}
+
 /** Refuses a caller's request, before any work was spent on it, because a service behind its route is overloaded. */
 function refuseAtEntry(dependencies: RoutedEntryDependencies, routedRequest: RoutedRequest): void {
     const { response, metadata, route, version, customer } = routedRequest;
@@ -273,8 +315,7 @@
     routedRequest: RoutedRequest,
     attemptId: string,
 ): Promise<ForwardResult | "gone"> {
-    const { request, response, route, startedAt, body } = routedRequest;
-    const waitMs = Math.min(routedRequest.metadata.deadlineMs ?? Infinity, route.timeoutMs);
+    const { request, response, route, startedAt, deadline, body } = routedRequest;
     const call: RoutedCall = {
         attemptId,
         route,
@@ -285,7 +326,7 @@
         body,
         origin: createOrigin(routedRequest),
         callsLeft: routedRequest.parent?.getCallsLeft() ?? 1,
-        deadline: startedAt + waitMs,
+        deadline,
         target: routedRequest.target,
         cancellation: new Cancellation(),
     };
@@ -307,32 +348,36 @@
 }
 
 /**
- * Forwards a request until it ends, its caller disconnects or its deadline passes. At the deadline the request is
- * cancelled; its actual outcome still counts if it arrives within {@link lateResultWaitMs}. Returns "gone" if the caller
- * disconnected.
+ * Forwards a request until it ends, its caller disconnects, its deadline passes or this process ends. At the deadline, and at
+ * the end of the process, the request is cancelled; its actual outcome still counts if it arrives within
+ * {@link lateResultWaitMs}. Returns "gone" if the caller disconnected.
  */
 function forwardUntilDeadline(
     dependencies: RoutedEntryDependencies,
     call: RoutedCall,
     response: ServerResponse,
 ): Promise<ForwardResult | "gone"> {
-    const { clock, forwarder } = dependencies;
+    const { clock, forwarder, stop } = dependencies;
     return new Promise(resolve => {
-        let timer = clock.startTimer(Math.max(0, call.deadline - clock.readMonotonic()), () => {
+        const giveUp = (): void => {
+            timer.stop();
             call.cancellation.cancel();
-            timer = clock.startTimer(lateResultWaitMs, () => resolve(timedOutResult));
-        });
+            timer = clock.startTimer(lateResultWaitMs, () => finish(timedOutResult));
+        };
+        let timer = clock.startTimer(Math.max(0, call.deadline - clock.readMonotonic()), giveUp);
+        const finish = (result: ForwardResult | "gone"): void => {
+            timer.stop();
+            stop.ending.removeListener(giveUp);
+            resolve(result);
+        };
+        stop.ending.listen(giveUp);
         response.once("close", () => {
             if (!response.writableFinished) {
-                timer.stop();
                 call.cancellation.cancel();
-                resolve("gone");
+                finish("gone");
             }
         });
-        void forwarder.forward(call).then(result => {
-            timer.stop();
-            resolve(result);
-        });
+        void forwarder.forward(call).then(finish);
     });
 }
 
--- a/test/routed/cluster.test.ts
+++ b/test/routed/cluster.test.ts
@@ -397,6 +397,32 @@
         await cluster.waitForInstances();
     });
 
+    // LOST: callers that go on sending to a stopping node were cut at its end, while upstreams were at work for them.
+    it("answer or refuse whatever a stopping node takes, though its callers go on until it has ended", async () => {
+        [kas1!, kas2!].forEach(machine => machine.upstream.runMs = 250);
+        const sends: Promise<CallerAnswer>[] = [];
+        let hasEnded = false;
+        const ended = katalog2!.endNode("SIGTERM").then(() => hasEnded = true);
+        while (!hasEnded) {
+            sends.push(postAdvance(katalog2!, `stopping${sends.length}`));
+            await sleep(40);
+        }
+        await ended;
+        const answers = await Promise.all(sends);
+        const cut = answers.flatMap((answer, index) =>
+            answer.status === 0 && countRuns(cluster, `stopping${index}`) > 0 ? [`stopping${index}`] : []
+        );
+        [kas1!, kas2!].forEach(machine => machine.upstream.runMs = 20);
+        katalog2!.startNode();
+        await waitFor(() => katalog2!.isReady(), 5000, "restarted node");
+        await cluster.waitForInstances();
+        expect(cut).deep.equals([]);
+        expect(answers.slice(0, 20).map(answer => answer.status)).deep.equals(Array(20).fill(200));
+        for (const [index, answer] of answers.entries()) {
+            expect(answer.status === 503 ? countRuns(cluster, `stopping${index}`) : 0).equals(0);
+        }
+    });
+
     it("lose no request when a node is stopped gracefully, and say so first", async () => {
         const { upstream } = katalog2!;
         upstream.runMs = 300;
--- a/test/routed/entryPlay.ts
+++ b/test/routed/entryPlay.ts
@@ -4,6 +4,7 @@
 import process from "node:process";
 import { PlatformDialect } from "../../platform/headers.js";
 import { HttpListener } from "../../src/connection/httpServer.js";
+import { Cancellation } from "../../src/process/base/cancellation.js";
 import { SystemClock } from "../../src/process/base/clock.js";
 import { EntryThrottle } from "../../src/process/load/entryThrottle.js";
 import { RunsInProgress } from "../../src/process/load/runsInProgress.js";
@@ -36,6 +37,9 @@
     /** Lines that the node logged. */
     readonly lines: string[] = [];
     isStopping = false;
+    /** Latest deadline of a request that is taken. */
+    lastDeadline = Infinity;
+    readonly ending = new Cancellation();
     /** Why a customer with a quota gets no unit. */
     unitCause: "quota" | "noGrantor" = "quota";
     /** What the forwarder does with a call. */
@@ -88,7 +92,11 @@
                 releaseUnit: () => undefined,
             },
             findUtilisation: () => 0,
-            isStopping: () => this.isStopping,
+            stop: {
+                hasStarted: () => this.isStopping,
+                canTake: (deadline: number) => deadline <= this.lastDeadline,
+                ending: this.ending,
+            },
         };
         return new HttpListener(
             (request, response, turn) => serveRoutedRequest(dependencies, request, response, turn),
--- a/test/routed/gracefulStop.test.ts
+++ b/test/routed/gracefulStop.test.ts
@@ -1,6 +1,9 @@
-/** Steps of a graceful stop, in virtual time. */
+/** Steps of a graceful stop, in virtual time, and what the entry does with requests meanwhile. */
 import { expect } from "chai";
-import { decideStopStep } from "../../src/process/node/gracefulStop.js";
+import { decideStopStep, GracefulStop } from "../../src/process/node/gracefulStop.js";
+import { FakeClock } from "../fakes.js";
+import { EntryPlay, formatRequest, waitUntil } from "./entryPlay.js";
+import { createRoute, formatConfiguration } from "./samples.js";
 
 /** A stop, as a list of what holds until when. */
 interface StopCase {
@@ -86,3 +89,74 @@
         });
     }
 });
+
+// LOST: a stopping node took requests up to its end and cut those that upstreams were at work on.
+describe("requests that come during a graceful stop", () => {
+    /** Grace period of 6 s: the process ends 5.4 s after the signal at the latest. */
+    const graceMs = 6000;
+    const cases: readonly {
+        readonly name: string;
+        readonly atMs: number;
+        readonly leftMs: number;
+        readonly isCall?: boolean;
+        readonly isTaken: boolean;
+    }[] = [
+        { name: "are all taken at first, since callers don't know yet", atMs: 2600, leftMs: 9000, isTaken: true },
+        {
+            name: "are taken later if they are answered before the end at the latest",
+            atMs: 4000,
+            leftMs: 1000,
+            isTaken: true,
+        },
+        { name: "are refused if they may last until the end", atMs: 4000, leftMs: 1400, isTaken: false },
+        { name: "are refused just before the end", atMs: 5300, leftMs: 250, isTaken: false },
+        { name: "are taken if a run in progress makes them", atMs: 4000, leftMs: 2500, isCall: true, isTaken: true },
+        {
+            name: "are refused near the end though a run makes them",
+            atMs: 4600,
+            leftMs: 2500,
+            isCall: true,
+            isTaken: false,
+        },
+    ];
+    for (const { name, atMs, leftMs, isCall = false, isTaken } of cases) {
+        it(name, () => {
+            const clock = new FakeClock();
+            const stop = new GracefulStop(clock, graceMs);
+            expect(stop.canTake(clock.readMonotonic() + leftMs, isCall)).equals(true);
+            stop.start();
+            clock.addTime(atMs);
+            expect(stop.canTake(clock.readMonotonic() + leftMs, isCall)).equals(isTaken);
+        });
+    }
+
+    const headers = ["Attempt-Id: a", "Deadline-Ms: 900"];
+
+    it("are told when to come back if they are refused, and reach no instance", async () => {
+        const play = new EntryPlay();
+        await play.start();
+        play.holder.adoptIfNewer(formatConfiguration(1, [createRoute()]));
+        play.isStopping = true;
+        play.lastDeadline = performance.now() + 800;
+        expect(await play.send(headers)).equals(503);
+        expect(play.calls).deep.equals([]);
+        await play.stop();
+    });
+
+    it("are refused at the end of the process if they still wait then", async () => {
+        const play = new EntryPlay();
+        await play.start();
+        play.holder.adoptIfNewer(formatConfiguration(1, [createRoute()]));
+        play.forward = call =>
+            new Promise(resolve =>
+                call.cancellation.listen(() => resolve({ kind: "refused", cause: "cancelled", retryAfterMs: 0 }))
+            );
+        const caller = await play.connect();
+        caller.write(formatRequest("GET", "/loom/1", headers));
+        await waitUntil(() => play.calls.length === 1);
+        play.ending.cancel();
+        await caller.waitForAnswers(1);
+        expect(caller.listAnswers().map(answer => answer.status)).deep.equals([503]);
+        await play.stop();
+    });
+});
