Send an attempt that failed on a connection again on another one

The request had been offered to it again under its attempt id, mostly on the same connection; it ran, but the copy counted as its answer, so it ran at a second endpoint or its caller was told 503.

Cause: EndpointConnection matches answers by the attempt id, which can't tell a late copy from the answer to the same attempt sent again, and the pool hands out the connection that was used last. The same for the second send after a 421 and for any failure after which an attempt may be sent again.

Change: a connection remembers the attempts whose answers on it were failures (status 400 and up) and the pool gives such an attempt another connection; a connection that has 256 of them is not kept. Copies come on the connection of their original, so none can meet its own attempt again. Related: a health check took any answer for its own; now only one that names no attempt.

The new tests failed before the fix: 3 of 3, the second send of "a" ended with the copy ("503 ", "421 ", "500 ").

--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -4,7 +4,8 @@
  * An answer is matched to the request in progress by its attempt identifier; an answer that names another attempt is
  * skipped. The connection is closed after data without a request in progress, after a truncated answer, and after an
  * answer that arrived before the request was fully written, since the endpoint could take the remaining bytes for
- * another request. It is closed too when bytes come without end, in a head, in a body or between pieces of one.
+ * another request. A late copy of an answer can't be told from the answer to the same attempt sent again, so an attempt that
+ * failed here isn't sent here again. The connection is closed too when bytes come without end, in a head, in a body or between pieces of one.
  */
 import { HTTPParser } from "http-parser-js";
 import type { Socket } from "node:net";
@@ -23,6 +24,10 @@
 const maxAnswerBytes = 67_108_864;
 /** Memory that a piece of a body takes besides its content, in bytes. It counts for the maximum, since pieces may be tiny. */
 const pieceOverheadBytes = 128;
+/** Failed attempts that a connection remembers; one that has more is not used again. */
+const maxFailedAttempts = 256;
+/** First status of answers after which an attempt may be sent again. */
+const minFailureStatus = 400;
 /** Maximum size of what comes without a byte of a body: heads, sizes of chunks, trailers; in bytes. */
 const maxFramingBytes = 131_072;
 /**
@@ -88,6 +93,8 @@
     private exchange: Exchange | undefined;
     private partialAnswer: PartialAnswer | undefined;
     private isOpen = true;
+    /** Attempts whose answers here were failures. */
+    private readonly failedAttempts = new Set<string>();
     /** Bytes received since the request or since the last byte of a body. */
     private framingBytes = 0;
     /** Whether the answer violates HTTP, exceeds the size limit or can't be matched to a request. */
@@ -106,9 +113,15 @@
         socket.on("close", () => this.fail("closed"));
     }
 
-    /** Whether the connection is open and has no request or answer in progress. */
+    /** Whether the connection is open, has no request or answer in progress and can remember further attempts. */
     isReusable(): boolean {
-        return this.isOpen && this.exchange === undefined && this.partialAnswer === undefined;
+        return this.isOpen && this.exchange === undefined && this.partialAnswer === undefined
+            && this.failedAttempts.size < maxFailedAttempts;
+    }
+
+    /** Whether an attempt failed on this connection before. */
+    hasFailed(attemptId: string): boolean {
+        return this.failedAttempts.has(attemptId);
     }
 
     /** Sends a request and reads its answer. Never rejects. Must only be called while the connection is reusable. */
@@ -244,13 +257,16 @@
             this.hasProtocolError = true;
             return;
         }
-        // The answer to a health check, whose request has no attempt identifier, is accepted as it is.
-        if (exchange.attemptId !== undefined && metadata.attemptId !== exchange.attemptId) {
+        // The answer to a health check carries no attempt identifier, as its request.
+        if (metadata.attemptId !== exchange.attemptId) {
             // A duplicate or late answer to an earlier request is skipped. An answer without an attempt identifier
             // can't be matched to a request, so it closes the connection.
             this.hasProtocolError ||= metadata.attemptId === undefined;
             return;
         }
+        if (exchange.attemptId !== undefined && partialAnswer.status >= minFailureStatus) {
+            this.failedAttempts.add(exchange.attemptId);
+        }
         this.exchange = undefined;
         this.recordIdleTimeout(partialAnswer);
         if (!partialAnswer.shouldKeepAlive || this.socket.writableLength > 0) {
--- a/src/connection/endpointConnectionPool.ts
+++ b/src/connection/endpointConnectionPool.ts
@@ -41,7 +41,7 @@
 
     /** Sends a request. A cancellation closes the connection that carries it. Never rejects. */
     async send(request: EndpointRequest, isIdempotent: boolean, cancellation: Cancellation): Promise<SendResult> {
-        const connection = this.takeIdle(isIdempotent)
+        const connection = this.takeIdle(request.attemptId, isIdempotent)
             ?? await openEndpointConnection(this.host, this.port, this.dialect, this.budget);
         if (connection === undefined) {
             return { kind: "unsent", cause: "unreachable" };
@@ -97,21 +97,23 @@
         this.busy.forEach(connection => connection.destroy());
     }
 
-    private takeIdle(isIdempotent: boolean): EndpointConnection | undefined {
-        for (;;) {
-            const connection = this.idle[this.idle.length - 1];
-            if (
-                connection === undefined
-                || (!isIdempotent && !this.isReusableWithin(connection, maxIdleForNonIdempotentMs))
-            ) {
+    /** Takes the connection that was used last, of those on which the attempt has not failed. */
+    private takeIdle(attemptId: string | undefined, isIdempotent: boolean): EndpointConnection | undefined {
+        for (let index = this.idle.length - 1; index >= 0; index -= 1) {
+            const connection = this.idle[index]!;
+            if (!isIdempotent && !this.isReusableWithin(connection, maxIdleForNonIdempotentMs)) {
                 return undefined;
             }
-            this.idle.pop();
+            if (attemptId !== undefined && connection.hasFailed(attemptId)) {
+                continue;
+            }
+            this.idle.splice(index, 1);
             if (this.isReusableWithin(connection, maxIdleMs)) {
                 return connection;
             }
             connection.destroy();
         }
+        return undefined;
     }
 
     /**
--- a/test/routed/endpointConnection.test.ts
+++ b/test/routed/endpointConnection.test.ts
@@ -344,6 +344,47 @@
         expect(kinds).deep.equals(["lost", "answered", "answered", "answered"]);
     });
 
+    // TWICE, REFUSED: a late copy of a rejection counted as the answer to the next offer of the same attempt, which ran.
+    const failures = ["503 Busy", "421 Misdirected", "500 Failed"];
+    for (const status of failures) {
+        it(`that come again late (${status}) are no answers to the same attempt sent again, nor to a health check`, async () => {
+            let copy = "";
+            let faulty: Socket | undefined;
+            const endpoint = new ScriptedEndpoint((socket, attempt, count) => {
+                if (count === 1) {
+                    faulty = socket;
+                    copy =
+                        `HTTP/1.1 ${status}\r\nAttempt-Id: ${attempt}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n`;
+                    socket.write(copy);
+                    return;
+                }
+                if (socket === faulty) {
+                    socket.write(copy);
+                }
+                const answer = formatAnswer(attempt, String(count)).replace("Attempt-Id: \r\n", "");
+                setTimeout(() => socket.write(answer), 20);
+            });
+            const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+            const send = async (attemptId: string | undefined): Promise<string> => {
+                const headers = attemptId === undefined ? [] : ["Attempt-Id", attemptId];
+                const request = { method: "POST", path: "/advance/1", headers, body: Buffer.alloc(0), attemptId };
+                const result = await pool.send(request, false, cancelAfter(400));
+                return result.kind === "answered"
+                    ? `${result.answer.status} ${result.answer.body.toString()}`
+                    : result.kind;
+            };
+            const endings: string[] = [];
+            for (const attemptId of ["a", "a", "b"]) {
+                endings.push(await send(attemptId));
+            }
+            const all = await Promise.all([send("c"), send("d"), send(undefined)]);
+            pool.destroy();
+            endpoint.stop();
+            expect(endings).deep.equals([`${status.slice(0, 3)} `, "200 2", "200 3"]);
+            expect(all.map(ending => ending.slice(0, 3))).deep.equals(["200", "200", "200"]);
+        });
+    }
+
     it("leave a request unsent when nothing listens", async () => {
         const endpoint = new ScriptedEndpoint(() => undefined);
         const port = await endpoint.start();
