Send nothing to whoever has got the endpoint's address without a report

Requests of a route to the first service ran at the second, and callers got its answers as successes.

Cause: a 421 names the id of whoever answers, and the node took that id for a new incarnation of its own endpoint and sent the request again. Nothing in a 421 names a service; only reports do.

Change: an id that a 421 names is taken only if it has reported to this node. Any other says that the current incarnation isn't there: the endpoint gets nothing until a report comes. Related paths: a report of another service from the endpoint's address, which was refused without a consequence, now closes the endpoint too and refuses what waits, and the health check by which a restarted node learns the id doesn't take the id of such a report. An id learnt by the health check of a restarted node alone is still trusted until such a report comes; to check it against the node's own record would need a new field in a record that nodes of format without it, and a node publishes its record again whenever it comes back in another form.

--- a/src/process/endpoint/endpointLifecycle.ts
+++ b/src/process/endpoint/endpointLifecycle.ts
@@ -68,6 +68,18 @@
         this.applyResult(this.dependencies.endpoint.recordLeaving(id), id, "leaving");
     }
 
+    /** Records that the endpoint's address has gone to one of another service, which gets no requests. */
+    recordForeign(id: string, service: string): void {
+        const { endpoint, logger, refuseWaiting, announceLoad } = this.dependencies;
+        const wasRefusing = endpoint.findRefusalReason() !== undefined;
+        endpoint.recordForeign(id);
+        if (!wasRefusing) {
+            logger.warn("endpointAddressTaken", { endpoint: id, service });
+            refuseWaiting();
+            announceLoad();
+        }
+    }
+
     /**
      * Records the limit that an answer of an incarnation names, if any. It is published when it differs much from the
      * published one, so that a later process of this node learns it.
@@ -127,7 +139,9 @@
         logger.info("endpointProbed", { ...probeResult });
         const { isHealthy, endpointId, slots } = probeResult;
         if (isHealthy && endpointId !== undefined && endpoint.getIncarnationId() === undefined) {
-            endpoint.learnIncarnation(endpointId, slots);
+            if (!endpoint.learnIncarnation(endpointId, slots)) {
+                return;
+            }
             clusterState.publishOwnRecord();
             announceLoad();
         }
--- a/src/process/endpoint/endpointReports.ts
+++ b/src/process/endpoint/endpointReports.ts
@@ -29,13 +29,17 @@
 export interface ReportHandlers {
     /** Service of the endpoint; reports of any other aren't its own. */
     readonly service: string;
+    /** Address of the endpoint, `host:port`. */
+    readonly address: string;
     readonly report: (report: EndpointReport) => void;
+    /** Called when an endpoint of another service reports from the address. */
+    readonly reportForeign: (id: string, service: string) => void;
     readonly leave: (id: string, born: number | undefined) => void;
 }
 
 /**
  * Serves one report or leave message. Answers 404 to another method or path and 400 to one that is malformed, too large or
- * of another service, which has no effect; a request whose body is cut off gets no answer.
+ * of another service, which has no other effect than that the endpoint's address is known to be taken; a request whose body is cut off gets no answer.
  */
 export async function serveEndpointReport(
     handlers: ReportHandlers,
@@ -58,7 +62,13 @@
 
 function applyReport(handlers: ReportHandlers, id: string, text: string | undefined): boolean {
     const message = text === undefined ? undefined : parseWith(reportSchema, parseJson(text));
-    if (message === undefined || message.service !== handlers.service) {
+    if (message === undefined) {
+        return false;
+    }
+    if (message.service !== handlers.service) {
+        if (message.address === handlers.address) {
+            handlers.reportForeign(id, message.service);
+        }
         return false;
     }
     const { slots, state, reportNumber, born } = message;
--- a/src/process/endpoint/endpointRunner.ts
+++ b/src/process/endpoint/endpointRunner.ts
@@ -257,7 +257,7 @@
         }
         const run = this.dependencies.runs.start(request.attemptId, request.origin, request.route);
         let result = await this.send(request, timeLeftMs, runCancellation);
-        if (this.learnIncarnation(result)) {
+        if (this.recordMisdirected(result)) {
             result = await this.send(request, timeLeftMs, runCancellation);
         }
         this.dependencies.runs.end(request.attemptId, run);
@@ -307,21 +307,22 @@
     }
 
     /**
-     * Records the endpoint's incarnation if the endpoint refused the request (421, misdirected) because the request
-     * names another one. Returns whether the request can be sent to the new incarnation.
+     * Records who is at the endpoint's address if the request was refused there (421, misdirected) because it names another
+     * incarnation. Returns whether the request can be sent again, to that one.
      */
-    private learnIncarnation(result: SendResult): boolean {
+    private recordMisdirected(result: SendResult): boolean {
         if (result.kind !== "answered" || result.answer.status !== 421) {
             return false;
         }
-        const { endpointId, load } = result.answer.metadata;
+        const { endpointId } = result.answer.metadata;
         const { endpoint, logger } = this.dependencies;
         const before = endpoint.getIncarnationId();
-        if (endpointId === undefined || !endpoint.learnIncarnation(endpointId, load?.slots)) {
+        if (endpointId === undefined || endpointId === before) {
             return false;
         }
-        logger.info("endpointLearned", { endpoint: endpointId, before });
-        return endpoint.findRefusalReason() === undefined;
+        const isOwn = endpoint.recordOther(endpointId);
+        logger.info(isOwn ? "endpointLearned" : "endpointAbsent", { endpoint: endpointId, before });
+        return isOwn;
     }
 
     private readResult(request: RunRequest, result: SendResult, startedAt: number, run: RunInProgress): RunOutcome {
--- a/src/process/endpoint/endpointState.ts
+++ b/src/process/endpoint/endpointState.ts
@@ -5,6 +5,9 @@
  * Reports are ordered within an incarnation by their number. A late report of an incarnation that was replaced does not
  * make it current again. Once an incarnation has stated that it drains or leaves, it gets no more requests.
  *
+ * Reports name the service, so only they tell which incarnations are this endpoint's. After an endpoint has ended, its address may
+ * go to one of another service; an answer that names an unknown id says only that the current incarnation isn't there.
+ *
  * An endpoint may start again under the id that it had. Its reports then state a later start, and nothing that was known of
  * the id before holds. Other nodes and later processes of this node get the start with the id, as one opaque text.
  */
@@ -60,6 +63,10 @@
     private readonly incarnations = new Map<string, Incarnation>();
     private current: Incarnation | undefined;
     private leaving: Incarnation | undefined;
+    /** Whether another process than the current incarnation was met at the endpoint's address. */
+    private isAbsent = false;
+    /** Id of an endpoint of another service that has got the address. */
+    private foreignId: string | undefined;
     /** Monotonic time in milliseconds until which no requests are sent after a refused connection. */
     private unreachableUntil = 0;
 
@@ -108,6 +115,9 @@
         if (this.current.isLeaving) {
             return "leaving";
         }
+        if (this.isAbsent) {
+            return "notKnown";
+        }
         return this.clock.readMonotonic() < this.unreachableUntil ? "away" : undefined;
     }
 
@@ -128,6 +138,7 @@
             return "stale";
         }
         this.unreachableUntil = 0;
+        this.isAbsent = false;
         if (incarnation !== this.current) {
             this.setCurrent(incarnation);
             return "started";
@@ -187,8 +198,11 @@
         this.findOrAdd(id, born)?.namedLimit.restore(perSecond, this.clock.readMonotonic());
     }
 
-    /** Makes the incarnation that answered a request or health check the current one; false if it already was. */
+    /** Makes the incarnation that answered a health check the current one; false if it already was, or is of another service. */
     learnIncarnation(id: string, slots: number | undefined): boolean {
+        if (id === this.foreignId) {
+            return false;
+        }
         const incarnation = this.incarnations.get(id) ?? this.addIncarnation(id, undefined);
         if (slots !== undefined && slots > 0 && incarnation.slots === 0) {
             incarnation.slots = slots;
@@ -200,6 +214,29 @@
         return true;
     }
 
+    /**
+     * Records that a process with this id answered in the place of the current incarnation. One that has reported takes its
+     * place. One that hasn't may be of another service: the endpoint is absent until a report comes. Returns whether requests
+     * can be sent to the process.
+     */
+    recordOther(id: string): boolean {
+        const incarnation = this.incarnations.get(id);
+        if (incarnation === undefined || incarnation.reportNumber < 0) {
+            this.isAbsent = true;
+            return false;
+        }
+        if (incarnation !== this.current) {
+            this.setCurrent(incarnation);
+        }
+        return this.findRefusalReason() === undefined;
+    }
+
+    /** Records that the address has gone to an endpoint of another service, with this id. */
+    recordForeign(id: string): void {
+        this.foreignId = id;
+        this.isAbsent = true;
+    }
+
     /** Records that the endpoint refused a connection, so that it gets no requests for a short time. */
     recordConnectionRefused(): void {
         this.unreachableUntil = this.clock.readMonotonic() + connectionRefusedBackoffMs;
@@ -218,6 +255,7 @@
         }
         incarnation.isReplaced = false;
         this.current = incarnation;
+        this.isAbsent = false;
         if (incarnation.isLeaving) {
             this.leaving = incarnation;
         }
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -190,6 +190,8 @@
             entry: this.createEntryDependencies(),
             reports: {
                 service: settings.service,
+                address: `${endpoint.address.host}:${endpoint.address.port}`,
+                reportForeign: (id, service) => this.endpointLifecycle.recordForeign(id, service),
                 report: report => this.endpointLifecycle.applyReport(report),
                 leave: (id, born) => this.endpointLifecycle.applyLeave(id, born),
             },
--- a/test/routed/cluster.test.ts
+++ b/test/routed/cluster.test.ts
@@ -3,6 +3,7 @@
 import type { CallerAnswer, Machine } from "../../standin/platformCluster.js";
 import { PlatformCluster } from "../../standin/platformCluster.js";
 import type { StoreFaults } from "../../standin/platformStore.js";
+import { PlatformUpstream } from "../../standin/platformUpstream.js";
 import { sleep, waitFor } from "../../standin/processes.js";
 import { createRoute, formatConfiguration } from "./samples.js";
 
@@ -397,6 +398,29 @@
         await cluster.waitForInstances();
     });
 
+    // ROUTE: requests ran at an upstream of another service that had got the address of one that was gone.
+    it("send an upstream of another service nothing though it has got the address of their own", async () => {
+        kas2!.upstream.endAbruptly();
+        const ended = kas2!.endNode("SIGTERM");
+        const foreign = new PlatformUpstream({ ...kas2!.upstream.plan, service: "ekspor" });
+        foreign.id = "i-ekspor";
+        foreign.fixedId = "i-ekspor";
+        await foreign.start();
+        const statuses = new Set<number>();
+        for (let index = 0; index < 30; index += 1) {
+            statuses.add((await postAdvance(katalog2!, `reused${index}`)).status);
+            await sleep(30);
+        }
+        await ended;
+        foreign.endAbruptly();
+        await kas2!.upstream.start();
+        kas2!.startNode();
+        await waitFor(() => kas2!.isReady(), 5000, "restarted node");
+        await cluster.waitForInstances();
+        expect(foreign.runs).deep.equals([]);
+        expect([...statuses]).deep.equals([200]);
+    });
+
     // LOST: callers that go on sending to a stopping node were cut at its end, while upstreams were at work for them.
     it("answer or refuse whatever a stopping node takes, though its callers go on until it has ended", async () => {
         [kas1!, kas2!].forEach(machine => machine.upstream.runMs = 250);
--- a/test/routed/endpointReports.test.ts
+++ b/test/routed/endpointReports.test.ts
@@ -20,7 +20,11 @@
 };
 
 /** Serves one message; returns the status of its answer and what reached the handlers. */
-async function serve(path: string, body: string | Buffer): Promise<{ status: number; taken: unknown[]; }> {
+async function serve(
+    path: string,
+    body: string | Buffer,
+    foreign: string[] = [],
+): Promise<{ status: number; taken: unknown[]; }> {
     const bytes = Buffer.from(body);
     const headers = { "content-length": String(bytes.length) };
     const request = Object.assign(Readable.from(bytes.length === 0 ? [] : [bytes]), {
@@ -34,7 +38,9 @@
     await serveEndpointReport(
         {
             service: "katalog",
+            address: "10.0.0.9:8080",
             report: report => taken.push(report),
+            reportForeign: id => foreign.push(id),
             leave: (id, born) => taken.push({ id, born }),
         },
         request as unknown as IncomingMessage,
@@ -43,6 +49,84 @@
     return { status, taken };
 }
 
+// ROUTE: an upstream of another service that had got the address was taken for the node's own.
+describe("who answers at the endpoint's address", () => {
+    const report = (state: EndpointState, id: string, reportNumber = 1): unknown =>
+        state.applyReport({ id, slots: 10, state: "ready", reportNumber });
+    const cases: readonly {
+        readonly name: string;
+        readonly play: (state: EndpointState) => unknown;
+        readonly refusal: "notKnown" | undefined;
+        readonly current: string;
+    }[] = [
+        {
+            name: "is nobody's endpoint if it hasn't reported",
+            play: state => state.recordOther("b"),
+            refusal: "notKnown",
+            current: "a",
+        },
+        {
+            name: "is the endpoint again once it reports",
+            play: state => {
+                state.recordOther("b");
+                report(state, "b");
+            },
+            refusal: undefined,
+            current: "b",
+        },
+        {
+            name: "is the endpoint if it has reported before",
+            play: state => {
+                report(state, "b");
+                report(state, "c");
+                state.recordOther("b");
+            },
+            refusal: undefined,
+            current: "b",
+        },
+        {
+            name: "is the endpoint as before if that goes on reporting",
+            play: state => {
+                state.recordOther("b");
+                report(state, "a", 2);
+            },
+            refusal: undefined,
+            current: "a",
+        },
+        {
+            name: "is of another service if it says so",
+            play: state => state.recordForeign("b"),
+            refusal: "notKnown",
+            current: "a",
+        },
+        {
+            name: "is of another service though its health is good",
+            play: state => {
+                state.recordForeign("b");
+                state.learnIncarnation("b", 10);
+            },
+            refusal: "notKnown",
+            current: "a",
+        },
+    ];
+    for (const { name, play, refusal, current } of cases) {
+        it(name, () => {
+            const state = new EndpointState(new FakeClock());
+            report(state, "a");
+            play(state);
+            expect([state.findRefusalReason(), state.getIncarnationId()]).deep.equals([refusal, current]);
+        });
+    }
+
+    it("is told by a report of another service from that address only", async () => {
+        const foreign: string[] = [];
+        for (const [id, address] of [["i-7", valid.address], ["i-8", "10.0.0.8:8080"]]) {
+            await serve(`/endpoint/${id}/report`, JSON.stringify({ ...valid, service: "kas", address }), foreign);
+        }
+        expect(foreign).deep.equals(["i-7"]);
+    });
+});
+
 describe("a report of an endpoint", () => {
     const { slots, state, reportNumber, born } = valid;
     const takenCases: readonly { readonly name: string; readonly body: unknown; readonly born: number | undefined; }[] =
