Know an endpoint by its health check, and place what an absent one refuses

A node that was just restarted knows its endpoint by the health check alone; when a late report then named an older incarnation, requests were refused as shed, which a restarted node has no budget to place again, and got 503.

--- a/src/process/endpoint/endpointRunner.ts
+++ b/src/process/endpoint/endpointRunner.ts
@@ -347,6 +347,9 @@
     private readAnswer(request: RunRequest, answer: EndpointAnswer, runMs: number, run: RunInProgress): RunOutcome {
         const { status, headers, body, metadata: facts } = answer;
         this.recordShedding(facts.isNotRun, status);
+        if (status === 421 && this.dependencies.endpoint.findRefusalReason() === "notKnown") {
+            return this.refuse(request, "notKnown", unavailableRetryAfterMs);
+        }
         if (facts.isNotRun || status === 421) {
             return this.refuse(request, "shed", this.estimateRetryAfterMs());
         }
--- a/src/process/endpoint/endpointState.ts
+++ b/src/process/endpoint/endpointState.ts
@@ -54,6 +54,8 @@
     /** Whether it has reported that it drains or leaves. */
     isLeaving: boolean;
     readonly namedLimit: NamedLimit;
+    /** Whether its report or health check has named it; what a refused request names may be of another service. */
+    isOwn: boolean;
     /** Whether another incarnation has taken its place. */
     isReplaced: boolean;
 }
@@ -130,6 +132,7 @@
         const wasLeaving = incarnation.isLeaving;
         const slotsBefore = incarnation.slots;
         incarnation.reportNumber = report.reportNumber;
+        incarnation.isOwn = true;
         incarnation.slots = report.slots;
         if (report.state === "draining") {
             this.markLeaving(incarnation);
@@ -207,6 +210,7 @@
         if (slots !== undefined && slots > 0 && incarnation.slots === 0) {
             incarnation.slots = slots;
         }
+        incarnation.isOwn = true;
         if (incarnation === this.current) {
             return false;
         }
@@ -215,13 +219,13 @@
     }
 
     /**
-     * Records that a process with this id answered in the place of the current incarnation. One that has reported takes its
-     * place. One that hasn't may be of another service: the endpoint is absent until a report comes. Returns whether requests
-     * can be sent to the process.
+     * Records that a process with this id answered in the place of the current incarnation. One that is known as the node's own
+     * takes its place. Any other may be of another service: the endpoint is absent until a report comes. Returns whether
+     * requests can be sent to the process.
      */
     recordOther(id: string): boolean {
         const incarnation = this.incarnations.get(id);
-        if (incarnation === undefined || incarnation.reportNumber < 0) {
+        if (incarnation?.isOwn !== true) {
             this.isAbsent = true;
             return false;
         }
@@ -283,6 +287,7 @@
             slots: 0,
             isLeaving: false,
             namedLimit: new NamedLimit(),
+            isOwn: false,
             isReplaced: false,
         };
         this.incarnations.set(id, incarnation);
--- a/test/routed/endpointReports.test.ts
+++ b/test/routed/endpointReports.test.ts
@@ -84,6 +84,16 @@
             refusal: undefined,
             current: "b",
         },
+        {
+            name: "is the endpoint if its health check has named it, though a late report names an old one",
+            play: state => {
+                state.learnIncarnation("b", 10);
+                report(state, "c");
+                state.recordOther("b");
+            },
+            refusal: undefined,
+            current: "b",
+        },
         {
             name: "is the endpoint as before if that goes on reporting",
             play: state => {
