Take no instance record whose address can't be dialled or whose revision is absurd

What was reported by another operator: one odd entry among those of the instances, and the machines that read the list ended again and again.

Cause: the runtime throws on a host with a NUL before it looks it up, openLinkSocket() passes that on as a rejection that nobody handles, and an unhandled rejection ends the process, also the next ones, since the record stays. A name in place of an address cost a look-up each second. A record with the highest whole number as revision was taken too: the instance could not put a newer one above it, since its own would have been refused as too large.

Change: an address is an IP address, a revision at most 2^52. Records that are nested 200,000 deep, hold a number too large or a port out of range were refused before too; they stand in the table now.

--- a/src/version/instanceRecord.ts
+++ b/src/version/instanceRecord.ts
@@ -2,12 +2,19 @@
  * Record that a node publishes about its instance, on the keyed log and over links. Its key is the address. Whatever way
  * records of an address take, the one with the highest revision is the newest.
  */
+import { isIP } from "node:net";
 import * as v from "valibot";
 import { createIntegerSchema, parseJson, parseWith, shortTextSchema } from "./schema.js";
 
+/**
+ * Largest revision. Revisions begin with a wall-clock time in microseconds, so no node reaches it; it leaves room above for a node
+ * to make its record newer than any other that is taken.
+ */
+const maxRevision = 2 ** 52;
+
 const recordSchema = v.object({
-    /** IP address of the instance. */
-    address: shortTextSchema,
+    /** IP address of the instance. Anything else can't be dialled, and a runtime may throw on it. */
+    address: v.pipe(v.string(), v.check(text => isIP(text) !== 0, "an IP address")),
     /** Port on which the node accepts links. */
     port: createIntegerSchema(1, 65_535),
     service: shortTextSchema,
@@ -27,7 +34,7 @@
         perSecond: v.optional(v.pipe(v.number(), v.minValue(0))),
     })),
     /** Rises with each change of the record, also over restarts of the node. */
-    revision: v.optional(createIntegerSchema(0, Number.MAX_SAFE_INTEGER), 0),
+    revision: v.optional(createIntegerSchema(0, maxRevision), 0),
 });
 
 /** One instance as described by its own node. */
--- a/test/routed/instanceRecords.test.ts
+++ b/test/routed/instanceRecords.test.ts
@@ -19,6 +19,11 @@
 const sound = createRecord("10.0.0.9");
 const soundText = formatInstanceRecord(sound);
 
+/** Text of the record of 10.0.0.8 with odd fields. */
+function formatOdd(change: Partial<InstanceRecord>): string {
+    return formatInstanceRecord(createRecord("10.0.0.8", change));
+}
+
 /** What a node knows after it has read records, which it gets as the newest ones of the log. */
 async function readRecords(records: readonly (readonly [key: string, value: string])[]): Promise<{
     readonly known: ReadonlyMap<string, InstanceRecord>;
@@ -72,6 +77,26 @@
         { name: "has no key", key: "", value: formatInstanceRecord(createRecord("10.0.0.8")) },
         { name: "has no value", key: "10.0.0.8", value: "" },
         { name: "is null", key: "10.0.0.8", value: "null" },
+        // Another writer's odd entry ended the nodes that read it, or kept an instance's own records from being taken.
+        { name: "is very deeply nested", key: "10.0.0.8", value: "[".repeat(200_000) + "]".repeat(200_000) },
+        {
+            name: "has a deeply nested field",
+            key: "10.0.0.8",
+            value: soundText.replace("\"katalog\"", "[".repeat(100_000) + "]".repeat(100_000)),
+        },
+        { name: "has a port out of range", key: "10.0.0.8", value: formatOdd({ port: 70_000 }) },
+        { name: "has a number too large", key: "10.0.0.8", value: formatOdd({ slots: 7 }).replace("7,", "1e999,") },
+        {
+            name: "has a revision beyond any clock's",
+            key: "10.0.0.8",
+            value: formatOdd({ revision: Number.MAX_SAFE_INTEGER }),
+        },
+        {
+            name: "has no IP address that can be dialled",
+            key: "10.0.0.8\u0000",
+            value: formatOdd({ address: "10.0.0.8\u0000" }),
+        },
+        { name: "has a name for an address", key: "weaver", value: formatOdd({ address: "weaver" }) },
     ];
     for (const { name, key, value } of cases) {
         it(`names nobody when it ${name}, and the others hold`, async () => {
