Show that an answer that ends in its head is never taken for a whole one

Reported by another operator: an upstream stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole (MIXED). Tried here at every byte of the head, in two pieces, for answers with a length, in chunks and without a length: none is taken on this code, so there is nothing to fix on the routed path. The table stays, 3 cases that pass.

--- a/test/routed/endpointConnection.test.ts
+++ b/test/routed/endpointConnection.test.ts
@@ -344,6 +344,47 @@
         expect(kinds).deep.equals(["lost", "answered", "answered", "answered"]);
     });
 
+    // MIXED: an answer that ended in the middle of its head was passed on as a whole one with an empty or short body.
+    const framings = [
+        { name: "a length", fields: "Content-Length: 4\r\n", body: "body" },
+        { name: "chunks", fields: "Transfer-Encoding: chunked\r\n", body: "4\r\nbody\r\n0\r\n\r\n" },
+        { name: "no length", fields: "Note: rugs\r\n", body: "body" },
+    ];
+    for (const { name, fields, body } of framings) {
+        it(`with ${name} that end at any byte of their head are not taken`, async () => {
+            const head = `HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nUpstream-Signature: s\r\n${fields}\r\n`;
+            const whole = head + body;
+            let cutAt = 0;
+            const endpoint = new ScriptedEndpoint(socket => {
+                const middle = Math.floor(cutAt / 2);
+                socket.setNoDelay(true);
+                socket.write(whole.slice(0, middle));
+                setTimeout(() => socket.end(whole.slice(middle, cutAt)), cutAt % 2);
+            });
+            const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+            const request = {
+                method: "GET",
+                path: "/",
+                headers: ["Attempt-Id", "a"],
+                body: Buffer.alloc(0),
+                attemptId: "a",
+            };
+            const taken: string[] = [];
+            for (cutAt = 0; cutAt < head.length; cutAt += 1) {
+                const result = await pool.send(request, true, cancelAfter(400));
+                if (result.kind === "answered") {
+                    taken.push(whole.slice(0, cutAt));
+                }
+            }
+            cutAt = whole.length;
+            const last = await pool.send(request, true, cancelAfter(400));
+            pool.destroy();
+            endpoint.stop();
+            expect(taken).deep.equals([]);
+            expect(last.kind === "answered" ? last.answer.body.toString() : last.kind).equals("body");
+        });
+    }
+
     // TWICE, REFUSED: a late copy of a rejection counted as the answer to the next offer of the same attempt, which ran.
     const failures = ["503 Busy", "421 Misdirected", "500 Failed"];
     for (const status of failures) {
