Close a connection of the own interface on which an endpoint refused a request

Reported by another operator: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told "not run" for what an upstream had run (REFUSED), or it ran at a second one (TWICE). The own interface has the same cause in a wider form: its endpoint's answers name no request, so the copy of any earlier refusal stood for the answer to the next request on the connection.

Change: HttpPool settles a refusal by its headers and closes the connection, so that nothing of it can be met later. Copies of answers to requests that ran are not told apart by this; the own interface's endpoint would have to name the request in its answers (open).

--- a/src/connection/httpPool.ts
+++ b/src/connection/httpPool.ts
@@ -43,7 +43,15 @@
 export class HttpPool {
     private readonly pool: Pool;
 
-    constructor(origin: string, private readonly maxBodyBytes: number) {
+    /**
+     * `isRefusal` tells by its headers an answer that says that the request was not run. Its body isn't read, and its
+     * connection is closed: answers name no request, so a copy of it that comes late would stand for the answer to the next.
+     */
+    constructor(
+        origin: string,
+        private readonly maxBodyBytes: number,
+        private readonly isRefusal: (headers: HeaderList) => boolean = () => false,
+    ) {
         this.pool = new Pool(origin, {
             pipelining: 1,
             connect: { timeout: connectTimeoutMs },
@@ -57,7 +65,7 @@
     /** Sends a request and reads the complete answer. Never rejects. */
     send(call: HttpCall): Promise<HttpAnswer | HttpFailure> {
         return new Promise(resolve => {
-            const exchange = new Exchange(call, this.maxBodyBytes, resolve);
+            const exchange = new Exchange(call, this.maxBodyBytes, this.isRefusal, resolve);
             this.pool.dispatch(
                 {
                     method: call.method as Dispatcher.HttpMethod,
@@ -97,6 +105,7 @@
     constructor(
         private readonly call: HttpCall,
         private readonly maxBodyBytes: number,
+        private readonly isRefusal: (headers: HeaderList) => boolean,
         private readonly resolve: (result: HttpAnswer | HttpFailure) => void,
     ) {
         this.timer = setTimeout(() => {
@@ -118,6 +127,10 @@
     onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
         this.status = status;
         this.headers = readRawHeaders(controller);
+        if (this.isRefusal(this.headers)) {
+            this.onResponseEnd();
+            controller.abort(new Error("the request was refused"));
+        }
     }
 
     onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/src/process/endpoint/localEndpoint.ts
+++ b/src/process/endpoint/localEndpoint.ts
@@ -9,6 +9,7 @@
 import { createNotRunAnswer, createUnknownAnswer } from "../../request/answer.js";
 import type { Call } from "../../request/call.js";
 import type { CallRunner } from "../../request/dispatcher.js";
+import type { HeaderList } from "../../request/headers.js";
 import { copyForwardedHeaders, headerNames } from "../../request/headers.js";
 import type { Clock } from "../base/clock.js";
 import type { Admission, Release } from "../load/admission.js";
@@ -63,7 +64,7 @@
         maxBodyBytes: number,
         private readonly dependencies: LocalEndpointDependencies,
     ) {
-        this.pool = new HttpPool(url, maxBodyBytes);
+        this.pool = new HttpPool(url, maxBodyBytes, isRefusal);
     }
 
     /** Accepts an announcement, which the endpoint repeats every second. */
@@ -186,7 +187,7 @@
         if (result.kind !== "answered") {
             return this.handleFailure(call, result, unspent);
         }
-        if (findLowerCaseHeader(result.headers, headerNames.outcome) === "not-run") {
+        if (isRefusal(result.headers)) {
             const retryAfterMs = Number(
                 findLowerCaseHeader(result.headers, headerNames.retryAfterMs) ?? notReadyRetryAfterMs,
             );
@@ -247,6 +248,11 @@
     }
 }
 
+/** Whether the endpoint states that it did not run the request. */
+function isRefusal(headers: HeaderList): boolean {
+    return findLowerCaseHeader(headers, headerNames.outcome) === "not-run";
+}
+
 /**
  * Creates the headers of a run's request. The endpoint sends the run token with its calls to other services. The class
  * header has the class of this call, which the run that made the call may set to another one than the action's class.
--- /dev/null
+++ b/test/httpPool.test.ts
@@ -0,0 +1,49 @@
+/** What the client of the own interface's endpoint makes of answers that come twice or don't come whole. */
+import { expect } from "chai";
+import type { AddressInfo, Socket } from "node:net";
+import { createServer } from "node:net";
+import { HttpPool } from "../src/connection/httpPool.js";
+import { headerNames } from "../src/request/headers.js";
+
+const refusal = `HTTP/1.1 503 Busy\r\n${headerNames.outcome}: not-run\r\nContent-Length: 4\r\n\r\nbusy`;
+const isRefusal = (headers: readonly string[]): boolean => headers.includes("not-run");
+
+/** Sends requests one after the other to an endpoint that a script plays; describes how each ended. */
+async function runRequests(
+    count: number,
+    answer: (socket: Socket, request: number, previous: Socket | undefined) => void,
+): Promise<string[]> {
+    let requests = 0;
+    let previous: Socket | undefined;
+    const server = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.on("data", () => {
+            requests += 1;
+            answer(socket, requests, previous);
+            previous = socket;
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const pool = new HttpPool(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, 1_000_000, isRefusal);
+    const endings: string[] = [];
+    for (let index = 0; index < count; index += 1) {
+        const call = { method: "POST", path: "/", headers: [], body: Buffer.alloc(0), timeoutMs: 1000 };
+        const result = await pool.send(call);
+        endings.push(result.kind === "answered" ? `${result.status} ${result.body.toString()}` : result.kind);
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+    await pool.destroy();
+    server.close();
+    return endings;
+}
+
+describe("answers of the own interface's endpoint", () => {
+    // REFUSED, TWICE: an earlier refusal that came again late stood for the answer to a request that ran.
+    it("that refused an earlier request and come again late are no answer to the next", async () => {
+        const endings = await runRequests(2, (socket, request, previous) => {
+            const copy = socket === previous ? refusal : "";
+            socket.write(request === 1 ? refusal : `${copy}HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nran`);
+        });
+        expect(endings).deep.equals(["503 ", "200 ran"]);
+    });
+});
