Take an answer of the own interface that was reset on the way for no whole one

Found while looking for the cause of reported answers that ended in their head but were framed as whole (MIXED): the library of the own interface takes a reset for the end of an answer without a length, so callers got a 200 with a part of the body.

Change: a reset gets an error code of its own before the library reads it, so the request ends as lost.

The test failed before the fix: "200 body" for each of two answers that were reset behind their first bytes, "lost" wanted.

--- a/src/connection/httpPool.ts
+++ b/src/connection/httpPool.ts
@@ -1,6 +1,7 @@
 /** HTTP client with keep-alive connections. Its failures state whether the request may have been delivered. */
+import type { Socket } from "node:net";
 import type { Dispatcher } from "undici";
-import { Pool } from "undici";
+import { buildConnector, Pool } from "undici";
 import { joinChunks } from "../request/body.js";
 import type { HeaderList } from "../request/headers.js";
 
@@ -39,6 +40,25 @@
 /** Idle timeout of a connection, in milliseconds; shorter than that of the servers, so that the client closes first. */
 const keepAliveMs = 20_000;
 
+/** Code of the error of a connection that was reset. */
+const resetCode = "ERR_CONNECTION_RESET";
+
+const connectSocket = buildConnector({ timeout: connectTimeoutMs });
+
+/**
+ * Opens a connection. The library takes a reset (by its code) for the end of an answer without a length, so a reset gets a code of its
+ * own before the library sees it.
+ */
+function openConnection(options: buildConnector.Options, callback: buildConnector.Callback): void {
+    connectSocket(options, (...result) => {
+        const socket: Socket | null = result[1];
+        socket?.on("error", (error: NodeJS.ErrnoException) => {
+            error.code = error.code === "ECONNRESET" ? resetCode : error.code ?? "";
+        });
+        callback(...result);
+    });
+}
+
 /** Pool of connections to one origin. */
 export class HttpPool {
     private readonly pool: Pool;
@@ -54,7 +74,7 @@
     ) {
         this.pool = new Pool(origin, {
             pipelining: 1,
-            connect: { timeout: connectTimeoutMs },
+            connect: openConnection,
             keepAliveTimeout: keepAliveMs,
             keepAliveMaxTimeout: keepAliveMs,
             headersTimeout: 0,
--- a/test/httpPool.test.ts
+++ b/test/httpPool.test.ts
@@ -46,4 +46,17 @@
         });
         expect(endings).deep.equals(["503 ", "200 ran"]);
     });
+
+    // MIXED: an answer without a length that was reset on the way was passed on as a whole one.
+    it("that have no length and are reset are not whole; those that end with their connection are", async () => {
+        const endings = await runRequests(4, (socket, request) => {
+            socket.write("HTTP/1.1 200 OK\r\nNote: rugs\r\n\r\nbody");
+            if (request % 2 === 0) {
+                socket.end();
+                return;
+            }
+            setTimeout(() => socket.resetAndDestroy(), 5);
+        });
+        expect(endings).deep.equals(["lost", "200 body", "lost", "200 body"]);
+    });
 });
