Carry an attempt once on a connection to the endpoint

An attempt id names the attempt, not the send, so no answer to an attempt can be told from another on the same connection.

Change: a connection remembers each attempt that it has carried, whatever the answer, and the pool never gives it one twice; after 256 attempts it is closed.

--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -4,8 +4,8 @@
  * An answer is matched to the request in progress by its attempt identifier; an answer that names another attempt is
  * skipped. The connection is closed after data without a request in progress, after a truncated answer, and after an
  * answer that arrived before the request was fully written, since the endpoint could take the remaining bytes for
- * another request. A late copy of an answer can't be told from the answer to the same attempt sent again, so an attempt that
- * failed here isn't sent here again. The connection is closed too when bytes come without end, in a head, in a body or between pieces of one.
+ * another request. A late copy of an answer can't be told from the answer to the same attempt sent again, so a connection
+ * carries an attempt once. The connection is closed too when bytes come without end, in a head, in a body or between pieces of one.
  */
 import { HTTPParser } from "http-parser-js";
 import type { Socket } from "node:net";
@@ -24,10 +24,8 @@
 const maxAnswerBytes = 67_108_864;
 /** Memory that a piece of a body takes besides its content, in bytes. It counts for the maximum, since pieces may be tiny. */
 const pieceOverheadBytes = 128;
-/** Failed attempts that a connection remembers; one that has more is not used again. */
-const maxFailedAttempts = 256;
-/** First status of answers after which an attempt may be sent again. */
-const minFailureStatus = 400;
+/** Attempts that a connection carries, since it remembers each; then it is closed. */
+const maxAttempts = 256;
 /** Maximum size of what comes without a byte of a body: heads, sizes of chunks, trailers; in bytes. */
 const maxFramingBytes = 131_072;
 /**
@@ -93,8 +91,8 @@
     private exchange: Exchange | undefined;
     private partialAnswer: PartialAnswer | undefined;
     private isOpen = true;
-    /** Attempts whose answers here were failures. */
-    private readonly failedAttempts = new Set<string>();
+    /** Attempts that this connection has carried. */
+    private readonly attempts = new Set<string>();
     /** Bytes received since the request or since the last byte of a body. */
     private framingBytes = 0;
     /** Whether the answer violates HTTP, exceeds the size limit or can't be matched to a request. */
@@ -116,18 +114,21 @@
     /** Whether the connection is open, has no request or answer in progress and can remember further attempts. */
     isReusable(): boolean {
         return this.isOpen && this.exchange === undefined && this.partialAnswer === undefined
-            && this.failedAttempts.size < maxFailedAttempts;
+            && this.attempts.size < maxAttempts;
     }
 
-    /** Whether an attempt failed on this connection before. */
-    hasFailed(attemptId: string): boolean {
-        return this.failedAttempts.has(attemptId);
+    /** Whether this connection has carried an attempt before. */
+    hasCarried(attemptId: string): boolean {
+        return this.attempts.has(attemptId);
     }
 
     /** Sends a request and reads its answer. Never rejects. Must only be called while the connection is reusable. */
     send(request: EndpointRequest): Promise<ExchangeResult> {
         return new Promise(resolve => {
             this.framingBytes = 0;
+            if (request.attemptId !== undefined) {
+                this.attempts.add(request.attemptId);
+            }
             this.exchange = {
                 attemptId: request.attemptId,
                 isBodyless: request.method === "HEAD",
@@ -264,9 +265,6 @@
             this.hasProtocolError ||= metadata.attemptId === undefined;
             return;
         }
-        if (exchange.attemptId !== undefined && partialAnswer.status >= minFailureStatus) {
-            this.failedAttempts.add(exchange.attemptId);
-        }
         this.exchange = undefined;
         this.recordIdleTimeout(partialAnswer);
         if (!partialAnswer.shouldKeepAlive || this.socket.writableLength > 0) {
--- a/src/connection/endpointConnectionPool.ts
+++ b/src/connection/endpointConnectionPool.ts
@@ -97,14 +97,14 @@
         this.busy.forEach(connection => connection.destroy());
     }
 
-    /** Takes the connection that was used last, of those on which the attempt has not failed. */
+    /** Takes the connection that was used last, of those that have not carried the attempt. */
     private takeIdle(attemptId: string | undefined, isIdempotent: boolean): EndpointConnection | undefined {
         for (let index = this.idle.length - 1; index >= 0; index -= 1) {
             const connection = this.idle[index]!;
             if (!isIdempotent && !this.isReusableWithin(connection, maxIdleForNonIdempotentMs)) {
                 return undefined;
             }
-            if (attemptId !== undefined && connection.hasFailed(attemptId)) {
+            if (attemptId !== undefined && connection.hasCarried(attemptId)) {
                 continue;
             }
             this.idle.splice(index, 1);
@@ -129,6 +129,8 @@
         if (connection.isReusable()) {
             connection.idleSince = this.clock.readMonotonic();
             this.idle.push(connection);
+            return;
         }
+        connection.destroy();
     }
 }
--- a/test/routed/endpointConnection.test.ts
+++ b/test/routed/endpointConnection.test.ts
@@ -73,6 +73,10 @@
         return (this.server.address() as AddressInfo).port;
     }
 
+    countOpen(): number {
+        return [...this.sockets].filter(socket => !socket.destroyed).length;
+    }
+
     stop(): void {
         this.sockets.forEach(socket => socket.destroy());
         this.server.close();
@@ -426,6 +430,57 @@
         });
     }
 
+    // MIXED: a late copy of an earlier answer, or the answer to an earlier offer, stood for the answer to the same attempt sent again.
+    it("to an attempt are those of its last send, however late those of earlier ones come", async () => {
+        const copies = new Map<Socket, string>();
+        const endpoint = new ScriptedEndpoint((socket, attempt, count) => {
+            const [status, delayMs] = [["200 OK", 0], ["500 Failed", 5], ["503 Busy", 40]][(count - 1) % 3]!;
+            const answer = `HTTP/1.1 ${status}\r\nAttempt-Id: ${attempt}\r\nContent-Length: 0\r\n\r\n`;
+            socket.write(copies.get(socket) ?? "");
+            setTimeout(() => {
+                socket.write(answer);
+                copies.set(socket, answer);
+            }, Number(delayMs));
+        });
+        const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+        const statuses: (number | string)[] = [];
+        for (const attemptId of ["a", "a", "a", "b", "b", "b"]) {
+            const request = {
+                method: "GET",
+                path: "/",
+                headers: ["Attempt-Id", attemptId],
+                body: Buffer.alloc(0),
+                attemptId,
+            };
+            const result = await pool.send(request, true, cancelAfter(400));
+            statuses.push(result.kind === "answered" ? result.answer.status : result.cause);
+            await sleep(10);
+        }
+        pool.destroy();
+        endpoint.stop();
+        expect(statuses).deep.equals([200, 500, 503, 200, 500, 503]);
+    });
+
+    it("are read on no more connections than are needed, and on none for ever", async () => {
+        const endpoint = new ScriptedEndpoint((socket, attempt) => socket.write(formatAnswer(attempt, attempt)));
+        const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+        for (let index = 0; index < 600; index += 1) {
+            const attemptId = `a${index}`;
+            const request = {
+                method: "GET",
+                path: "/",
+                headers: ["Attempt-Id", attemptId],
+                body: Buffer.alloc(0),
+                attemptId,
+            };
+            expect((await pool.send(request, true, cancelAfter(400))).kind).equals("answered");
+        }
+        await waitFor(async () => endpoint.countOpen() === 1, 1000, "end of the connections that are not kept");
+        pool.destroy();
+        endpoint.stop();
+        expect(endpoint.connections).within(2, 3);
+    });
+
     it("leave a request unsent when nothing listens", async () => {
         const endpoint = new ScriptedEndpoint(() => undefined);
         const port = await endpoint.start();
