Split the routed entry into the request, its returns and its records

routedEntry.ts had grown to 630 lines with the refusals of a stopping node. What a request at the entry is (entryRequest.ts), when refused callers come back (entryReturns.ts) and how ends are recorded (entryRecords.ts) are files of their own now; moves alone, no change of behaviour. 131 tests of the entry, returns, stops and customers pass.

--- a/src/process/node/routedListeners.ts
+++ b/src/process/node/routedListeners.ts
@@ -1,7 +1,7 @@
 /** The HTTP listeners of a routed node. */
 import type { RequestHandler } from "../../connection/httpServer.js";
 import { HttpListener } from "../../connection/httpServer.js";
-import type { RoutedEntryDependencies } from "../../request/routedEntry.js";
+import type { RoutedEntryDependencies } from "../../request/entryRequest.js";
 import { serveRoutedRequest } from "../../request/routedEntry.js";
 import type { ReportHandlers } from "../endpoint/endpointReports.js";
 import { serveEndpointReport } from "../endpoint/endpointReports.js";
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -2,22 +2,15 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { PipelineTurn } from "../connection/requestPipeline.js";
 import { Cancellation } from "../process/base/cancellation.js";
-import type { Clock } from "../process/base/clock.js";
-import type { CustomerQuotas } from "../process/customers/customerQuotas.js";
 import type { SpentUnit } from "../process/customers/unitHolder.js";
-import type { EntryThrottle } from "../process/load/entryThrottle.js";
-import type { ReturnSchedule } from "../process/load/returnSchedule.js";
-import type { DownstreamProblem, Origin, RunInProgress, RunsInProgress } from "../process/load/runsInProgress.js";
-import { overloadedWaitShare } from "../process/load/runsInProgress.js";
-import type { WeightedRoundRobin } from "../process/load/weightedRoundRobin.js";
-import type { Logger } from "../process/telemetry/logger.js";
-import type { RoutedMetrics } from "../process/telemetry/routedMetrics.js";
-import type { RouteContract } from "../version/configuration.js";
-import type { ConfigurationHolder } from "../version/configurationHolder.js";
+import type { Origin } from "../process/load/runsInProgress.js";
 import type { Customer, CustomerTable } from "../version/customer.js";
 import { readBody } from "./body.js";
-import type { Dialect, RequestMetadata } from "./dialect.js";
-import type { Forwarder, ForwardOutcome, ForwardResult } from "./forwarder.js";
+import type { RequestMetadata } from "./dialect.js";
+import { logRequest, recordDownstreamOutcome, recordRequestEnd } from "./entryRecords.js";
+import type { RoutedEntryDependencies, RoutedRequest } from "./entryRequest.js";
+import { computeRetryAfterMs, hasNoRoom, maxRetryShare, minRetryMs, recordRoom, takeReturn } from "./entryReturns.js";
+import type { ForwardOutcome, ForwardResult } from "./forwarder.js";
 import { createUnsentResult } from "./forwarder.js";
 import type { RoutedCall } from "./routedCall.js";
 
@@ -28,12 +21,6 @@
 const lateResultWaitMs = 40;
 /** Retry-after delay while no configuration is known, in milliseconds. */
 const notReadyRetryMs = 500;
-/** Shortest retry-after delay, in milliseconds. */
-const minRetryMs = 50;
-/** Lower bound of the estimated retry-after delay before it is spread, in milliseconds. */
-const minRetryEstimateMs = 150;
-/** Longest retry-after delay, as a share of the time that the caller has left. */
-const maxRetryShare = 1 / 3;
 /** Status that is logged when the caller disconnects; no answer is sent. */
 const callerGoneStatus = 499;
 /** Retry-after delay for requests that are refused because a downstream service is overloaded, in milliseconds. */
@@ -58,62 +45,6 @@
 /** Result of a request whose service has just refused at as many instances as one request is offered to. */
 const noRoomResult = createUnsentResult("noRoom", 0);
 
-/** Dependencies of {@link serveRoutedRequest}. */
-export interface RoutedEntryDependencies {
-    readonly clock: Clock;
-    readonly random: () => number;
-    readonly logger: Logger;
-    readonly metrics: RoutedMetrics;
-    readonly dialect: Dialect;
-    readonly configurationHolder: ConfigurationHolder;
-    readonly serviceSelector: WeightedRoundRobin;
-    readonly forwarder: Pick<Forwarder, "forward">;
-    /** Runs of the local endpoint, whose calls enter here too. */
-    readonly runs: RunsInProgress;
-    /** Refuses a share of the outside requests to routes whose downstream services are overloaded. */
-    readonly entryThrottle: Pick<EntryThrottle, "admit" | "getAdmittedFraction" | "recordAnswer">;
-    /** Reserves times for refused requests and knows them when they come back; `undefined` if it isn't called for. */
-    readonly returnSchedule?: ReturnSchedule | undefined;
-    /** Returns the share of a service's concurrency limit that is in use, as far as it is known here. */
-    readonly findUtilisation: (service: string) => number;
-    /** Limits the requests of customers with a quota. */
-    readonly quotas: Pick<CustomerQuotas, "take" | "releaseUnit">;
-    readonly stop: EntryStop;
-}
-
-/** The stop of this process, as far as requests are concerned. */
-export interface EntryStop {
-    readonly hasStarted: () => boolean;
-    /**
-     * Whether a request is taken that is answered at `deadline` (monotonic, in milliseconds) at the latest; `isCall` says that
-     * a run at the local endpoint makes it.
-     */
-    readonly canTake: (deadline: number, isCall: boolean) => boolean;
-    /** Cancelled when the process ends. */
-    readonly ending: Cancellation;
-}
-
-/** A request whose body was read and whose route was found. */
-interface RoutedRequest {
-    readonly request: IncomingMessage;
-    readonly response: ServerResponse;
-    readonly metadata: RequestMetadata;
-    readonly route: RouteContract;
-    readonly version: number;
-    readonly body: Buffer;
-    readonly startedAt: number;
-    /** Monotonic time by which the request is answered in any case, in milliseconds. */
-    readonly deadline: number;
-    /** The run that makes the call; `undefined` for a request of an outside caller. */
-    readonly parent: RunInProgress | undefined;
-    /** Customer whose key came with the request; `undefined` for a call of a run or without a key. */
-    readonly customer: Customer | undefined;
-    /** Time by which the answer meets the target, counted from the first attempt of the request as far as it is known. */
-    readonly target: number;
-    /** Whether the request came back after a refusal at the time that it was told. */
-    readonly hasReturned: boolean;
-}
-
 /**
  * Serves one request and logs its outcome, unless its body is too large. Nothing is sent or logged if the caller
  * disconnects while it sends the body, or if the connection closes before the request's turn has come.
@@ -403,92 +334,6 @@
     return status;
 }
 
-/**
- * Computes the retry-after delay in milliseconds: long enough that capacity is likely free, spread randomly so that
- * callers do not return together, and short enough that a retry can still meet the caller's deadline, but at least 50 ms.
- */
-function computeRetryAfterMs(
-    dependencies: RoutedEntryDependencies,
-    routedRequest: RoutedRequest,
-    estimateMs: number,
-): number {
-    const reservedMs = offerReturn(dependencies, routedRequest, estimateMs);
-    if (reservedMs !== undefined) {
-        return Math.max(minRetryMs, reservedMs);
-    }
-    const spent = dependencies.clock.readMonotonic() - routedRequest.startedAt;
-    const leftMs = (routedRequest.metadata.deadlineMs ?? routedRequest.route.timeoutMs) - spent;
-    const spreadMs = Math.max(minRetryEstimateMs, estimateMs) * (0.75 + dependencies.random() * 0.75);
-    return Math.max(minRetryMs, Math.min(spreadMs, leftMs * maxRetryShare));
-}
-
-/** Finds the promise that a request of a caller was given when it was refused. Without a stated end it isn't known again. */
-function takeReturn(
-    { returnSchedule }: RoutedEntryDependencies,
-    request: IncomingMessage,
-    { deadlineMs }: RequestMetadata,
-    customer: Customer | undefined,
-    startedAt: number,
-): ReturnType<ReturnSchedule["take"]> {
-    return returnSchedule === undefined || deadlineMs === undefined
-        ? undefined
-        : returnSchedule.take(describeSubject(request, customer), startedAt + deadlineMs);
-}
-
-/** Reserves a time at which the caller shall come back; `undefined` if times are not reserved for this request. */
-function offerReturn(
-    { returnSchedule }: RoutedEntryDependencies,
-    routedRequest: RoutedRequest,
-    estimateMs: number,
-): number | undefined {
-    const { request, route, customer, parent, metadata, startedAt, target } = routedRequest;
-    if (returnSchedule === undefined || parent !== undefined || metadata.deadlineMs === undefined) {
-        return undefined;
-    }
-    return returnSchedule.offerReturn({
-        subject: describeSubject(request, customer),
-        service: route.shares[0]!.service,
-        route: route.name,
-        priority: customer?.priority ?? route.priority,
-        deadline: startedAt + metadata.deadlineMs,
-        target,
-    }, estimateMs);
-}
-
-/** Describes what a caller asks for; equal for all attempts of a request. */
-function describeSubject(request: IncomingMessage, customer: Customer | undefined): string {
-    return `${customer?.name ?? ""} ${request.method} ${request.headers.host}${request.url}`;
-}
-
-/** Whether the service of a new request has just refused another wherever it was offered, so that no node needs to be asked. */
-function hasNoRoom(
-    { returnSchedule }: RoutedEntryDependencies,
-    { parent, hasReturned }: RoutedRequest,
-    { service, origin }: RoutedCall,
-): boolean {
-    return returnSchedule !== undefined && parent === undefined && !hasReturned
-        && returnSchedule.hasNoRoom(service, origin.customer, origin.priority);
-}
-
-/** Records whether a service had room for a request of a caller. */
-function recordRoom(
-    { returnSchedule }: RoutedEntryDependencies,
-    { parent, route, hasReturned }: RoutedRequest,
-    { service, origin }: RoutedCall,
-    outcome: ForwardOutcome,
-    elapsedMs: number,
-): void {
-    if (returnSchedule === undefined || parent !== undefined) {
-        return;
-    }
-    if (outcome.kind === "answer" && outcome.status < 500) {
-        returnSchedule.recordServed(route.shares[0]!.service, route.name, elapsedMs);
-    }
-    if (outcome.kind === "refused" && outcome.cause === "full" && !hasReturned) {
-        returnSchedule.recordNoRoom(service, origin.customer, origin.priority);
-    }
-}
-
 /** Sends an answer of the node itself, with an empty body. */
 function sendEmptyAnswer(response: ServerResponse, status: number, retryAfterMs: number | undefined): void {
     if (response.destroyed || response.headersSent) {
@@ -541,91 +386,3 @@
         ...(routedRequest.hasReturned ? { hasReturned: true } : {}),
     };
 }
-
-/** Reports to the run that made the call, or to the entry throttle, whether a downstream service was overloaded. */
-function recordDownstreamOutcome(
-    dependencies: RoutedEntryDependencies,
-    routedRequest: RoutedRequest,
-    call: RoutedCall,
-    outcome: ForwardOutcome,
-): void {
-    const { waitedMs, pressure: utilisation } = outcome.kind === "answer" ? outcome : { waitedMs: 0, pressure: 0 };
-    if (routedRequest.parent !== undefined) {
-        const knownUtilisation = Math.max(utilisation, dependencies.findUtilisation(call.service));
-        routedRequest.parent.recordCall(describeDownstreamProblem(outcome), waitedMs, knownUtilisation);
-        return;
-    }
-    // Only an error answer can count as overload: for a refusal or a failure, `waitedMs` is 0.
-    const hasWaitedLong = waitedMs > (call.deadline - routedRequest.startedAt) * overloadedWaitShare;
-    const hasFailed = outcome.kind !== "answer" || outcome.status >= 500;
-    const isDownstreamOverload = outcome.kind === "answer" && hasFailed && outcome.behind === "crowd";
-    const isOverloaded = isDownstreamOverload || (hasWaitedLong && hasFailed);
-    dependencies.entryThrottle.recordAnswer(
-        call.route.name,
-        call.route.priority,
-        { isOverloaded, utilisation },
-        routedRequest.startedAt,
-    );
-}
-
-/** Describes the problem that a call met: "crowd" means that the called service or one downstream was overloaded. */
-function describeDownstreamProblem(outcome: ForwardOutcome): DownstreamProblem {
-    switch (outcome.kind) {
-        case "answer":
-            return outcome.status < 500 ? "none" : outcome.behind === "crowd" ? "crowd" : "failure";
-        case "refused":
-            return outcome.cause === "full" || outcome.cause === "late" ? "crowd" : "failure";
-        case "failed":
-            return "failure";
-    }
-}
-
-function recordRequestEnd(
-    dependencies: RoutedEntryDependencies,
-    routedRequest: RoutedRequest,
-    call: RoutedCall,
-    result: ForwardResult | "gone",
-    status: number,
-    elapsedMs: number,
-): void {
-    const outcome = result === "gone" ? { kind: "gone", cause: "callerGone" } as const : result.outcome;
-    const { kind } = outcome;
-    const cause = outcome.kind === "answer" ? undefined : outcome.cause;
-    dependencies.metrics.recordRequestOutcome(call.route.name, kind, cause ?? "", elapsedMs);
-    logRequest(dependencies, kind, {
-        request: call.attemptId,
-        route: call.route.name,
-        service: call.service,
-        version: routedRequest.version,
-        customer: call.origin.customer,
-        origin: call.origin.route,
-        depth: call.origin.depth,
-        ...describeSends(result),
-        status,
-        cause,
-        returned: routedRequest.hasReturned ? true : undefined,
-        ms: Math.round(elapsedMs),
-        timeoutMs: Math.round(call.deadline - routedRequest.startedAt),
-        callsLeft: call.origin.depth === 0 ? undefined : Math.round(call.callsLeft),
-    });
-}
-
-/** Creates the log fields on the sends of a request and on its downstream calls. */
-function describeSends(result: ForwardResult | "gone"): Record<string, string | number | undefined> {
-    if (result === "gone") {
-        return {};
-    }
-    const { outcome, instance, sends, runs } = result;
-    const behind = outcome.kind === "answer" ? outcome.behind : undefined;
-    const waitedMs = outcome.kind === "answer" ? Math.round(outcome.waitedMs) : undefined;
-    return { instance, sends, runs, behind, waitedMs };
-}
-
-function logRequest(
-    dependencies: RoutedEntryDependencies,
-    outcome: string,
-    fields: Readonly<Record<string, string | number | boolean | undefined>>,
-): void {
-    const isSuccess = outcome === "answer" && (fields["status"] as number) < 500;
-    dependencies.logger[isSuccess ? "debug" : "info"]("requestEnded", { outcome, ...fields });
-}
