--- a/standin/platformCluster.ts
+++ b/standin/platformCluster.ts
@@ -47,6 +47,8 @@
     isInUse = true;
     /** Lines that the node printed. */
     log = "";
+    /** Program of the node; one of another build may stand beside others. */
+    program = "dist/platform/main.js";
 
     constructor(
         readonly address: string,
@@ -59,7 +61,7 @@
 
     /** Starts the node's process. */
     startNode(): void {
-        const node = spawn(process.execPath, [...this.nodeFlags, "dist/platform/main.js"], {
+        const node = spawn(process.execPath, [...this.nodeFlags, this.program], {
             env: { ...process.env, TURMERICSPOKE_SETTINGS: this.settingsFile },
             stdio: ["ignore", "pipe", "inherit"],
         });
