Count a request until its answer has left the process

Cause: a request was counted as ended when its handler had handed the answer to the response, and a run for another node when its outcome was written to the link's socket. What the system hadn't taken went with the process.

Change: InFlightRequests counts a request until its response is closed, and a stop goes on while messages wait on accepted links, both within the grace time as before.

The two tests failed before the fix ("not in time: getCount() === 2").

--- a/src/connection/linkServer.ts
+++ b/src/connection/linkServer.ts
@@ -51,6 +51,11 @@
         }
     }
 
+    /** Whether messages wait in this process until other nodes read them. */
+    hasUnsent(): boolean {
+        return [...this.sockets].some(socket => socket.writableLength > 0);
+    }
+
     /** Stops accepting links and closes the open ones. */
     stop(): void {
         this.server.close();
--- a/src/process/node/gracefulStop.ts
+++ b/src/process/node/gracefulStop.ts
@@ -35,7 +35,7 @@
     readonly isEndpointClosed: boolean;
     /** Whether another instance of the same service takes work. */
     readonly hasOtherInstance: boolean;
-    /** Requests that this node received from callers, plus runs at its endpoint. */
+    /** Requests of callers that have not read their answers, plus runs at its endpoint; outcomes on their way count too. */
     readonly inProgress: number;
 }
 
--- a/src/process/node/inFlightRequests.ts
+++ b/src/process/node/inFlightRequests.ts
@@ -16,16 +16,15 @@
         return this.requests;
     }
 
-    /** Wraps a handler so that its requests are counted. */
+    /**
+     * Wraps a handler so that its requests are counted, until their answers have left the process or their callers have: what
+     * a caller has still to read is lost with the process.
+     */
     track(handler: RequestHandler): RequestHandler {
-        return async (request, response, turn) => {
+        return (request, response, turn) => {
             this.requests += 1;
-            try {
-                await handler(request, response, turn);
-            }
-            finally {
-                this.requests -= 1;
-            }
+            response.once("close", () => this.requests -= 1);
+            return handler(request, response, turn);
         };
     }
 
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -243,7 +243,8 @@
             const step = this.gracefulStop.decideStep({
                 isEndpointClosed: this.isEndpointClosed,
                 hasOtherInstance: this.hasOtherInstance(),
-                inProgress: this.inFlightRequests.getCount() + this.runner.getLoad().running,
+                inProgress: this.inFlightRequests.getCount() + this.runner.getLoad().running
+                    + (this.linkServer.hasUnsent() ? 1 : 0),
             });
             if (step === "end") {
                 break;
--- a/test/routed/gracefulStop.test.ts
+++ b/test/routed/gracefulStop.test.ts
@@ -1,6 +1,12 @@
 /** Steps of a graceful stop, in virtual time, and what the entry does with requests meanwhile. */
 import { expect } from "chai";
+import { connect } from "node:net";
+import { HttpListener } from "../../src/connection/httpServer.js";
+import { LinkServer } from "../../src/connection/linkServer.js";
+import { SystemClock } from "../../src/process/base/clock.js";
 import { decideStopStep, GracefulStop } from "../../src/process/node/gracefulStop.js";
+import { InFlightRequests } from "../../src/process/node/inFlightRequests.js";
+import { sleep } from "../../standin/processes.js";
 import { FakeClock } from "../fakes.js";
 import { EntryPlay, formatRequest, waitUntil } from "./entryPlay.js";
 import { createRoute, formatConfiguration } from "./samples.js";
@@ -160,3 +166,59 @@
         await play.stop();
     });
 });
+
+// LOST: a process ended while callers were still reading the answers that it held.
+describe("answers that callers still read", () => {
+    const port = 8315;
+    const address = `127.1.${1 + process.pid % 250}.1`;
+    /** More than the buffers of the system take. */
+    const largeAnswer = Buffer.alloc(32_000_000, "rug ");
+
+    it("count as requests in progress until they have left the process, or their caller has", async () => {
+        const inFlight = new InFlightRequests(new SystemClock());
+        const listener = new HttpListener(
+            inFlight.track(async (_request, response) => void response.end(largeAnswer)),
+            16_384,
+            () => undefined,
+        );
+        await listener.start(address, port);
+        const callers = [connect(port, address), connect(port, address)];
+        for (const caller of callers) {
+            caller.pause();
+            caller.write(formatRequest("GET", "/", []));
+        }
+        await waitUntil(() => inFlight.getCount() === 2);
+        await sleep(100);
+        expect(inFlight.getCount()).equals(2);
+        callers[0]!.resume();
+        await waitUntil(() => inFlight.getCount() === 1);
+        callers[1]!.destroy();
+        await waitUntil(() => inFlight.getCount() === 0);
+        callers[0]!.destroy();
+        await listener.stop();
+    });
+
+    it("and outcomes on links count until they have left the process", async () => {
+        const server = new LinkServer({
+            createHello: () => ({ kind: "hello", address, incarnation: 1, version: 1, record: "x" }),
+            handleHello: () => undefined,
+            run: () => undefined,
+            cancel: () => undefined,
+            handleMessage: () => undefined,
+            reportFailure: () => undefined,
+        });
+        await server.start(address, port);
+        const peer = connect(port, address);
+        peer.pause();
+        await waitUntil(() => peer.readyState === "open");
+        expect(server.hasUnsent()).equals(false);
+        await waitUntil(() => {
+            server.postToAll({ kind: "configuration", text: "x".repeat(8_000_000) });
+            return server.hasUnsent();
+        });
+        peer.resume();
+        await waitUntil(() => !server.hasUnsent());
+        peer.destroy();
+        server.stop();
+    });
+});
