Log where an answer came from, and answers that nobody waited for

requestEnded now has answeredBy, send, connection and signature, and is logged at level info also for a success that took more than one send. The node beside the endpoint logs answerSkipped and answerUnasked with the number of the connection, and counts both. On links an answer carries the number of its connection, optional for its reader and behind the place that builds before used otherwise. Nothing that is decided has changed. Tests: stray answers and their connections, sources of answers, messages of earlier builds.

--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -17,6 +17,7 @@
 import type { AnswerBudget, BudgetedAnswer } from "./answerBudget.js";
 import type { SimpleAnswer } from "./simpleAnswer.js";
 import { parseSimpleAnswer } from "./simpleAnswer.js";
+import type { StrayAnswers } from "./strayAnswers.js";
 
 /** Timeout for opening a connection, in milliseconds. */
 const connectTimeoutMs = 600;
@@ -52,6 +53,8 @@
     readonly headers: HeaderList;
     readonly body: Buffer;
     readonly metadata: AnswerMetadata;
+    /** Number of the connection that it came on, counted from 1 in this process. */
+    readonly connection: number;
 }
 
 /**
@@ -82,6 +85,13 @@
     readonly shouldKeepAlive: boolean;
 }
 
+/** What the connections to one endpoint share. */
+export interface EndpointConnectionContext {
+    readonly dialect: Dialect;
+    readonly budget: AnswerBudget;
+    readonly strayAnswers: Pick<StrayAnswers, "recordSkipped" | "recordUnasked">;
+}
+
 /** An open connection to the endpoint. */
 export class EndpointConnection implements BudgetedAnswer {
     /** Monotonic time at which the connection became idle, in milliseconds; set by the pool. */
@@ -102,8 +112,9 @@
 
     constructor(
         private readonly socket: Socket,
-        private readonly dialect: Dialect,
-        private readonly budget: AnswerBudget,
+        /** Number of the connection, counted from 1 in this process. */
+        private readonly number: number,
+        private readonly context: EndpointConnectionContext,
     ) {
         socket.setNoDelay(true);
         socket.on("end", () => this.readEnd());
@@ -157,6 +168,7 @@
             return;
         }
         if (this.exchange === undefined) {
+            this.context.strayAnswers.recordUnasked(this.number);
             this.fail("garbled");
             return;
         }
@@ -243,18 +255,19 @@
         partialAnswer.bytes += bytes;
         partialAnswer.chunks.push(Buffer.from(chunk));
         this.hasProtocolError ||= partialAnswer.bytes > maxAnswerBytes;
-        this.budget.add(this, bytes);
+        this.context.budget.add(this, bytes);
     }
 
     private finishAnswer(): void {
         const { partialAnswer, exchange } = this;
         this.partialAnswer = undefined;
-        this.budget.release(this);
+        this.context.budget.release(this);
         if (partialAnswer === undefined || partialAnswer.status < 200 || this.hasProtocolError) {
             return;
         }
-        const metadata = this.dialect.readAnswer(partialAnswer.headers);
+        const metadata = this.context.dialect.readAnswer(partialAnswer.headers);
         if (exchange === undefined) {
+            this.context.strayAnswers.recordUnasked(this.number);
             this.hasProtocolError = true;
             return;
         }
@@ -263,6 +276,12 @@
             // A duplicate or late answer to an earlier request is skipped. An answer without an attempt identifier
             // can't be matched to a request, so it closes the connection.
             this.hasProtocolError ||= metadata.attemptId === undefined;
+            this.context.strayAnswers.recordSkipped({
+                connection: this.number,
+                status: partialAnswer.status,
+                attemptId: metadata.attemptId,
+                expected: exchange.attemptId,
+            });
             return;
         }
         this.exchange = undefined;
@@ -273,7 +292,13 @@
         const body = joinChunks(partialAnswer.chunks);
         exchange.settle({
             kind: "answered",
-            answer: { status: partialAnswer.status, headers: partialAnswer.headers, body, metadata },
+            answer: {
+                status: partialAnswer.status,
+                headers: partialAnswer.headers,
+                body,
+                metadata,
+                connection: this.number,
+            },
         });
     }
 
@@ -285,7 +310,7 @@
     private close(): void {
         this.isOpen = false;
         this.partialAnswer = undefined;
-        this.budget.release(this);
+        this.context.budget.release(this);
         this.socket.destroy();
     }
 
@@ -300,14 +325,14 @@
 }
 
 /**
- * Opens a connection; resolves to `undefined` if the endpoint can't be reached, so that nothing was sent. Never
+ * Opens a connection; `number` tells it from others in the log. Resolves to `undefined` if the endpoint can't be reached, so that nothing was sent. Never
  * rejects.
  */
 export function openEndpointConnection(
     host: string,
     port: number,
-    dialect: Dialect,
-    budget: AnswerBudget,
+    number: number,
+    context: EndpointConnectionContext,
 ): Promise<EndpointConnection | undefined> {
     return new Promise(resolve => {
         // The half-open mode allows the write that distinguishes the end of an answer without a length from a reset.
@@ -330,7 +355,7 @@
             clearTimeout(timer);
             socket.removeAllListeners("close");
             socket.removeAllListeners("error");
-            connection = new EndpointConnection(socket, dialect, budget);
+            connection = new EndpointConnection(socket, number, context);
             resolve(connection);
         });
     });
--- a/src/connection/endpointConnectionPool.ts
+++ b/src/connection/endpointConnectionPool.ts
@@ -1,10 +1,17 @@
 /** Pool of keep-alive connections to the local endpoint. The most recently used idle connection is used first. */
 import type { Cancellation } from "../process/base/cancellation.js";
 import type { Clock } from "../process/base/clock.js";
+import type { Logger } from "../process/telemetry/logger.js";
 import type { Dialect } from "../request/dialect.js";
 import { AnswerBudget } from "./answerBudget.js";
-import type { EndpointConnection, EndpointRequest, ExchangeResult } from "./endpointConnection.js";
+import type {
+    EndpointConnection,
+    EndpointConnectionContext,
+    EndpointRequest,
+    ExchangeResult,
+} from "./endpointConnection.js";
 import { openEndpointConnection } from "./endpointConnection.js";
+import { StrayAnswers } from "./strayAnswers.js";
 
 /** Maximum idle time of a connection, in milliseconds, unless the endpoint announces a shorter timeout. */
 const maxIdleMs = 4000;
@@ -28,21 +35,29 @@
 
 /** Pool of connections to one endpoint address. */
 export class EndpointConnectionPool {
+    /** Late, repeated and unasked answers of the endpoint. */
+    readonly strayAnswers: StrayAnswers;
     private idle: EndpointConnection[] = [];
-    private readonly budget = new AnswerBudget();
+    private readonly context: EndpointConnectionContext;
+    /** Connections that were opened, or tried, so far. */
+    private opened = 0;
     private readonly busy = new Set<EndpointConnection>();
 
     constructor(
         private readonly clock: Clock,
         private readonly host: string,
         private readonly port: number,
-        private readonly dialect: Dialect,
-    ) {}
+        dialect: Dialect,
+        logger: Logger,
+    ) {
+        this.strayAnswers = new StrayAnswers(logger);
+        this.context = { dialect, budget: new AnswerBudget(), strayAnswers: this.strayAnswers };
+    }
 
     /** Sends a request. A cancellation closes the connection that carries it. Never rejects. */
     async send(request: EndpointRequest, isIdempotent: boolean, cancellation: Cancellation): Promise<SendResult> {
         const connection = this.takeIdle(request.attemptId, isIdempotent)
-            ?? await openEndpointConnection(this.host, this.port, this.dialect, this.budget);
+            ?? await this.open();
         if (connection === undefined) {
             return { kind: "unsent", cause: "unreachable" };
         }
@@ -97,6 +112,11 @@
         this.busy.forEach(connection => connection.destroy());
     }
 
+    private open(): Promise<EndpointConnection | undefined> {
+        this.opened += 1;
+        return openEndpointConnection(this.host, this.port, this.opened, this.context);
+    }
+
     /** Takes the connection that was used last, of those that have not carried the attempt. */
     private takeIdle(attemptId: string | undefined, isIdempotent: boolean): EndpointConnection | undefined {
         for (let index = this.idle.length - 1; index >= 0; index -= 1) {
--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -136,6 +136,9 @@
     "grantUnits",
 ] as const satisfies readonly LinkMessage["kind"][];
 
+/** Place of a field that earlier builds send and this one doesn't read. */
+const unusedField = "unused";
+
 /** Fields of each message kind, in their order on the wire. */
 const fieldsByKind: { readonly [Kind in LinkMessage["kind"]]: readonly string[]; } = {
     run: [
@@ -157,7 +160,19 @@
         "leavingEndpoint",
         "usualRunMs",
     ],
-    answer: ["id", "status", "headers", "body", "runMs", "waitedMs", "behind", "pressure", "load"],
+    answer: [
+        "id",
+        "status",
+        "headers",
+        "body",
+        "runMs",
+        "waitedMs",
+        "behind",
+        "pressure",
+        "load",
+        unusedField,
+        "connection",
+    ],
     refused: ["id", "cause", "retryAfterMs", "load"],
     failed: ["id", "cause", "ranMs", "load"],
     cancel: ["id"],
@@ -174,7 +189,7 @@
 };
 
 /** Number of the last fields of a kind that a message of an earlier build lacks. */
-const optionalFieldsByKind: { readonly [Kind in LinkMessage["kind"]]?: number; } = { run: 2 };
+const optionalFieldsByKind: { readonly [Kind in LinkMessage["kind"]]?: number; } = { run: 2, answer: 2 };
 
 /** Maximum size of a message, in bytes. */
 const maxMessageBytes = 80_000_000;
@@ -262,7 +277,9 @@
     }
     const message: Record<string, unknown> = { kind };
     fields.forEach((field, index) => {
-        message[field] = decodeField(field, items[index + 1] ?? undefined);
+        if (field !== unusedField) {
+            message[field] = decodeField(field, items[index + 1] ?? undefined);
+        }
     });
     return message as unknown as LinkMessage;
 }
--- a/src/process/endpoint/endpointRunner.ts
+++ b/src/process/endpoint/endpointRunner.ts
@@ -371,6 +371,7 @@
             waitedMs: run.getWaitedMs(),
             behind: run.getDownstreamProblem(),
             pressure: run.getDownstreamUtilisation(),
+            connection: answer.connection,
         };
     }
 
--- a/src/process/load/runOutcome.ts
+++ b/src/process/load/runOutcome.ts
@@ -51,6 +51,8 @@
     readonly behind: DownstreamProblem;
     /** Utilisation of the fullest downstream service; above 1, requests wait there. */
     readonly pressure: number;
+    /** Number of the connection to the endpoint, counted from 1 in its node's process; `undefined` if an earlier build ran it. */
+    readonly connection?: number | undefined;
 }
 
 /** The request was not run, and this send of it never will be. */
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -120,7 +120,13 @@
         this.quarantine = new Quarantine(clock);
         this.crashFlood = new CrashFlood(this.quarantine, report => this.postToOwnService(report));
         this.endpoint = new EndpointState(clock);
-        this.pool = new EndpointConnectionPool(clock, endpoint.address.host, endpoint.address.port, platform.dialect);
+        this.pool = new EndpointConnectionPool(
+            clock,
+            endpoint.address.host,
+            endpoint.address.port,
+            platform.dialect,
+            logger,
+        );
         this.runner = this.createRunner();
         this.remoteRuns = new RemoteRuns(clock, this.runner);
         const isReachable = (peer: string): boolean => peer === address || this.links.isReachable(peer);
@@ -591,6 +597,17 @@
         metrics.addGauge("instances_known", "Known instances.", () => clusterState.registry.count());
         metrics.addGauge("links_open", "Open links to other nodes.", () => links.countOpenLinks());
         metrics.addGauge("endpoint_running", "Requests at the endpoint.", () => runner.getLoad().running);
+        const { strayAnswers } = this.pool;
+        metrics.addGauge(
+            "endpoint_answers_skipped",
+            "Answers that named another attempt than the request in progress.",
+            () => strayAnswers.countSkipped(),
+        );
+        metrics.addGauge(
+            "endpoint_answers_unasked",
+            "Connections to the endpoint that were closed because of bytes without a request.",
+            () => strayAnswers.countUnasked(),
+        );
         metrics.addGauge("endpoint_waiting", "Requests that wait for the endpoint.", () => runner.getLoad().waiting);
         metrics.addGauge(
             "endpoint_limit",
--- a/src/request/dialect.ts
+++ b/src/request/dialect.ts
@@ -66,6 +66,8 @@
     copyRequestHeaders(headers: HeaderList): string[];
     createRunHeaders(metadata: RunMetadata): string[];
     readAnswer(headers: HeaderList): AnswerMetadata;
+    /** Finds the endpoint's signature of an answer, which names its run; `undefined` if there is none. */
+    findSignature(headers: HeaderList): string | undefined;
 }
 
 /** Finds the value of a header by its name in lower case; `undefined` if it is missing. */
--- a/src/request/entryRecords.ts
+++ b/src/request/entryRecords.ts
@@ -64,6 +64,7 @@
         origin: call.origin.route,
         depth: call.origin.depth,
         ...describeSends(result),
+        ...describeSource(dependencies, result),
         status,
         cause,
         returned: routedRequest.hasReturned ? true : undefined,
@@ -84,11 +85,25 @@
     return { instance, sends, runs, behind, waitedMs };
 }
 
+/** Creates the log fields on where an answer came from: the instance, the send and connection that it answers, and its signature. */
+function describeSource(
+    { dialect }: RoutedEntryDependencies,
+    result: ForwardResult | "gone",
+): Record<string, string | number | undefined> {
+    if (result === "gone" || result.source === undefined || result.outcome.kind !== "answer") {
+        return {};
+    }
+    const { instance: answeredBy, sendNumber: send, connection } = result.source;
+    return { answeredBy, send, connection, signature: dialect.findSignature(result.outcome.headers) };
+}
+
+/** Logs the end of a request. A success is of interest to few, unless it took more than one send. */
 export function logRequest(
     dependencies: RoutedEntryDependencies,
     outcome: string,
     fields: Readonly<Record<string, string | number | boolean | undefined>>,
 ): void {
     const isSuccess = outcome === "answer" && (fields["status"] as number) < 500;
-    dependencies.logger[isSuccess ? "debug" : "info"]("requestEnded", { outcome, ...fields });
+    const hasFurtherSends = (fields["sends"] as number | undefined ?? 0) > 1;
+    dependencies.logger[isSuccess && !hasFurtherSends ? "debug" : "info"]("requestEnded", { outcome, ...fields });
 }
--- a/src/request/forwarder.ts
+++ b/src/request/forwarder.ts
@@ -48,9 +48,27 @@
     | { readonly kind: "refused"; readonly cause: string; readonly retryAfterMs: number; }
     | { readonly kind: "failed"; readonly cause: string; };
 
+/** Where the answer to a request came from. */
+export interface AnswerSource {
+    /** Address of the instance whose endpoint answered. */
+    readonly instance: string;
+    /** Number of the send that it answers, counted from 1. */
+    readonly sendNumber: number;
+    /** Number of the connection to the endpoint; `undefined` if a node of an earlier build ran the request. */
+    readonly connection: number | undefined;
+}
+
+/** Outcome of a send as it may be reported, and for an answer its source. */
+interface SendEnd {
+    readonly outcome: ForwardOutcome;
+    readonly source?: AnswerSource | undefined;
+}
+
 /** Final outcome of a request, with the sends that led to it. */
 export interface ForwardResult {
     readonly outcome: ForwardOutcome;
+    /** Where the answer came from; `undefined` if the outcome is none. */
+    readonly source?: AnswerSource | undefined;
     /** Address of the instance of the last send; `undefined` if there was no send. */
     readonly instance: string | undefined;
     /** Number of sends to nodes. */
@@ -78,7 +96,7 @@
     readonly shedBy: InstanceRecord[];
     repeatedOffers: number;
     /** Failure of a send that may have run; reported if no send succeeds. See {@link noteFailure}. */
-    failure: ForwardOutcome | undefined;
+    failure: SendEnd | undefined;
 }
 
 /** Forwards requests and decides after each failure whether to try another instance. */
@@ -101,7 +119,7 @@
             repeatedOffers: 0,
             failure: undefined,
         };
-        let last: ForwardOutcome = { kind: "refused", cause: "noInstance", retryAfterMs: noInstanceRetryMs };
+        let last: SendEnd = { outcome: { kind: "refused", cause: "noInstance", retryAfterMs: noInstanceRetryMs } };
         while (!call.cancellation.isCancelled() && clock.readMonotonic() < call.deadline) {
             const instance = await this.selectInstance(call, progress);
             if (instance === undefined || call.cancellation.isCancelled()) {
@@ -113,16 +131,17 @@
                 progress,
                 unresponsive => this.chooseHedgeInstance(unresponsive, call, progress),
             );
-            const { record: lastInstance, outcome } = results[results.length - 1]!;
+            const lastResult = results[results.length - 1]!;
+            const { record: lastInstance, outcome } = lastResult;
             noteFailures(results.slice(0, -1), progress);
-            last = createForwardOutcome(outcome);
-            if (this.decideAfterSend(call, lastInstance, outcome, progress) === "final") {
+            last = createSendEnd(lastResult);
+            if (this.decideAfterSend(call, lastResult, progress) === "final") {
                 break;
             }
             this.logFurtherSend("placedAgain", call, lastInstance, describeCause(outcome), progress);
         }
         const { sends, runs, tried } = progress;
-        return { outcome: chooseFinalOutcome(last, progress), instance: [...tried].pop(), sends, runs };
+        return { ...chooseFinalEnd(last, progress), instance: [...tried].pop(), sends, runs };
     }
 
     private async selectInstance(call: RoutedCall, progress: ForwardProgress): Promise<InstanceRecord | undefined> {
@@ -151,30 +170,31 @@
     /** Decides whether to try another instance, and updates the statistics of the instance that was tried. */
     private decideAfterSend(
         call: RoutedCall,
-        instance: InstanceRecord,
-        outcome: RunOutcome,
+        result: SendResult,
         progress: ForwardProgress,
     ): "final" | "again" {
         const { placement } = this.dependencies;
+        const { record: instance, outcome } = result;
         switch (outcome.kind) {
             case "answer":
                 placement.recordRun(instance.address, call.route.name, outcome.runMs);
                 progress.runs += 1;
-                return outcome.status >= 500 ? this.decideRetry(call, outcome, progress) : "final";
+                return outcome.status >= 500 ? this.decideRetry(call, result, progress) : "final";
             case "failed":
                 if (outcome.ranMs > 0) {
                     placement.recordRun(instance.address, call.route.name, outcome.ranMs);
                 }
                 progress.runs += 1;
-                return this.decideRetry(call, outcome, progress);
+                return this.decideRetry(call, result, progress);
             case "refused":
                 return this.decideAfterRefusal(call, instance, outcome.cause, progress);
         }
     }
 
     /** Decides whether to retry a request whose run failed: only idempotent ones are, within their limits. */
-    private decideRetry(call: RoutedCall, outcome: RunOutcome, progress: ForwardProgress): "final" | "again" {
-        noteFailure(outcome, progress);
+    private decideRetry(call: RoutedCall, result: SendResult, progress: ForwardProgress): "final" | "again" {
+        const { outcome } = result;
+        noteFailure(result, progress);
         // Another instance would depend on the same failing downstream service, and its calls would add load there.
         const isDownstreamFailure = outcome.kind === "answer" && outcome.behind !== "none";
         if (call.route.repetition !== "idempotent" || call.cancellation.isCancelled() || isDownstreamFailure) {
@@ -262,25 +282,34 @@
     return outcome.kind === "answer" ? String(outcome.status) : outcome.cause;
 }
 
-function createForwardOutcome(outcome: RunOutcome): ForwardOutcome {
-    return outcome.kind === "failed" ? { kind: "failed", cause: outcome.cause } : outcome;
+function createSendEnd({ record, outcome, sendNumber }: SendResult): SendEnd {
+    switch (outcome.kind) {
+        case "answer": {
+            const { connection } = outcome;
+            return { outcome, source: { instance: record.address, sendNumber, connection } };
+        }
+        case "failed":
+            return { outcome: { kind: "failed", cause: outcome.cause } };
+        case "refused":
+            return { outcome };
+    }
 }
 
 /** Records the failure of a send that may have run. An endpoint's error answer tells the caller most, so it is kept. */
-function noteFailure(outcome: RunOutcome, progress: ForwardProgress): void {
-    progress.failure = progress.failure?.kind === "answer" ? progress.failure : createForwardOutcome(outcome);
+function noteFailure(result: SendResult, progress: ForwardProgress): void {
+    progress.failure = progress.failure?.outcome.kind === "answer" ? progress.failure : createSendEnd(result);
 }
 
 /** Records the failures of earlier results, such as the first failure of a hedged request. */
 function noteFailures(results: readonly SendResult[], progress: ForwardProgress): void {
-    for (const { outcome } of results) {
-        if (outcome.kind !== "refused") {
-            noteFailure(outcome, progress);
+    for (const result of results) {
+        if (result.outcome.kind !== "refused") {
+            noteFailure(result, progress);
         }
     }
 }
 
 /** Chooses the outcome to report. A refusal is reported only if no earlier send may have run. */
-function chooseFinalOutcome(last: ForwardOutcome, progress: ForwardProgress): ForwardOutcome {
-    return last.kind === "answer" && last.status < 500 ? last : progress.failure ?? last;
+function chooseFinalEnd(last: SendEnd, progress: ForwardProgress): SendEnd {
+    return last.outcome.kind === "answer" && last.outcome.status < 500 ? last : progress.failure ?? last;
 }
--- a/src/request/sender.ts
+++ b/src/request/sender.ts
@@ -26,6 +26,8 @@
     /** The instance that the request was sent to. */
     readonly record: InstanceRecord;
     readonly outcome: RunOutcome;
+    /** Number of the send, counted from 1. */
+    readonly sendNumber: number;
 }
 
 /** A send in progress. */
@@ -125,12 +127,13 @@
     private startSend(instance: InstanceRecord, call: RoutedCall, progress: SendProgress): PendingSend {
         progress.tried.add(instance.address);
         progress.sends += 1;
+        const sendNumber = progress.sends;
         const cancellation = new Cancellation();
         const cancel = (): void => cancellation.cancel();
         call.cancellation.listen(cancel);
         const result = this.sendTo(instance, call, cancellation, progress).then(outcome => {
             call.cancellation.removeListener(cancel);
-            return { record: instance, outcome };
+            return { record: instance, outcome, sendNumber };
         });
         return { result, cancel };
     }
--- a/test/routed/endpointConnection.test.ts
+++ b/test/routed/endpointConnection.test.ts
@@ -3,10 +3,12 @@
 import type { AddressInfo, Server, Socket } from "node:net";
 import { createServer } from "node:net";
 import { PlatformDialect } from "../../platform/headers.js";
+import type { EndpointRequest } from "../../src/connection/endpointConnection.js";
 import { EndpointConnectionPool } from "../../src/connection/endpointConnectionPool.js";
 import { Cancellation } from "../../src/process/base/cancellation.js";
 import { SystemClock } from "../../src/process/base/clock.js";
 import { sleep, waitFor } from "../../standin/processes.js";
+import { silentLogger } from "../fakes.js";
 
 /** Creates a cancellation that comes after a time, in milliseconds. */
 function cancelAfter(milliseconds: number): Cancellation {
@@ -17,6 +19,11 @@
 
 const dialect = new PlatformDialect();
 
+/** Creates a pool of connections to a port of this machine. */
+function createPool(port: number, logger = silentLogger): EndpointConnectionPool {
+    return new EndpointConnectionPool(new SystemClock(), "127.0.0.1", port, dialect, logger);
+}
+
 /** Memory that the bytes of endless answers may take, in bytes: less than half of what a node's process has. */
 const maxGrowthBytes = 160_000_000;
 
@@ -43,6 +50,11 @@
         + `Content-Length: ${body.length}\r\n\r\n${body}`;
 }
 
+/** A GET request of an attempt. */
+function createRequest(attemptId: string): EndpointRequest {
+    return { method: "GET", path: "/page/1", headers: ["Attempt-Id", attemptId], body: Buffer.alloc(0), attemptId };
+}
+
 /** Endpoint that answers each request as a script says. */
 class ScriptedEndpoint {
     connections = 0;
@@ -90,7 +102,7 @@
     isIdempotent = true,
 ): Promise<{ endings: string[]; connections: number; }> {
     const endpoint = new ScriptedEndpoint(answer);
-    const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+    const pool = createPool(await endpoint.start());
     const endings: string[] = [];
     for (const attemptId of attempts) {
         const request = {
@@ -151,7 +163,7 @@
                 socket.write(begin, "latin1");
                 writeWithoutEnd(socket, piece);
             });
-            const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+            const pool = createPool(await endpoint.start());
             const request = {
                 method: "GET",
                 path: "/",
@@ -180,7 +192,7 @@
             // Less than one answer may have, so that only all together take too much.
             writeWithoutEnd(socket, "body", 40_000_000);
         });
-        const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+        const pool = createPool(await endpoint.start());
         const send = (attemptId: string) =>
             pool.send(
                 { method: "GET", path: "/", headers: ["Attempt-Id", attemptId], body: Buffer.alloc(0), attemptId },
@@ -330,7 +342,7 @@
             open.add(socket);
             setTimeout(() => silent.has(socket) || socket.write(formatAnswer(attempt, attempt)), 20);
         });
-        const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+        const pool = createPool(await endpoint.start());
         const send = (attemptId: string) =>
             pool.send(
                 { method: "GET", path: "/", headers: ["Attempt-Id", attemptId], body: Buffer.alloc(0), attemptId },
@@ -365,7 +377,7 @@
                 socket.write(whole.slice(0, middle));
                 setTimeout(() => socket.end(whole.slice(middle, cutAt)), cutAt % 2);
             });
-            const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+            const pool = createPool(await endpoint.start());
             const request = {
                 method: "GET",
                 path: "/",
@@ -409,7 +421,7 @@
                 const answer = formatAnswer(attempt, String(count)).replace("Attempt-Id: \r\n", "");
                 setTimeout(() => socket.write(answer), 20);
             });
-            const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+            const pool = createPool(await endpoint.start());
             const send = async (attemptId: string | undefined): Promise<string> => {
                 const headers = attemptId === undefined ? [] : ["Attempt-Id", attemptId];
                 const request = { method: "POST", path: "/advance/1", headers, body: Buffer.alloc(0), attemptId };
@@ -430,6 +442,32 @@
         });
     }
 
+    it("that come late or unasked are logged with their connection", async () => {
+        const late = formatAnswer("a", "ok");
+        const endpoint = new ScriptedEndpoint((socket, attempt) => {
+            socket.write(attempt === "a" ? formatAnswer("a", "first") : late + formatAnswer(attempt, "second"));
+            if (attempt === "c") {
+                setTimeout(() => socket.write(late), 20);
+            }
+        });
+        const lines: string[] = [];
+        const log = (event: string, fields: object = {}): void => void lines.push(`${event} ${JSON.stringify(fields)}`);
+        const pool = createPool(await endpoint.start(), { ...silentLogger, info: log });
+        for (const attemptId of ["a", "b", "c"]) {
+            await pool.send(createRequest(attemptId), true, new Cancellation());
+        }
+        await waitFor(async () => pool.strayAnswers.countUnasked() === 1, 1000, "the unasked answer");
+        const skipped = { connection: 1, status: 200 };
+        expect(lines).deep.equals([
+            `answerSkipped ${JSON.stringify({ request: "a", ...skipped, expected: "b" })}`,
+            `answerSkipped ${JSON.stringify({ request: "a", ...skipped, expected: "c" })}`,
+            `answerUnasked ${JSON.stringify({ connection: 1 })}`,
+        ]);
+        expect(pool.strayAnswers.countSkipped()).equals(2);
+        pool.destroy();
+        endpoint.stop();
+    });
+
     // MIXED: a late copy of an earlier answer, or the answer to an earlier offer, stood for the answer to the same attempt sent again.
     it("to an attempt are those of its last send, however late those of earlier ones come", async () => {
         const copies = new Map<Socket, string>();
@@ -442,7 +480,7 @@
                 copies.set(socket, answer);
             }, Number(delayMs));
         });
-        const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+        const pool = createPool(await endpoint.start());
         const statuses: (number | string)[] = [];
         for (const attemptId of ["a", "a", "a", "b", "b", "b"]) {
             const request = {
@@ -463,7 +501,7 @@
 
     it("are read on no more connections than are needed, and on none for ever", async () => {
         const endpoint = new ScriptedEndpoint((socket, attempt) => socket.write(formatAnswer(attempt, attempt)));
-        const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+        const pool = createPool(await endpoint.start());
         for (let index = 0; index < 600; index += 1) {
             const attemptId = `a${index}`;
             const request = {
@@ -485,7 +523,7 @@
         const endpoint = new ScriptedEndpoint(() => undefined);
         const port = await endpoint.start();
         endpoint.stop();
-        const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", port, dialect);
+        const pool = createPool(port);
         const request = { method: "GET", path: "/", headers: [], body: Buffer.alloc(0), attemptId: "a" };
         const result = await pool.send(request, true, cancelAfter(400));
         expect(result).deep.equals({ kind: "unsent", cause: "unreachable" });
@@ -496,7 +534,7 @@
             socket.pause();
             socket.write(formatAnswer(attempt, attempt));
         });
-        const pool = new EndpointConnectionPool(new SystemClock(), "127.0.0.1", await endpoint.start(), dialect);
+        const pool = createPool(await endpoint.start());
         const request = (attemptId: string, bytes: number) => ({
             method: "POST",
             path: "/loom/1",
--- a/test/routed/forwarder.test.ts
+++ b/test/routed/forwarder.test.ts
@@ -2,10 +2,10 @@
 import { expect } from "chai";
 import { Cancellation } from "../../src/process/base/cancellation.js";
 import { Placement } from "../../src/process/load/placement.js";
-import type { RunOutcome } from "../../src/process/load/runOutcome.js";
+import type { AnsweredRun, RunOutcome } from "../../src/process/load/runOutcome.js";
 import { ServiceRetryBudget } from "../../src/process/load/serviceRetryBudget.js";
 import { InstanceRegistry } from "../../src/process/membership/instanceRegistry.js";
-import type { ForwardOutcome } from "../../src/request/forwarder.js";
+import type { AnswerSource, ForwardOutcome } from "../../src/request/forwarder.js";
 import { Forwarder } from "../../src/request/forwarder.js";
 import type { RoutedCall } from "../../src/request/routedCall.js";
 import type { SendResult } from "../../src/request/sender.js";
@@ -13,7 +13,7 @@
 import { FakeClock, silentLogger } from "../fakes.js";
 import { createRecord, createRoute } from "./samples.js";
 
-const answered = (status: number, behind: "none" | "crowd" = "none"): RunOutcome => ({
+const answered = (status: number, behind: "none" | "crowd" = "none"): AnsweredRun => ({
     kind: "answer",
     status,
     headers: [],
@@ -41,7 +41,7 @@
     repetition: "idempotent" | "atMostOnce",
     sends: readonly (readonly RunOutcome[])[],
     change: ForwardChange = {},
-): Promise<{ outcome: ForwardOutcome; sends: number; path: readonly string[]; }> {
+): Promise<{ outcome: ForwardOutcome; source: AnswerSource | undefined; sends: number; path: readonly string[]; }> {
     const clock = new FakeClock();
     const registry = new InstanceRegistry();
     [1, 2, 3, 4, 5].forEach(host => registry.put(createRecord(`10.0.0.${host}`)));
@@ -65,6 +65,7 @@
                 const results: SendResult[] = (sends[sendCount] ?? [refused("cancelled")]).map(outcome => ({
                     record,
                     outcome,
+                    sendNumber: sendCount + 1,
                 }));
                 sendCount += 1;
                 progress.runs += results.length - 1;
@@ -94,7 +95,8 @@
         target: now + 500,
         cancellation: new Cancellation(),
     };
-    return { outcome: (await forwarder.forward(call)).outcome, sends: sendCount, path };
+    const { outcome, source } = await forwarder.forward(call);
+    return { outcome, source, sends: sendCount, path };
 }
 
 describe("forwarding", () => {
@@ -214,6 +216,25 @@
         expect([result.outcome.kind, result.sends]).deep.equals(["refused", 0]);
     });
 
+    const sourceCases: readonly {
+        readonly name: string;
+        readonly sends: readonly RunOutcome[];
+        readonly send: number | undefined;
+    }[] = [
+        { name: "the last send, where it succeeded", sends: [failed, { ...answered(200), connection: 4 }], send: 2 },
+        { name: "the send whose failure is reported", sends: [{ ...answered(500), connection: 4 }, failed], send: 1 },
+        { name: "no send without an answer", sends: [failed, failed], send: undefined },
+    ];
+    for (const { name, sends, send } of sourceCases) {
+        it(`says where an answer came from: ${name}`, async () => {
+            const { source, path } = await forward("idempotent", sends.map(outcome => [outcome]));
+            const expected = send === undefined
+                ? undefined
+                : { instance: path[send - 1], sendNumber: send, connection: 4 };
+            expect(source).deep.equals(expected);
+        });
+    }
+
     it("offers a request until it is served, never where it was just rejected", async () => {
         const ends = [...Array.from({ length: 7 }, () => [refused("shed")]), [answered(200)]];
         const result = await forward("idempotent", ends);
--- a/test/routed/linkMessage.test.ts
+++ b/test/routed/linkMessage.test.ts
@@ -46,6 +46,7 @@
         behind: "crowd",
         pressure: 1.25,
         load,
+        connection: 7,
     },
     { kind: "refused", id: 2, cause: "full", retryAfterMs: 12, load },
     { kind: "failed", id: 3, cause: "reset", ranMs: 1, load },
@@ -122,8 +123,14 @@
         {
             name: "an answer that lists the services behind",
             sample: samples[1]!,
-            cut: items => [...items, [["mutu", 8, 4, 55, 120]]],
-            change: {},
+            cut: items => [...items.slice(0, -2), [["mutu", 8, 4, 55, 120]]],
+            change: { connection: undefined },
+        },
+        {
+            name: "an answer without the connection that it came on",
+            sample: samples[1]!,
+            cut: items => items.slice(0, -2),
+            change: { connection: undefined },
         },
         {
             name: "a run with a plan for its repeats",
