--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -46,6 +46,7 @@
 import { RoutedMetrics } from "../telemetry/routedMetrics.js";
 import { GracefulStop } from "./gracefulStop.js";
 import { InFlightRequests } from "./inFlightRequests.js";
+import { addRoutedGauges } from "./routedGauges.js";
 import { RoutedListeners } from "./routedListeners.js";
 
 /** Poll interval of the graceful stop, in milliseconds. */
@@ -207,7 +208,16 @@
             this.listeners.setCallerIdleTimeout(configurationHolder.getTable()!.configuration.limits.idleTimeoutMs)
         );
         configurationHolder.addListener(() => this.quotas.updateQuotas());
-        this.addGauges();
+        addRoutedGauges(this.metrics, {
+            clusterState: this.clusterState,
+            endpoint: this.endpoint,
+            links: this.links,
+            quotas: this.quotas,
+            retryBudget: this.retryBudget,
+            returnSchedule: this.returnSchedule,
+            runner: this.runner,
+            strayAnswers: this.pool.strayAnswers,
+        });
     }
 
     /** Binds all listeners and starts the tasks of the process. */
@@ -540,91 +550,6 @@
             this.keepLinks();
         }
     }
-
-    private addReturnGauges(): void {
-        const counts = this.returnSchedule?.counts;
-        if (counts === undefined) {
-            return;
-        }
-        const { metrics } = this;
-        metrics.addGauge("returns_promised", "Refused requests with a reserved time.", () => counts.promised);
-        metrics.addGauge("returns_unpromised", "Refused requests for which no time was left.", () => counts.unpromised);
-        metrics.addGauge("returns_kept", "Requests that came back at their time.", () => counts.kept);
-        metrics.addGauge("returns_early", "Requests that came back before their time.", () => counts.early);
-    }
-
-    private addQuotaGauges(): void {
-        this.metrics.addLabelledGauge(
-            "customer_quota",
-            "Quotas by customer and kind: limit (requests a second of all nodes), used and refused (requests at this node), "
-                + "granted (units that this node granted).",
-            ["customer", "kind"],
-            () =>
-                this.quotas.listCounts().flatMap(({ customer, ...counts }) =>
-                    Object.entries(counts).map(([kind, value]) => ({ labels: { customer, kind }, value }))
-                ),
-        );
-        this.metrics.addLabelledGauge(
-            "quota_group_share",
-            "Part of the limits that this node has to grant, by group of customers.",
-            ["group"],
-            () => this.quotas.listShares().map((value, group) => ({ labels: { group: String(group) }, value })),
-        );
-    }
-
-    private addGauges(): void {
-        this.addQuotaGauges();
-        const { metrics, runner, clusterState, links } = this;
-        metrics.addGauge(
-            "configuration_version",
-            "Version in force.",
-            () => clusterState.configurationHolder.getVersion(),
-        );
-        metrics.addGauge(
-            "configuration_warnings",
-            "Words of the configuration in force that this build does not know.",
-            () => clusterState.configurationHolder.getTable()?.configuration.warnings.length ?? 0,
-        );
-        metrics.addGauge(
-            "log_era",
-            "Number of times that the log was restored from an older copy; -1 before the first read.",
-            () => clusterState.getLogPosition().era,
-        );
-        const { counts } = this.retryBudget;
-        metrics.addGauge("repeats_sent", "Repeats that the budget paid for.", () => counts.sent);
-        metrics.addGauge("repeats_refused", "Repeats that the budget had no room for.", () => counts.refused);
-        this.addReturnGauges();
-        metrics.addGauge("instances_known", "Known instances.", () => clusterState.registry.count());
-        metrics.addGauge("links_open", "Open links to other nodes.", () => links.countOpenLinks());
-        metrics.addGauge("endpoint_running", "Requests at the endpoint.", () => runner.getLoad().running);
-        const { strayAnswers } = this.pool;
-        metrics.addGauge(
-            "endpoint_answers_skipped",
-            "Answers that named another attempt than the request in progress.",
-            () => strayAnswers.countSkipped(),
-        );
-        metrics.addGauge(
-            "endpoint_answers_unasked",
-            "Connections to the endpoint that were closed because of bytes without a request.",
-            () => strayAnswers.countUnasked(),
-        );
-        metrics.addGauge("endpoint_waiting", "Requests that wait for the endpoint.", () => runner.getLoad().waiting);
-        metrics.addGauge(
-            "endpoint_limit",
-            "Requests that may run at once.",
-            () => runner.getLoad().limit,
-        );
-        metrics.addGauge(
-            "endpoint_shed_share",
-            "Share of the recent requests that the endpoint turned away with room to spare.",
-            () => runner.getLoad().shedShare,
-        );
-        metrics.addGauge(
-            "endpoint_named_limit",
-            "Requests a second that the endpoint says it takes; -1 if it names no limit.",
-            () => this.endpoint.getNamedLimit() ?? -1,
-        );
-    }
 }
 
 /** Throttle that admits all requests. */
