--- a/test/routed/endpointConnection.test.ts
+++ b/test/routed/endpointConnection.test.ts
@@ -1,28 +1,10 @@
 /** What the client of the local endpoint makes of each way in which an endpoint may answer. */
 import { expect } from "chai";
-import type { AddressInfo, Server, Socket } from "node:net";
-import { createServer } from "node:net";
-import { PlatformDialect } from "../../platform/headers.js";
-import type { EndpointRequest } from "../../src/connection/endpointConnection.js";
-import { EndpointConnectionPool } from "../../src/connection/endpointConnectionPool.js";
+import type { Socket } from "node:net";
 import { Cancellation } from "../../src/process/base/cancellation.js";
-import { SystemClock } from "../../src/process/base/clock.js";
 import { sleep, waitFor } from "../../standin/processes.js";
 import { silentLogger } from "../fakes.js";
-
-/** Creates a cancellation that comes after a time, in milliseconds. */
-function cancelAfter(milliseconds: number): Cancellation {
-    const cancellation = new Cancellation();
-    setTimeout(() => cancellation.cancel(), milliseconds).unref();
-    return cancellation;
-}
-
-const dialect = new PlatformDialect();
-
-/** Creates a pool of connections to a port of this machine. */
-function createPool(port: number, logger = silentLogger): EndpointConnectionPool {
-    return new EndpointConnectionPool(new SystemClock(), "127.0.0.1", port, dialect, logger);
-}
+import { cancelAfter, createPool, createRequest, formatAnswer, ScriptedEndpoint } from "./scriptedEndpoint.js";
 
 /** Memory that the bytes of endless answers may take, in bytes: less than half of what a node's process has. */
 const maxGrowthBytes = 160_000_000;
@@ -44,57 +26,6 @@
     };
 }
 
-/** Text of an answer. */
-function formatAnswer(attempt: string, body: string, extra = ""): string {
-    return `HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\nUpstream-Signature: s\r\n${extra}`
-        + `Content-Length: ${body.length}\r\n\r\n${body}`;
-}
-
-/** A GET request of an attempt. */
-function createRequest(attemptId: string): EndpointRequest {
-    return { method: "GET", path: "/page/1", headers: ["Attempt-Id", attemptId], body: Buffer.alloc(0), attemptId };
-}
-
-/** Endpoint that answers each request as a script says. */
-class ScriptedEndpoint {
-    connections = 0;
-    readonly heads: string[] = [];
-    private readonly sockets = new Set<Socket>();
-    private readonly server: Server;
-
-    constructor(answer: (socket: Socket, attempt: string, count: number) => void) {
-        this.server = createServer(socket => {
-            this.connections += 1;
-            this.sockets.add(socket);
-            socket.on("error", () => undefined);
-            let text = "";
-            socket.on("data", chunk => {
-                text += chunk.toString("latin1");
-                for (let end = text.indexOf("\r\n\r\n"); end !== -1; end = text.indexOf("\r\n\r\n")) {
-                    const head = text.slice(0, end);
-                    text = text.slice(end + 4);
-                    this.heads.push(head);
-                    answer(socket, /Attempt-Id: (\S+)/.exec(head)?.[1] ?? "", this.heads.length);
-                }
-            });
-        });
-    }
-
-    async start(): Promise<number> {
-        await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
-        return (this.server.address() as AddressInfo).port;
-    }
-
-    countOpen(): number {
-        return [...this.sockets].filter(socket => !socket.destroyed).length;
-    }
-
-    stop(): void {
-        this.sockets.forEach(socket => socket.destroy());
-        this.server.close();
-    }
-}
-
 /** Sends requests one after the other and describes how each ended. */
 async function runRequests(
     answer: (socket: Socket, attempt: string, count: number) => void,
