Check each line of an answer's head strictly

An endpoint that answers twice may write a part of its second answer, late, and then the answer to the next request.

Cause: the library's parser passes over lines of a head that it doesn't know, joins folded ones and takes any text for a value. The rest of a cut-off head and the head behind it were read as one: the status of the first, the headers and the body of the second. The library also drops the highest bit of each byte, so that bytes beyond ASCII could stand for a colon. The parser of simple answers took such a head too, where it ended in the middle of a line.

Change: AnswerParser wraps the library and checks each line before the library reads it: status lines (HTTP/1.0 or 1.1, status 100 to 599) and fields by the grammar, no folded lines, no second status line within a line. Anything else ends the connection and the request as garbled. Bytes are read as Latin-1. A head that names a version twice isn't a simple one.

Measured with the new tests, on real sockets: the second request of a connection is answered with a 500 or 503, behind a late success of the first that is cut off at each byte, or cut off itself before its own late success, in one piece or more.

--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -7,7 +7,6 @@
  * another request. A late copy of an answer can't be told from the answer to the same attempt sent again, so a connection
  * carries an attempt once. The connection is closed too when bytes come without end, in a head, in a body or between pieces of one.
  */
-import { HTTPParser } from "http-parser-js";
 import type { Socket } from "node:net";
 import { connect } from "node:net";
 import { joinChunks } from "../request/body.js";
@@ -15,6 +14,8 @@
 import { findHeader } from "../request/dialect.js";
 import type { HeaderList } from "../request/headers.js";
 import type { AnswerBudget, BudgetedAnswer } from "./answerBudget.js";
+import type { AnswerHead } from "./answerParser.js";
+import { AnswerParser } from "./answerParser.js";
 import type { SimpleAnswer } from "./simpleAnswer.js";
 import { parseSimpleAnswer } from "./simpleAnswer.js";
 import type { StrayAnswers } from "./strayAnswers.js";
@@ -35,8 +36,6 @@
  */
 const readBuffer = Buffer.allocUnsafeSlow(65_536);
 
-type AnswerParser = InstanceType<typeof HTTPParser>;
-
 /** A request to the endpoint. */
 export interface EndpointRequest {
     readonly method: string;
@@ -181,18 +180,18 @@
         }
         this.parser ??= this.createParser();
         this.framingBytes += chunk.length;
-        const result = this.parser.execute(chunk);
-        if (typeof result !== "number" || this.hasProtocolError || this.framingBytes > maxFramingBytes) {
+        const isValid = this.parser.parse(chunk);
+        if (!isValid || this.hasProtocolError || this.framingBytes > maxFramingBytes) {
             this.fail("garbled");
         }
     }
 
     private createParser(): AnswerParser {
-        const parser = new HTTPParser(HTTPParser.RESPONSE);
-        parser.onHeadersComplete = info => this.startAnswer(info);
-        parser.onBody = (chunk, offset, length) => this.addBody(chunk.subarray(offset, offset + length));
-        parser.onMessageComplete = () => this.finishAnswer();
-        return parser;
+        return new AnswerParser({
+            startAnswer: head => this.startAnswer(head),
+            addBody: piece => this.addBody(piece),
+            finishAnswer: () => this.finishAnswer(),
+        });
     }
 
     private finishSimpleAnswer(answer: SimpleAnswer, chunk: Buffer): void {
@@ -227,22 +226,16 @@
             }
             // finish() completes an answer without a length, so that its request is already settled when fail() is
             // called.
-            this.fail(this.parser?.finish() instanceof Error ? "cutShort" : "closed");
+            this.fail(this.parser?.finish() === false ? "cutShort" : "closed");
         });
     }
 
-    private startAnswer(info: { statusCode: number; headers: string[]; shouldKeepAlive: boolean; }): number {
-        const length = findHeader(info.headers, "content-length");
+    /** Begins an answer; returns whether a body may follow. */
+    private startAnswer({ status, headers, shouldKeepAlive }: AnswerHead): boolean {
+        const length = findHeader(headers, "content-length");
         this.hasProtocolError ||= length !== undefined && !/^\d{1,15}$/.test(length);
-        this.partialAnswer = {
-            status: info.statusCode,
-            headers: info.headers,
-            chunks: [],
-            bytes: 0,
-            shouldKeepAlive: info.shouldKeepAlive,
-        };
-        // Returning 1 tells the parser that no body follows.
-        return this.exchange?.isBodyless === true ? 1 : 0;
+        this.partialAnswer = { status, headers, chunks: [], bytes: 0, shouldKeepAlive };
+        return this.exchange?.isBodyless !== true;
     }
 
     private addBody(chunk: Buffer): void {
--- a/src/connection/simpleAnswer.ts
+++ b/src/connection/simpleAnswer.ts
@@ -14,6 +14,7 @@
     readonly bodyLength: number;
 }
 
+const version = "HTTP/";
 const endOfLine = "\r\n";
 const endOfHead = "\r\n\r\n";
 /** Bytes behind the data of the last chunk that isn't empty. */
@@ -30,7 +31,12 @@
     if (headEnd === -1) {
         return undefined;
     }
-    const lines = piece.toString("latin1", 0, headEnd).split("\r\n");
+    const head = piece.toString("latin1", 0, headEnd);
+    // A second version may belong to a second status line, behind a part of an answer.
+    if (head.includes(version, version.length)) {
+        return undefined;
+    }
+    const lines = head.split("\r\n");
     const status = Number(statusLinePattern.exec(lines[0]!)?.[1] ?? 0);
     if (status === 0 || status === 204 || status === 304) {
         return undefined;
--- /dev/null
+++ b/test/routed/secondAnswers.test.ts
@@ -0,0 +1,184 @@
+/**
+ * What the client of the local endpoint makes of an endpoint that answers twice, the second time late with a success of its
+ * own: behind an answer of the request before, behind a part of it, and behind the failure that is the request's answer.
+ */
+import { expect } from "chai";
+import type { Socket } from "node:net";
+import { sleep } from "../../standin/processes.js";
+import { cancelAfter, createPool, createRequest, ScriptedEndpoint } from "./scriptedEndpoint.js";
+
+/** Time between two pieces, so that each is read by itself, in milliseconds. */
+const pieceGapMs = 3;
+/** Time after which a request without an answer is given up, in milliseconds. */
+const patienceMs = 250;
+
+/** What the endpoint does in answer to two requests of different attempts on one connection. */
+interface Script {
+    readonly methods?: readonly [string, string];
+    /** Answer to the first request, attempt a. */
+    readonly first?: string;
+    /** What it writes when the second request has come, attempt b, each in a piece of its own. */
+    readonly pieces: readonly string[];
+}
+
+/** How the requests ended. */
+interface Endings {
+    readonly first: string;
+    readonly second: string;
+}
+
+/** Formats an answer whose body has a length. */
+function formatAnswer(status: string, attempt: string, body: string, extra = ""): string {
+    return `HTTP/1.1 ${status}\r\nAttempt-Id: ${attempt}\r\nUpstream-Signature: s\r\n${extra}`
+        + `Content-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+/** Formats an answer whose body comes in chunks. */
+function formatChunked(status: string, attempt: string, body: string): string {
+    return `HTTP/1.1 ${status}\r\nAttempt-Id: ${attempt}\r\nUpstream-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n`
+        + `${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`;
+}
+
+/** Formats an answer whose body ends with the connection. */
+function formatUnlimited(status: string, attempt: string, body: string): string {
+    return `HTTP/1.1 ${status}\r\nAttempt-Id: ${attempt}\r\nUpstream-Signature: s\r\n\r\n${body}`;
+}
+
+/** Finds the head of an answer. */
+function findHead(answer: string): string {
+    return answer.slice(0, answer.indexOf("\r\n\r\n") + 4);
+}
+
+/** Plays a script; a connection that is given up ends it. */
+async function play({ methods = ["GET", "GET"], first = failures.length, pieces }: Script): Promise<Endings> {
+    const endpoint = new ScriptedEndpoint((socket, attempt) => {
+        socket.setNoDelay(true);
+        if (attempt === "a") {
+            socket.write(first, "latin1");
+            return;
+        }
+        void writePieces(socket, pieces);
+    });
+    const pool = createPool(await endpoint.start());
+    const send = async (attemptId: string, method: string): Promise<string> => {
+        const result = await pool.send({ ...createRequest(attemptId), method }, true, cancelAfter(patienceMs));
+        return result.kind === "answered"
+            ? `${result.answer.status} ${result.answer.body.toString("latin1")}`
+            : `${result.kind} ${result.cause}`;
+    };
+    const firstEnding = await send("a", methods[0]);
+    await sleep(pieceGapMs);
+    const second = await send("b", methods[1]);
+    pool.destroy();
+    endpoint.stop();
+    return { first: firstEnding, second };
+}
+
+async function writePieces(socket: Socket, pieces: readonly string[]): Promise<void> {
+    for (const piece of pieces) {
+        socket.write(piece, "latin1");
+        await sleep(pieceGapMs);
+    }
+}
+
+/** Failures that the endpoint answers with. */
+const failures = {
+    length: formatAnswer("500 Failed", "a", "failed"),
+    rejected: formatAnswer("503 Busy", "a", "", "Not-Executed: 1\r\n"),
+    chunked: formatChunked("500 Failed", "a", "failed"),
+} as const;
+const own = {
+    length: formatAnswer("500 Failed", "b", "failed"),
+    rejected: formatAnswer("503 Busy", "b", "", "Not-Executed: 1\r\n"),
+    chunked: formatChunked("500 Failed", "b", "failed"),
+    unlimited: formatUnlimited("500 Failed", "b", "failed"),
+} as const;
+const lateOfFirst = {
+    length: formatAnswer("200 OK", "a", "ok"),
+    unlimited: formatUnlimited("200 OK", "a", "ok"),
+} as const;
+/** The late success of the second request. */
+const late = formatAnswer("200 OK", "b", "ok");
+
+/** Endings of the second request that are right where it was answered with a failure: that, whole, or none. */
+const rightEndings = /^(500 failed|500 |503 |lost (garbled|cutShort|closed|aborted))$/;
+
+/** Plays scripts, several at the same time, and checks that no second request ended wrongly. */
+async function checkEndings(scripts: readonly Script[], right = rightEndings): Promise<void> {
+    const wrong: string[] = [];
+    for (let start = 0; start < scripts.length; start += 100) {
+        const batch = scripts.slice(start, start + 100);
+        const endings = await Promise.all(batch.map(play));
+        endings.forEach(({ second }, index) => {
+            if (!right.test(second)) {
+                wrong.push(`${second} <- ${JSON.stringify(batch[index]!.pieces)}`);
+            }
+        });
+    }
+    expect(wrong.slice(0, 5), `${wrong.length} of ${scripts.length} scripts`).deep.equals([]);
+}
+
+describe("second answers of the local endpoint, cut off and before a failure,", () => {
+    for (const [form, text] of Object.entries(lateOfFirst)) {
+        for (const [ownForm, ownText] of Object.entries(own)) {
+            it(`(${form}, ${ownForm}) make no success of it, wherever they end`, async () => {
+                const scripts: Script[] = [];
+                for (let cutAt = 0; cutAt < text.length; cutAt += 1) {
+                    const cut = text.slice(0, cutAt);
+                    const first = cutAt % 2 === 0 ? failures.length : failures.rejected;
+                    scripts.push(
+                        { first, pieces: [cut, ownText, late] },
+                        { first, pieces: [cut + ownText, late] },
+                        { first, pieces: [cut + ownText + late] },
+                        { first, pieces: [cut, ownText + late] },
+                        { first, pieces: [cut + ownText.slice(0, cutAt), ownText.slice(cutAt), late] },
+                    );
+                }
+                await checkEndings(scripts);
+            });
+        }
+    }
+
+    it("or themselves behind a failure that is cut off, make no success of it, wherever that ends", async () => {
+        const scripts: Script[] = [];
+        for (const text of Object.values(own)) {
+            for (let cutAt = 1; cutAt < findHead(text).length; cutAt += 1) {
+                const cut = text.slice(0, cutAt);
+                scripts.push({ pieces: [cut, late] }, { pieces: [cut + late] }, {
+                    pieces: [lateOfFirst.length, cut, late],
+                });
+            }
+        }
+        await checkEndings(scripts);
+    });
+});
+
+describe("heads of answers of the local endpoint", () => {
+    const head = "HTTP/1.1 200 OK\r\nAttempt-Id: b\r\nContent-Length: 2\r\n";
+    const cases: readonly { readonly name: string; readonly text: string; readonly ending: string; }[] = [
+        { name: "with a folded line", text: `${head}Note: a\r\n b\r\n\r\nok`, ending: "lost garbled" },
+        { name: "with a name and a space", text: `${head}Note : a\r\n\r\nok`, ending: "lost garbled" },
+        { name: "with a line without a name", text: `${head}: a\r\n\r\nok`, ending: "lost garbled" },
+        { name: "with a line without a colon", text: `${head}Note\r\n\r\nok`, ending: "lost garbled" },
+        { name: "with a control character", text: `${head}Note: a\x01\r\n\r\nok`, ending: "lost garbled" },
+        { name: "with a name beyond ASCII", text: `${head}Not\xba: a\r\n\r\nok`, ending: "lost garbled" },
+        { name: "with two status lines", text: `${head}HTTP/1.1 500 Failed\r\n\r\nok`, ending: "lost garbled" },
+        { name: "with a status line in a value", text: `${head}Note: HTTP/1.1 500\r\n\r\nok`, ending: "lost garbled" },
+        { name: "with its attempt twice", text: `${head}Attempt-Id: b\r\n\r\nok`, ending: "200 ok" },
+        { name: "with two lengths", text: `${head}Content-Length: 3\r\n\r\nok`, ending: "lost garbled" },
+        { name: "with its length twice", text: `${head}Content-Length: 2\r\n\r\nok`, ending: "200 ok" },
+        { name: "with an unknown version", text: head.replace("1.1", "2.0") + "\r\nok", ending: "lost garbled" },
+        { name: "with an unknown status", text: head.replace("200", "020") + "\r\nok", ending: "lost garbled" },
+        { name: "with letters beyond ASCII in a value", text: `${head}Note: caf\xe9\r\n\r\nok`, ending: "200 ok" },
+        { name: "with a version in a value", text: `${head}Via: HTTP/1.1 rugs\r\n\r\nok`, ending: "200 ok" },
+        { name: "without a reason", text: head.replace(" OK", "") + "\r\nok", ending: "200 ok" },
+    ];
+    for (const { name, text, ending } of cases) {
+        it(`${name} are ${ending === "200 ok" ? "read" : "not taken"}, in one piece or more`, async () => {
+            const middle = text.length - 20;
+            const whole = await play({ pieces: [text] });
+            const parted = await play({ pieces: [text.slice(0, middle), text.slice(middle)] });
+            expect([whole.second, parted.second]).deep.equals([ending, ending]);
+        });
+    }
+});
