--- a/standin/platformCluster.ts
+++ b/standin/platformCluster.ts
@@ -1,7 +1,7 @@
 /** A small deployment on loopback: the stand-in of the platform's store, upstreams, and a node process beside each. */
 import type { ChildProcess } from "node:child_process";
 import { spawn } from "node:child_process";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { Agent, request as httpRequest } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -29,6 +29,8 @@
     readonly slots: number;
     readonly runMs: number;
     readonly calls?: readonly UpstreamCall[];
+    /** See `UpstreamPlan`. */
+    readonly keepsDeadlines?: boolean;
 }
 
 /** Answer to a caller. */
@@ -77,6 +79,12 @@
         return node === undefined ? null : waitForExit(node);
     }
 
+    /** Writes another value of a bound into the node's settings; the node reads them at a SIGHUP, or some seconds later. */
+    changeBound(name: string, value: number): void {
+        const text = readFileSync(this.settingsFile, "utf8");
+        writeFileSync(this.settingsFile, text.replace(new RegExp(`^${name} = .*$`, "m"), `${name} = ${value}`));
+    }
+
     /** Whether the node says that it is ready. */
     async isReady(): Promise<boolean> {
         return (await send(this.address, ports.ready, "GET", "/ready", {}, "")).status === 200;
@@ -177,6 +185,7 @@
             slots: service.slots,
             runMs: service.runMs,
             calls: service.calls ?? [],
+            keepsDeadlines: service.keepsDeadlines === true,
             outboundPort: ports.caller,
             controlPort: ports.report,
         });
--- a/standin/platformUpstream.ts
+++ b/standin/platformUpstream.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer, request as httpRequest } from "node:http";
+import { sleep } from "./processes.js";
 
 /** A call that each run makes. */
 export interface UpstreamCall {
@@ -11,6 +12,25 @@
     readonly path: string;
 }
 
+/** One run, for the judgement of what became of it. Times are monotonic, in milliseconds. */
+export interface RunRecord {
+    readonly attempt: string;
+    readonly startedAt: number;
+    /** Time at which the connection closed before the answer had left; `undefined` if it didn't. */
+    abandonedAt: number | undefined;
+}
+
+/** A call that a run made, as the upstream saw it. Times are monotonic, in milliseconds. */
+export interface CallRecord {
+    readonly attempt: string;
+    readonly startedAt: number;
+    readonly deadlineMs: number;
+    readonly endedAt: number;
+    /** 0 when the connection ended without a whole answer. */
+    readonly status: number;
+    readonly isSigned: boolean;
+}
+
 /** What an upstream does. */
 export interface UpstreamPlan {
     readonly address: string;
@@ -20,6 +40,11 @@
     /** Time that each run holds its slot besides its calls, in milliseconds. */
     readonly runMs: number;
     readonly calls: readonly UpstreamCall[];
+    /**
+     * Whether it gives up a run at the deadline that it was told, and its calls expire then; else it ends all runs, and calls
+     * have a second.
+     */
+    readonly keepsDeadlines?: boolean;
     /** Where calls go. */
     readonly outboundPort: number;
     /** Where heartbeats go. */
@@ -33,6 +58,8 @@
 export class PlatformUpstream {
     /** Attempts that ran here, in order. */
     readonly runs: string[] = [];
+    readonly runRecords: RunRecord[] = [];
+    readonly callRecords: CallRecord[] = [];
     /** Headers of the last request. */
     lastHeaders: readonly string[] = [];
     /** Headers of the last request of each attempt. */
@@ -148,7 +175,7 @@
         }
         this.lastHeaders = request.rawHeaders;
         this.headersByAttempt.set(String(attempt), request.rawHeaders);
-        await this.run(String(attempt), echo, Buffer.concat(chunks), response);
+        await this.run(request, echo, Buffer.concat(chunks), response);
     }
 
     private createStateHeaders(): Record<string, string> {
@@ -158,23 +185,32 @@
         };
     }
 
+    /** The query of a request may set the time of its run (`run`), that of its calls (`call`) and the size of its answer (`bytes`). */
     private async run(
-        attempt: string,
+        request: IncomingMessage,
         echo: Record<string, string>,
         body: Buffer,
         response: ServerResponse,
     ): Promise<void> {
+        const attempt = echo["Attempt-Id"]!;
+        const query = new URL(request.url ?? "/", "http://upstream").searchParams;
+        const startedAt = performance.now();
+        const record: RunRecord = { attempt, startedAt, abandonedAt: undefined };
         this.runs.push(attempt);
+        this.runRecords.push(record);
         this.running += 1;
         this.mostRunning = Math.max(this.mostRunning, this.running);
-        response.once("close", () => this.abandoned += response.writableFinished ? 0 : 1);
-        await new Promise(resolve => setTimeout(resolve, this.runMs));
-        let status = this.fault === "fail" ? 500 : 200;
-        for (const [index, call] of this.plan.calls.entries()) {
-            if (status === 200 && await this.call(call, `${attempt}.c${index}`) !== 200) {
-                status = 500;
+        response.once("close", () => {
+            if (!response.writableFinished) {
+                this.abandoned += 1;
+                record.abandonedAt = performance.now();
             }
-        }
+        });
+        const deadlineMs = Number(request.headers["deadline-ms"] ?? Infinity);
+        const leftMs = (): number =>
+            this.plan.keepsDeadlines === true ? startedAt + deadlineMs - performance.now() : Infinity;
+        await sleep(Math.min(Number(query.get("run") ?? this.runMs), Math.max(0, leftMs())));
+        const status = this.fault === "fail" ? 500 : await this.runCalls(attempt, query.get("call"), leftMs);
         this.running -= 1;
         if (this.fault === "reset") {
             response.socket?.resetAndDestroy();
@@ -183,22 +219,45 @@
         if (this.fault === "silent") {
             return;
         }
-        response.writeHead(status, { ...echo, "Upstream-Signature": `s.${this.id}` }).end(body);
+        const bytes = Number(query.get("bytes") ?? 0);
+        response.writeHead(status, { ...echo, "Upstream-Signature": `s.${this.id}` })
+            .end(bytes > 0 && status === 200 ? Buffer.alloc(bytes, "rug ") : body);
+    }
+
+    /** Makes the calls of a run; returns the status of its answer. */
+    private async runCalls(attempt: string, callRunMs: string | null, leftMs: () => number): Promise<number> {
+        for (const [index, { host, path }] of this.plan.calls.entries()) {
+            if (leftMs() < 1) {
+                return 504;
+            }
+            const url = callRunMs === null ? path : `${path}?run=${callRunMs}`;
+            const deadlineMs = Math.floor(Math.min(leftMs(), this.plan.keepsDeadlines === true ? Infinity : 1000));
+            if (await this.call({ host, path: url }, `${attempt}.c${index}`, deadlineMs) !== 200) {
+                return leftMs() < 1 ? 504 : 500;
+            }
+        }
+        return leftMs() < 1 ? 504 : 200;
     }
 
-    private call(call: UpstreamCall, attempt: string): Promise<number> {
+    private call(call: UpstreamCall, attempt: string, deadlineMs: number): Promise<number> {
+        const startedAt = performance.now();
         return new Promise(resolve => {
+            const end = (status: number, isSigned: boolean): void => {
+                const endedAt = performance.now();
+                this.callRecords.push({ attempt, startedAt, deadlineMs, endedAt, status, isSigned });
+                resolve(status);
+            };
             const sent = httpRequest({
                 host: this.plan.address,
                 port: this.plan.outboundPort,
                 path: call.path,
-                headers: { Host: call.host, "Attempt-Id": attempt, "Deadline-Ms": "1000" },
+                headers: { Host: call.host, "Attempt-Id": attempt, "Deadline-Ms": String(deadlineMs) },
             }, answer => {
                 answer.resume();
-                answer.once("end", () => resolve(answer.statusCode ?? 0));
-                answer.once("error", () => resolve(0));
+                answer.once("end", () => end(answer.statusCode ?? 0, "upstream-signature" in answer.headers));
+                answer.once("error", () => end(0, false));
             });
-            sent.once("error", () => resolve(0));
+            sent.once("error", () => end(0, false));
             sent.end();
         });
     }
