End a stopping node by its own stop alone, however many signals come

Callers lost whatever was in progress at a node that got a second SIGTERM during its graceful stop: the process ended at once. The handler was installed with process.once, so that the second signal met the default of Node.js; SIGINT met it the first time. A supervisor that repeats its signal, or an operator who presses Ctrl-C, is enough.

The test failed before: four of four requests in progress had no answer.

--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -100,6 +100,8 @@
     /** Time of the start on the monotonic clock, in milliseconds. */
     private readonly startedAt: number;
     private readonly gracefulStop: GracefulStop;
+    /** The stop, once it has begun. */
+    private stopped: Promise<void> | undefined;
     /** Whether links are about to be chosen, since instances became known. */
     private isChoosingLinks = false;
     /** Whether the endpoint gets no new runs, since this process ends soon. */
@@ -246,9 +248,24 @@
 
     /**
      * Stops gracefully: announces the stop to the other nodes, lets callers move to other instances, and finishes
-     * requests in progress.
+     * requests in progress. Further calls wait for the same stop.
      */
-    async stop(): Promise<void> {
+    stop(): Promise<void> {
+        return this.stopped ??= this.stopGracefully();
+    }
+
+    /** Why the node is not ready for callers; `undefined` when it is. */
+    findNotReadyCause(): string | undefined {
+        if (this.gracefulStop.hasStarted()) {
+            return "stopping";
+        }
+        if (this.clusterState.configurationHolder.getVersion() < 0) {
+            return "no configuration is known";
+        }
+        return this.endpointLifecycle.isRestored() ? undefined : "the own record is not read";
+    }
+
+    private async stopGracefully(): Promise<void> {
         this.gracefulStop.start();
         this.announceLoad();
         this.logger.info("stopping", {
@@ -282,17 +299,6 @@
         this.pool.destroy();
     }
 
-    /** Why the node is not ready for callers; `undefined` when it is. */
-    findNotReadyCause(): string | undefined {
-        if (this.gracefulStop.hasStarted()) {
-            return "stopping";
-        }
-        if (this.clusterState.configurationHolder.getVersion() < 0) {
-            return "no configuration is known";
-        }
-        return this.endpointLifecycle.isRestored() ? undefined : "the own record is not read";
-    }
-
     private createRunner(): EndpointRunner {
         const { clock, logger, settings, platform, quarantine, pool } = this;
         const { service, address } = settings;
--- a/test/routed/cluster.test.ts
+++ b/test/routed/cluster.test.ts
@@ -447,6 +447,27 @@
         }
     });
 
+    // LOST: a second SIGTERM ended the process at once, in the middle of its graceful stop.
+    it("finish a graceful stop as it began though further signals come meanwhile", async () => {
+        [kas1!, kas2!].forEach(machine => machine.upstream.runMs = 900);
+        const { node } = katalog2!;
+        const running = [1, 2, 3].map(index => postAdvance(katalog2!, `signals${index}`));
+        await sleep(100);
+        const ended = katalog2!.endNode("SIGTERM");
+        for (const signal of ["SIGTERM", "SIGHUP", "SIGINT", "SIGTERM"] as const) {
+            await sleep(50);
+            node!.kill(signal);
+        }
+        await sleep(50);
+        running.push(postAdvance(katalog2!, "signals-after"));
+        expect((await Promise.all(running)).map(answer => answer.status)).deep.equals([200, 200, 200, 200]);
+        expect(await ended).equals(0);
+        [kas1!, kas2!].forEach(machine => machine.upstream.runMs = 20);
+        katalog2!.startNode();
+        await waitFor(() => katalog2!.isReady(), 5000, "restarted node");
+        await cluster.waitForInstances();
+    });
+
     it("lose no request when a node is stopped gracefully, and say so first", async () => {
         const { upstream } = katalog2!;
         upstream.runMs = 300;
