Answer what was sent ahead on a connection before a stopping node closes it

Callers that send ahead lost requests at a planned stop: the connection ended behind a whole answer, and requests that the node had read up to 3 s before got none. A request that began during the stop had its answer marked `Connection: close` at once, however long its run was, and the pipeline dropped whatever came behind it.

EntryAnswer now decides this when an answer is written: while the node stops, an answer waits for those before it, and closes the connection if no other request has been read. One that comes before then is answered, and its answer closes in its place. Answers to requests that began before the stop close too, which they did not.

--- a/src/connection/requestPipeline.ts
+++ b/src/connection/requestPipeline.ts
@@ -27,6 +27,8 @@
     isNext(): boolean;
     /** Waits until the answers to all requests before it are sent; false if the connection closes before. */
     waitUntilNext(): Promise<boolean>;
+    /** Whether no request behind it has been read. */
+    isLast(): boolean;
 }
 
 /** A request whose answer isn't sent yet. */
@@ -68,6 +70,7 @@
             waitForWork: () => this.waitFor(entry, maxRequestsInWork),
             isNext: () => this.hasFewAhead(entry, 1),
             waitUntilNext: () => this.waitFor(entry, 1),
+            isLast: () => this.entries.at(-1) === entry,
         };
     }
 
--- a/src/request/entryRequest.ts
+++ b/src/request/entryRequest.ts
@@ -13,6 +13,7 @@
 import type { ConfigurationHolder } from "../version/configurationHolder.js";
 import type { Customer } from "../version/customer.js";
 import type { Dialect, RequestMetadata } from "./dialect.js";
+import type { EntryAnswer } from "./entryAnswer.js";
 import type { Forwarder } from "./forwarder.js";
 
 /** Dependencies of the entry of a routed node. */
@@ -54,6 +55,7 @@
 export interface RoutedRequest {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
+    readonly answer: EntryAnswer;
     readonly metadata: RequestMetadata;
     readonly route: RouteContract;
     readonly version: number;
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -7,6 +7,7 @@
 import type { Customer, CustomerTable } from "../version/customer.js";
 import { readBody } from "./body.js";
 import type { RequestMetadata } from "./dialect.js";
+import { EntryAnswer } from "./entryAnswer.js";
 import { logRequest, recordDownstreamOutcome, recordRequestEnd } from "./entryRecords.js";
 import type { RoutedEntryDependencies, RoutedRequest } from "./entryRequest.js";
 import { computeRetryAfterMs, hasNoRoom, maxRetryShare, minRetryMs, recordRoom, takeReturn } from "./entryReturns.js";
@@ -56,9 +57,7 @@
     turn: PipelineTurn,
 ): Promise<void> {
     const startedAt = dependencies.clock.readMonotonic();
-    if (dependencies.stop.hasStarted()) {
-        response.setHeader("connection", "close");
-    }
+    const answer = new EntryAnswer(response, turn, dependencies.stop);
     // Bodies of requests that wait for their turn stay unread, so that they take no memory here.
     if (!turn.mayWork() && !await turn.waitForWork()) {
         return;
@@ -73,7 +72,7 @@
     }
     if (body === "tooLarge") {
         response.setHeader("connection", "close");
-        sendEmptyAnswer(response, 413, undefined);
+        sendEmptyAnswer(answer, 413, undefined);
         return;
     }
     if (!turn.isNext() && isAtMostOnce(dependencies, request) && !await turn.waitUntilNext()) {
@@ -81,26 +80,26 @@
     }
     const table = dependencies.configurationHolder.getTable();
     if (table === undefined) {
-        sendEmptyAnswer(response, 503, notReadyRetryMs);
+        sendEmptyAnswer(answer, 503, notReadyRetryMs);
         logRequest(dependencies, "refused", { request: metadata.attemptId, cause: "noConfiguration", status: 503 });
         return;
     }
     const { version } = table.configuration;
     const route = table.find(request.headers.host ?? "", request.url ?? "/");
     if (route === undefined) {
-        sendEmptyAnswer(response, 404, undefined);
+        sendEmptyAnswer(answer, 404, undefined);
         logRequest(dependencies, "refused", { request: metadata.attemptId, cause: "noRoute", version, status: 404 });
         return;
     }
     if (metadata.attemptId === undefined) {
-        sendEmptyAnswer(response, 400, undefined);
+        sendEmptyAnswer(answer, 400, undefined);
         logRequest(dependencies, "refused", { cause: "noAttempt", version, status: 400 });
         return;
     }
     const parent = dependencies.runs.find(dependencies.dialect.findParentAttempt(metadata.attemptId));
     const customer = parent === undefined ? findCustomer(table.customers, metadata.key) : undefined;
     if (parent === undefined && customer === undefined && !route.isPublic && table.configuration.needsKeys) {
-        refuseUnknownCaller(dependencies, response, metadata, {
+        refuseUnknownCaller(dependencies, answer, metadata, {
             request: metadata.attemptId,
             route: route.name,
             version,
@@ -109,7 +108,7 @@
     }
     const deadline = startedAt + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs);
     if (!dependencies.stop.canTake(deadline, parent !== undefined)) {
-        refuseWhileStopping(dependencies, response, deadline, {
+        refuseWhileStopping(dependencies, answer, deadline, {
             request: metadata.attemptId,
             route: route.name,
             customer: customer?.name,
@@ -123,6 +122,7 @@
     const routedRequest: RoutedRequest = {
         request,
         response,
+        answer,
         metadata,
         route,
         version,
@@ -148,23 +148,23 @@
 /** Refuses a request that might not be answered before this process ends. */
 function refuseWhileStopping(
     dependencies: RoutedEntryDependencies,
-    response: ServerResponse,
+    answer: EntryAnswer,
     deadline: number,
     fields: { readonly route: string; readonly [name: string]: string | number | undefined; },
 ): void {
     const leftMs = deadline - dependencies.clock.readMonotonic();
     const spreadMs = stoppingRetryMs * (0.75 + dependencies.random() * 0.5);
-    sendEmptyAnswer(response, 503, Math.max(minRetryMs, Math.min(spreadMs, leftMs * maxRetryShare)));
+    sendEmptyAnswer(answer, 503, Math.max(minRetryMs, Math.min(spreadMs, leftMs * maxRetryShare)));
     dependencies.metrics.recordRequestOutcome(fields.route, "refused", "stopping", 0);
     logRequest(dependencies, "refused", { ...fields, cause: "stopping", status: 503 });
 }
 
 /** Refuses a caller's request, before any work was spent on it, because a service behind its route is overloaded. */
 function refuseAtEntry(dependencies: RoutedEntryDependencies, routedRequest: RoutedRequest): void {
-    const { response, metadata, route, version, customer } = routedRequest;
+    const { metadata, route, version, customer } = routedRequest;
     const cause = "crowdedBehind";
     const refusal = { kind: "refused", cause, retryAfterMs: overloadedRetryMs } as const;
-    const status = sendOutcome(dependencies, response, routedRequest, refusal);
+    const status = sendOutcome(dependencies, routedRequest, refusal);
     dependencies.metrics.recordRequestOutcome(route.name, "refused", cause, 0);
     logRequest(dependencies, "refused", {
         request: metadata.attemptId,
@@ -206,7 +206,7 @@
     routedRequest: RoutedRequest,
     customer: string,
 ): Promise<SpentUnit | undefined> {
-    const { response, route, metadata, version, startedAt } = routedRequest;
+    const { response, answer, route, metadata, version, startedAt } = routedRequest;
     const leftMs = startedAt + (metadata.deadlineMs ?? Infinity) - dependencies.clock.readMonotonic();
     const maxWaitMs = Math.min(maxUnitWaitMs, route.targetLatencyMs * maxUnitWaitShare, leftMs);
     const taken = await dependencies.quotas.take(customer, maxWaitMs);
@@ -219,7 +219,7 @@
     }
     // Only a used quota is the customer's own limit. Where no unit could be asked for, it may have much of it left.
     const status = taken.cause === "quota" ? 429 : 503;
-    sendEmptyAnswer(response, status, taken.retryAfterMs * (1 + dependencies.random() / 2));
+    sendEmptyAnswer(answer, status, taken.retryAfterMs * (1 + dependencies.random() / 2));
     dependencies.metrics.recordRequestOutcome(route.name, "refused", taken.cause, 0);
     logRequest(dependencies, "refused", {
         request: metadata.attemptId,
@@ -273,7 +273,7 @@
         recordDownstreamOutcome(dependencies, routedRequest, call, result.outcome);
     }
     recordRoom(dependencies, routedRequest, call, result.outcome, elapsedMs);
-    const status = sendOutcome(dependencies, response, routedRequest, result.outcome);
+    const status = sendOutcome(dependencies, routedRequest, result.outcome);
     recordRequestEnd(dependencies, routedRequest, call, result, status, elapsedMs);
     return result;
 }
@@ -315,36 +315,30 @@
 /** Sends the final answer and returns its HTTP status. */
 function sendOutcome(
     dependencies: RoutedEntryDependencies,
-    response: ServerResponse,
     routedRequest: RoutedRequest,
     outcome: ForwardOutcome,
 ): number {
+    const { answer } = routedRequest;
     if (outcome.kind === "answer") {
         const length = ["Content-Length", String(outcome.body.length)];
-        response.writeHead(outcome.status, [...outcome.headers, ...length]);
-        response.end(outcome.body);
+        answer.send(outcome.status, [...outcome.headers, ...length], outcome.body);
         return outcome.status;
     }
     if (outcome.kind === "refused") {
-        sendEmptyAnswer(response, 503, computeRetryAfterMs(dependencies, routedRequest, outcome.retryAfterMs));
+        sendEmptyAnswer(answer, 503, computeRetryAfterMs(dependencies, routedRequest, outcome.retryAfterMs));
         return 503;
     }
     const status = outcome.cause === "timeout" || outcome.cause === "noAnswer" ? 504 : 502;
-    sendEmptyAnswer(response, status, undefined);
+    sendEmptyAnswer(answer, status, undefined);
     return status;
 }
 
 /** Sends an answer of the node itself, with an empty body. */
-function sendEmptyAnswer(response: ServerResponse, status: number, retryAfterMs: number | undefined): void {
-    if (response.destroyed || response.headersSent) {
-        return;
-    }
-    const headers: Record<string, string> = { "Content-Length": "0" };
-    if (retryAfterMs !== undefined) {
-        headers["Retry-After"] = (retryAfterMs / 1000).toFixed(3);
-    }
-    response.writeHead(status, headers);
-    response.end();
+function sendEmptyAnswer(answer: EntryAnswer, status: number, retryAfterMs: number | undefined): void {
+    answer.send(status, {
+        "Content-Length": "0",
+        ...(retryAfterMs === undefined ? {} : { "Retry-After": (retryAfterMs / 1000).toFixed(3) }),
+    });
 }
 
 function findCustomer(customers: CustomerTable, key: string | undefined): Customer | undefined {
@@ -358,13 +352,13 @@
  */
 function refuseUnknownCaller(
     dependencies: RoutedEntryDependencies,
-    response: ServerResponse,
+    answer: EntryAnswer,
     { attemptId, key }: RequestMetadata,
     fields: { readonly request: string; readonly route: string; readonly version: number; },
 ): void {
     const isCall = key === undefined && dependencies.dialect.findParentAttempt(attemptId ?? "") !== undefined;
     const [status, cause] = isCall ? [503, "unknownRun"] as const : [401, "unknownKey"] as const;
-    sendEmptyAnswer(response, status, isCall ? notReadyRetryMs : undefined);
+    sendEmptyAnswer(answer, status, isCall ? notReadyRetryMs : undefined);
     dependencies.metrics.recordRequestOutcome(fields.route, "refused", cause, 0);
     logRequest(dependencies, "refused", { ...fields, cause, status });
 }
--- a/test/routed/entryPlay.ts
+++ b/test/routed/entryPlay.ts
@@ -137,6 +137,15 @@
         this.socket.destroy();
     }
 
+    /** Reads nothing until {@link readOn}. */
+    stopReading(): void {
+        this.socket.pause();
+    }
+
+    readOn(): void {
+        this.socket.resume();
+    }
+
     /** Whole answers so far, in their order. */
     listAnswers(): WireAnswer[] {
         const answers: WireAnswer[] = [];
