Take a change of protocol for an error

Cause: 101 counted as an interim answer, of which others follow. With an Upgrade header the library drops the rest of the piece too, so the answer behind it was lost and a later second answer stood for it. The node asks for no upgrade, so that a 101 answers nothing.

Change: a 101 ends the connection and the request as garbled. An Upgrade header in any other answer is an offer and changes nothing, as before.

The 4 tests with a 101 ended as "200 ok" before, where the endpoint had answered 500 or nothing that is HTTP; now as garbled.

--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -30,6 +30,8 @@
 const maxAttempts = 256;
 /** Maximum size of what comes without a byte of a body: heads, sizes of chunks, trailers; in bytes. */
 const maxFramingBytes = 131_072;
+/** Status with which an endpoint leaves HTTP. */
+const switchingProtocols = 101;
 /**
  * Memory that all connections read into; each piece is used up, or copied, before the next is read. So a piece costs neither an
  * allocation nor the layers of a stream.
@@ -234,6 +236,8 @@
     private startAnswer({ status, headers, shouldKeepAlive }: AnswerHead): boolean {
         const length = findHeader(headers, "content-length");
         this.hasProtocolError ||= length !== undefined && !/^\d{1,15}$/.test(length);
+        // No request asks for another protocol; what would follow isn't HTTP.
+        this.hasProtocolError ||= status === switchingProtocols;
         this.partialAnswer = { status, headers, chunks: [], bytes: 0, shouldKeepAlive };
         return this.exchange?.isBodyless !== true;
     }
--- a/test/routed/secondAnswers.test.ts
+++ b/test/routed/secondAnswers.test.ts
@@ -230,3 +230,40 @@
         expect((await play({ pieces: [`${head}-5\r\nok\r\n0\r\n\r\n`] })).second).equals("lost garbled");
     });
 });
+
+describe("answers of the local endpoint that change the protocol", () => {
+    const upgrade = "Upgrade: h2c\r\nConnection: upgrade\r\n";
+    const cases: readonly { readonly name: string; readonly pieces: readonly string[]; readonly ending: string; }[] = [
+        { name: "status 101", pieces: [`HTTP/1.1 101 Switch\r\n\r\n`, late], ending: "lost garbled" },
+        {
+            name: "status 101 with its headers",
+            pieces: [`HTTP/1.1 101 Switch\r\n${upgrade}\r\n`, late],
+            ending: "lost garbled",
+        },
+        {
+            name: "status 101 before a failure",
+            pieces: [`HTTP/1.1 101 Switch\r\n${upgrade}\r\n${own.length}`, late],
+            ending: "lost garbled",
+        },
+        {
+            name: "an earlier attempt's status 101",
+            pieces: [`HTTP/1.1 101 Switch\r\nAttempt-Id: a\r\n${upgrade}\r\n${own.length}`, late],
+            ending: "lost garbled",
+        },
+        {
+            name: "an offer in a failure",
+            pieces: [formatAnswer("500 Failed", "b", "failed", upgrade), late],
+            ending: "500 failed",
+        },
+        {
+            name: "an offer in a failure, with a second answer",
+            pieces: [formatAnswer("500 Failed", "b", "failed", upgrade) + late],
+            ending: "500 failed",
+        },
+    ];
+    for (const { name, pieces, ending } of cases) {
+        it(`(${name}) end as ${ending}`, async () => {
+            expect((await play({ pieces })).second).equals(ending);
+        });
+    }
+});
