Read an answer by the method of its own attempt

Cause: whether an answer has a body was told by the request in progress. A late answer to HEAD names the length of a body that isn't there, so a failure of that length was swallowed as its body and the late success behind it taken. The body of a late answer to GET was read as the next answer while HEAD was in progress.

Change: a connection remembers of each attempt whether its answer has a body, and reads a skipped answer by that. An answer to an attempt that the connection never carried is skipped as before; if the connection has carried HEAD, it isn't known where that answer ends, so the connection is closed.

--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -2,7 +2,7 @@
  * An HTTP/1.1 connection to the local endpoint. It carries one request at a time and buffers each answer completely.
  *
  * An answer is matched to the request in progress by its attempt identifier; an answer that names another attempt is
- * skipped. The connection is closed after data without a request in progress, after a truncated answer, and after an
+ * skipped; it is read by the method of that attempt, and if that isn't known, the connection is closed. The connection is closed after data without a request in progress, after a truncated answer, and after an
  * answer that arrived before the request was fully written, since the endpoint could take the remaining bytes for
  * another request. A late copy of an answer can't be told from the answer to the same attempt sent again, so a connection
  * carries an attempt once. The connection is closed too when bytes come without end, in a head, in a body or between pieces of one.
@@ -81,6 +81,7 @@
 interface PartialAnswer {
     readonly status: number;
     readonly headers: HeaderList;
+    readonly metadata: AnswerMetadata;
     readonly chunks: Buffer[];
     bytes: number;
     readonly shouldKeepAlive: boolean;
@@ -102,8 +103,9 @@
     private exchange: Exchange | undefined;
     private partialAnswer: PartialAnswer | undefined;
     private isOpen = true;
-    /** Attempts that this connection has carried. */
-    private readonly attempts = new Set<string>();
+    /** Attempts that this connection has carried, and whether the answer to each has no body. */
+    private readonly attempts = new Map<string, boolean>();
+    private hasCarriedBodyless = false;
     /** Bytes received since the request or since the last byte of a body. */
     private framingBytes = 0;
     /** Whether the answer violates HTTP, exceeds the size limit or can't be matched to a request. */
@@ -137,15 +139,13 @@
     /** Sends a request and reads its answer. Never rejects. Must only be called while the connection is reusable. */
     send(request: EndpointRequest): Promise<ExchangeResult> {
         return new Promise(resolve => {
+            const isBodyless = request.method === "HEAD";
             this.framingBytes = 0;
+            this.hasCarriedBodyless ||= isBodyless;
             if (request.attemptId !== undefined) {
-                this.attempts.add(request.attemptId);
+                this.attempts.set(request.attemptId, isBodyless);
             }
-            this.exchange = {
-                attemptId: request.attemptId,
-                isBodyless: request.method === "HEAD",
-                settle: resolve,
-            };
+            this.exchange = { attemptId: request.attemptId, isBodyless, settle: resolve };
             const head = formatHead(request);
             if (request.body.length === 0) {
                 this.socket.write(head, "latin1");
@@ -199,7 +199,10 @@
     private finishSimpleAnswer(answer: SimpleAnswer, chunk: Buffer): void {
         const { status, headers, shouldKeepAlive, bodyStart, bodyLength } = answer;
         const body = Buffer.from(chunk.subarray(bodyStart, bodyStart + bodyLength));
-        this.partialAnswer = { status, headers, chunks: [body], bytes: body.length, shouldKeepAlive };
+        const metadata = this.context.dialect.readAnswer(headers);
+        const isBodyless = this.isBodyless(metadata.attemptId);
+        this.hasProtocolError ||= isBodyless === undefined || (isBodyless && body.length > 0);
+        this.partialAnswer = { status, headers, metadata, chunks: [body], bytes: body.length, shouldKeepAlive };
         this.framingBytes = body.length > 0 ? 0 : this.framingBytes + chunk.length;
         this.finishAnswer();
         if (this.hasProtocolError || this.framingBytes > maxFramingBytes) {
@@ -238,8 +241,23 @@
         this.hasProtocolError ||= length !== undefined && !/^\d{1,15}$/.test(length);
         // No request asks for another protocol; what would follow isn't HTTP.
         this.hasProtocolError ||= status === switchingProtocols;
-        this.partialAnswer = { status, headers, chunks: [], bytes: 0, shouldKeepAlive };
-        return this.exchange?.isBodyless !== true;
+        const metadata = this.context.dialect.readAnswer(headers);
+        const isBodyless = this.isBodyless(metadata.attemptId);
+        this.hasProtocolError ||= isBodyless === undefined;
+        this.partialAnswer = { status, headers, metadata, chunks: [], bytes: 0, shouldKeepAlive };
+        return isBodyless === false;
+    }
+
+    /**
+     * Whether the answer to an attempt has no body, whatever its headers say: an answer is read by the method of the request that it
+     * belongs to. `undefined` if that isn't known, and so where the answer ends isn't either.
+     */
+    private isBodyless(attemptId: string | undefined): boolean | undefined {
+        const { exchange } = this;
+        if (attemptId === undefined || attemptId === exchange?.attemptId) {
+            return exchange?.isBodyless === true;
+        }
+        return this.attempts.get(attemptId) ?? (this.hasCarriedBodyless ? undefined : false);
     }
 
     private addBody(chunk: Buffer): void {
@@ -262,7 +280,7 @@
         if (partialAnswer === undefined || partialAnswer.status < 200 || this.hasProtocolError) {
             return;
         }
-        const metadata = this.context.dialect.readAnswer(partialAnswer.headers);
+        const { metadata } = partialAnswer;
         if (exchange === undefined) {
             this.context.strayAnswers.recordUnasked(this.number);
             this.hasProtocolError = true;
--- a/test/routed/secondAnswers.test.ts
+++ b/test/routed/secondAnswers.test.ts
@@ -267,3 +267,66 @@
         });
     }
 });
+
+describe("second answers of the local endpoint to other methods", () => {
+    /** Success of the first request, padded so that its length is that of the second one's failure. */
+    const headLate = findHead(formatAnswer("200 OK", "a", "x".repeat(own.length.length)));
+    const cases: readonly { readonly name: string; readonly script: Script; readonly endings: readonly string[]; }[] = [
+        {
+            name: "HEAD, before a failure of the length that they name",
+            script: { methods: ["HEAD", "GET"], pieces: [headLate, own.length, late] },
+            endings: ["500 failed"],
+        },
+        {
+            name: "HEAD, before a failure of the length that they name, in one piece",
+            script: { methods: ["HEAD", "GET"], pieces: [headLate + own.length, late] },
+            endings: ["500 failed", "lost garbled"],
+        },
+        {
+            name: "HEAD, with a body nevertheless",
+            script: { methods: ["HEAD", "GET"], pieces: [lateOfFirst.length + own.length, late] },
+            endings: ["500 failed", "lost garbled"],
+        },
+        {
+            name: "HEAD, in chunks",
+            script: { methods: ["HEAD", "GET"], pieces: [findHead(lateOfFirst.chunked), own.chunked, late] },
+            endings: ["500 failed"],
+        },
+        {
+            name: "GET, whose body is an answer, while HEAD is asked",
+            script: {
+                methods: ["GET", "HEAD"],
+                pieces: [formatAnswer("200 OK", "a", findHead(late)), findHead(own.length), findHead(late)],
+            },
+            endings: ["500 ", "lost garbled"],
+        },
+        {
+            name: "GET, while HEAD is asked",
+            script: { methods: ["GET", "HEAD"], pieces: [lateOfFirst.length, findHead(own.length), findHead(late)] },
+            endings: ["500 "],
+        },
+        {
+            name: "HEAD, while HEAD is asked",
+            script: { methods: ["HEAD", "HEAD"], pieces: [findHead(lateOfFirst.length), findHead(own.length), late] },
+            endings: ["500 "],
+        },
+        {
+            name: "a request that was never sent here, while HEAD is asked",
+            script: {
+                methods: ["GET", "HEAD"],
+                pieces: [formatAnswer("200 OK", "c", findHead(late)), findHead(own.length), findHead(late)],
+            },
+            endings: ["lost garbled"],
+        },
+    ];
+    for (const { name, script, endings } of cases) {
+        it(`(${name}) make no success of a failure`, async () => {
+            const isHeadFirst = script.methods?.[0] === "HEAD";
+            const { second } = await play({
+                ...script,
+                first: isHeadFirst ? findHead(failures.length) : failures.length,
+            });
+            expect(endings).contains(second);
+        });
+    }
+});
