Expect no body of answers that have none by their status

Cause: the library reads a body wherever a length or chunks are announced; by HTTP, 1xx, 204 and 304 have none, whatever their headers say.

Change: the connection tells the parser that no body follows such a status.

--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -245,7 +245,7 @@
         const isBodyless = this.isBodyless(metadata.attemptId);
         this.hasProtocolError ||= isBodyless === undefined;
         this.partialAnswer = { status, headers, metadata, chunks: [], bytes: 0, shouldKeepAlive };
-        return isBodyless === false;
+        return isBodyless === false && canHaveBody(status);
     }
 
     /**
@@ -376,6 +376,11 @@
     });
 }
 
+/** Whether an answer of a status may have a body; an interim answer and two others have none, whatever their headers say. */
+function canHaveBody(status: number): boolean {
+    return status >= 200 && status !== 204 && status !== 304;
+}
+
 function formatHead(request: EndpointRequest): string {
     const lines = [`${request.method} ${request.path} HTTP/1.1`];
     for (let index = 0; index + 1 < request.headers.length; index += 2) {
--- a/test/routed/secondAnswers.test.ts
+++ b/test/routed/secondAnswers.test.ts
@@ -330,3 +330,41 @@
         });
     }
 });
+
+describe("answers of the local endpoint that have no body by their status", () => {
+    const cases: readonly { readonly name: string; readonly pieces: readonly string[]; readonly ending: string; }[] = [
+        {
+            name: "100 with a length",
+            pieces: [`HTTP/1.1 100 Continue\r\nContent-Length: ${own.length.length}\r\n\r\n`, own.length, late],
+            ending: "500 failed",
+        },
+        {
+            name: "103 in chunks",
+            pieces: ["HTTP/1.1 103 Hints\r\nTransfer-Encoding: chunked\r\n\r\n", own.chunked, late],
+            ending: "500 failed",
+        },
+        {
+            name: "100 before chunks",
+            pieces: ["HTTP/1.1 100 Continue\r\n\r\n" + own.chunked, late],
+            ending: "500 failed",
+        },
+        {
+            name: "100 in the piece of its answer",
+            pieces: [`HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\n${own.length}`, late],
+            ending: "500 failed",
+        },
+        { name: "204 with a length", pieces: [findHead(formatAnswer("204 None", "b", "ok")), late], ending: "204 " },
+        { name: "304 with a length", pieces: [findHead(formatAnswer("304 Same", "b", "ok")), late], ending: "304 " },
+        { name: "304 in chunks", pieces: [findHead(formatChunked("304 Same", "b", "ok")), late], ending: "304 " },
+        {
+            name: "an earlier attempt's 304 with a length",
+            pieces: [findHead(formatAnswer("304 Same", "a", "x".repeat(own.length.length))), own.length, late],
+            ending: "500 failed",
+        },
+    ];
+    for (const { name, pieces, ending } of cases) {
+        it(`(${name}) end as ${ending}`, async () => {
+            expect((await play({ pieces })).second).equals(ending);
+        });
+    }
+});
