Take an answer that names two attempts for none

Cause: the first of several headers of a name was read. Which attempt such an answer belongs to isn't known.

The 2 tests failed before: "200 ok" for an answer that also names another attempt, and an answer whose own attempt comes second was skipped, so the request waited until it was given up.

--- a/src/request/dialect.ts
+++ b/src/request/dialect.ts
@@ -81,6 +81,18 @@
     return undefined;
 }
 
+/** Finds the value of a header that may come only once, by its name in lower case; `undefined` if it is missing or comes with two values. */
+export function findOnlyHeader(headers: HeaderList, name: string): string | undefined {
+    const value = findHeader(headers, name);
+    for (let index = 0; index + 1 < headers.length; index += 2) {
+        const candidate = headers[index]!;
+        if (headers[index + 1] !== value && candidate.length === name.length && candidate.toLowerCase() === name) {
+            return undefined;
+        }
+    }
+    return value;
+}
+
 /** Copies the end-to-end headers, except the `dropped` ones (names in lower case). */
 export function copyEndToEndHeaders(headers: HeaderList, dropped: ReadonlySet<string>): string[] {
     const declaredHopByHop = listDeclaredHopByHopHeaders(headers);
--- a/test/routed/secondAnswers.test.ts
+++ b/test/routed/secondAnswers.test.ts
@@ -165,6 +165,12 @@
         { name: "with a name beyond ASCII", text: `${head}Not\xba: a\r\n\r\nok`, ending: "lost garbled" },
         { name: "with two status lines", text: `${head}HTTP/1.1 500 Failed\r\n\r\nok`, ending: "lost garbled" },
         { name: "with a status line in a value", text: `${head}Note: HTTP/1.1 500\r\n\r\nok`, ending: "lost garbled" },
+        { name: "with two attempts", text: `${head}Attempt-Id: c\r\n\r\nok`, ending: "lost garbled" },
+        {
+            name: "with two attempts, its own behind",
+            text: head.replace("b", "c") + "Attempt-Id: b\r\n\r\nok",
+            ending: "lost garbled",
+        },
         { name: "with its attempt twice", text: `${head}Attempt-Id: b\r\n\r\nok`, ending: "200 ok" },
         { name: "with two lengths", text: `${head}Content-Length: 3\r\n\r\nok`, ending: "lost garbled" },
         { name: "with its length twice", text: `${head}Content-Length: 2\r\n\r\nok`, ending: "200 ok" },
