Take no answer whose length can't be known

Cause: the first length alone was checked, and any other encoding than chunks was passed over, so that the length counted instead.

Change: every length must be a number (the library refuses two that differ) and every transfer encoding "chunked"; otherwise the connection and the request end as garbled.

The 2 tests failed before: both ended as "200 ok".

--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -237,8 +237,7 @@
 
     /** Begins an answer; returns whether a body may follow. */
     private startAnswer({ status, headers, shouldKeepAlive }: AnswerHead): boolean {
-        const length = findHeader(headers, "content-length");
-        this.hasProtocolError ||= length !== undefined && !/^\d{1,15}$/.test(length);
+        this.hasProtocolError ||= !hasKnownLength(headers);
         // No request asks for another protocol; what would follow isn't HTTP.
         this.hasProtocolError ||= status === switchingProtocols;
         const metadata = this.context.dialect.readAnswer(headers);
@@ -376,6 +375,22 @@
     });
 }
 
+/** Whether the headers that tell where a body ends are valid; chunks are the only encoding that the node reads. */
+function hasKnownLength(headers: HeaderList): boolean {
+    for (let index = 0; index + 1 < headers.length; index += 2) {
+        const name = headers[index]!.toLowerCase();
+        const value = headers[index + 1]!;
+        if (
+            name === "content-length"
+                ? !/^\d{1,15}$/.test(value)
+                : name === "transfer-encoding" && !/^chunked$/i.test(value)
+        ) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /** Whether an answer of a status may have a body; an interim answer and two others have none, whatever their headers say. */
 function canHaveBody(status: number): boolean {
     return status >= 200 && status !== 204 && status !== 304;
--- a/test/routed/secondAnswers.test.ts
+++ b/test/routed/secondAnswers.test.ts
@@ -174,6 +174,16 @@
         { name: "with its attempt twice", text: `${head}Attempt-Id: b\r\n\r\nok`, ending: "200 ok" },
         { name: "with two lengths", text: `${head}Content-Length: 3\r\n\r\nok`, ending: "lost garbled" },
         { name: "with its length twice", text: `${head}Content-Length: 2\r\n\r\nok`, ending: "200 ok" },
+        {
+            name: "with a second length that is no number",
+            text: `${head}Content-Length: 0x2\r\n\r\nok`,
+            ending: "lost garbled",
+        },
+        {
+            name: "with an encoding that isn't known",
+            text: `${head}Transfer-Encoding: gzip, chunked\r\n\r\nok`,
+            ending: "lost garbled",
+        },
         { name: "with an unknown version", text: head.replace("1.1", "2.0") + "\r\nok", ending: "lost garbled" },
         { name: "with an unknown status", text: head.replace("200", "020") + "\r\nok", ending: "lost garbled" },
         { name: "with letters beyond ASCII in a value", text: `${head}Note: caf\xe9\r\n\r\nok`, ending: "200 ok" },
