--- a/test/routed/secondAnswers.test.ts
+++ b/test/routed/secondAnswers.test.ts
@@ -165,9 +165,25 @@
         { name: "with a name beyond ASCII", text: `${head}Not\xba: a\r\n\r\nok`, ending: "lost garbled" },
         { name: "with two status lines", text: `${head}HTTP/1.1 500 Failed\r\n\r\nok`, ending: "lost garbled" },
         { name: "with a status line in a value", text: `${head}Note: HTTP/1.1 500\r\n\r\nok`, ending: "lost garbled" },
+        { name: "with two attempts", text: `${head}Attempt-Id: c\r\n\r\nok`, ending: "lost garbled" },
+        {
+            name: "with two attempts, its own behind",
+            text: head.replace("b", "c") + "Attempt-Id: b\r\n\r\nok",
+            ending: "lost garbled",
+        },
         { name: "with its attempt twice", text: `${head}Attempt-Id: b\r\n\r\nok`, ending: "200 ok" },
         { name: "with two lengths", text: `${head}Content-Length: 3\r\n\r\nok`, ending: "lost garbled" },
         { name: "with its length twice", text: `${head}Content-Length: 2\r\n\r\nok`, ending: "200 ok" },
+        {
+            name: "with a second length that is no number",
+            text: `${head}Content-Length: 0x2\r\n\r\nok`,
+            ending: "lost garbled",
+        },
+        {
+            name: "with an encoding that isn't known",
+            text: `${head}Transfer-Encoding: gzip, chunked\r\n\r\nok`,
+            ending: "lost garbled",
+        },
         { name: "with an unknown version", text: head.replace("1.1", "2.0") + "\r\nok", ending: "lost garbled" },
         { name: "with an unknown status", text: head.replace("200", "020") + "\r\nok", ending: "lost garbled" },
         { name: "with letters beyond ASCII in a value", text: `${head}Note: caf\xe9\r\n\r\nok`, ending: "200 ok" },
@@ -230,3 +246,141 @@
         expect((await play({ pieces: [`${head}-5\r\nok\r\n0\r\n\r\n`] })).second).equals("lost garbled");
     });
 });
+
+describe("answers of the local endpoint that change the protocol", () => {
+    const upgrade = "Upgrade: h2c\r\nConnection: upgrade\r\n";
+    const cases: readonly { readonly name: string; readonly pieces: readonly string[]; readonly ending: string; }[] = [
+        { name: "status 101", pieces: [`HTTP/1.1 101 Switch\r\n\r\n`, late], ending: "lost garbled" },
+        {
+            name: "status 101 with its headers",
+            pieces: [`HTTP/1.1 101 Switch\r\n${upgrade}\r\n`, late],
+            ending: "lost garbled",
+        },
+        {
+            name: "status 101 before a failure",
+            pieces: [`HTTP/1.1 101 Switch\r\n${upgrade}\r\n${own.length}`, late],
+            ending: "lost garbled",
+        },
+        {
+            name: "an earlier attempt's status 101",
+            pieces: [`HTTP/1.1 101 Switch\r\nAttempt-Id: a\r\n${upgrade}\r\n${own.length}`, late],
+            ending: "lost garbled",
+        },
+        {
+            name: "an offer in a failure",
+            pieces: [formatAnswer("500 Failed", "b", "failed", upgrade), late],
+            ending: "500 failed",
+        },
+        {
+            name: "an offer in a failure, with a second answer",
+            pieces: [formatAnswer("500 Failed", "b", "failed", upgrade) + late],
+            ending: "500 failed",
+        },
+    ];
+    for (const { name, pieces, ending } of cases) {
+        it(`(${name}) end as ${ending}`, async () => {
+            expect((await play({ pieces })).second).equals(ending);
+        });
+    }
+});
+
+describe("second answers of the local endpoint to other methods", () => {
+    /** Success of the first request, padded so that its length is that of the second one's failure. */
+    const headLate = findHead(formatAnswer("200 OK", "a", "x".repeat(own.length.length)));
+    const cases: readonly { readonly name: string; readonly script: Script; readonly endings: readonly string[]; }[] = [
+        {
+            name: "HEAD, before a failure of the length that they name",
+            script: { methods: ["HEAD", "GET"], pieces: [headLate, own.length, late] },
+            endings: ["500 failed"],
+        },
+        {
+            name: "HEAD, before a failure of the length that they name, in one piece",
+            script: { methods: ["HEAD", "GET"], pieces: [headLate + own.length, late] },
+            endings: ["500 failed", "lost garbled"],
+        },
+        {
+            name: "HEAD, with a body nevertheless",
+            script: { methods: ["HEAD", "GET"], pieces: [lateOfFirst.length + own.length, late] },
+            endings: ["500 failed", "lost garbled"],
+        },
+        {
+            name: "HEAD, in chunks",
+            script: { methods: ["HEAD", "GET"], pieces: [findHead(lateOfFirst.chunked), own.chunked, late] },
+            endings: ["500 failed"],
+        },
+        {
+            name: "GET, whose body is an answer, while HEAD is asked",
+            script: {
+                methods: ["GET", "HEAD"],
+                pieces: [formatAnswer("200 OK", "a", findHead(late)), findHead(own.length), findHead(late)],
+            },
+            endings: ["500 ", "lost garbled"],
+        },
+        {
+            name: "GET, while HEAD is asked",
+            script: { methods: ["GET", "HEAD"], pieces: [lateOfFirst.length, findHead(own.length), findHead(late)] },
+            endings: ["500 "],
+        },
+        {
+            name: "HEAD, while HEAD is asked",
+            script: { methods: ["HEAD", "HEAD"], pieces: [findHead(lateOfFirst.length), findHead(own.length), late] },
+            endings: ["500 "],
+        },
+        {
+            name: "a request that was never sent here, while HEAD is asked",
+            script: {
+                methods: ["GET", "HEAD"],
+                pieces: [formatAnswer("200 OK", "c", findHead(late)), findHead(own.length), findHead(late)],
+            },
+            endings: ["lost garbled"],
+        },
+    ];
+    for (const { name, script, endings } of cases) {
+        it(`(${name}) make no success of a failure`, async () => {
+            const isHeadFirst = script.methods?.[0] === "HEAD";
+            const { second } = await play({
+                ...script,
+                first: isHeadFirst ? findHead(failures.length) : failures.length,
+            });
+            expect(endings).contains(second);
+        });
+    }
+});
+
+describe("answers of the local endpoint that have no body by their status", () => {
+    const cases: readonly { readonly name: string; readonly pieces: readonly string[]; readonly ending: string; }[] = [
+        {
+            name: "100 with a length",
+            pieces: [`HTTP/1.1 100 Continue\r\nContent-Length: ${own.length.length}\r\n\r\n`, own.length, late],
+            ending: "500 failed",
+        },
+        {
+            name: "103 in chunks",
+            pieces: ["HTTP/1.1 103 Hints\r\nTransfer-Encoding: chunked\r\n\r\n", own.chunked, late],
+            ending: "500 failed",
+        },
+        {
+            name: "100 before chunks",
+            pieces: ["HTTP/1.1 100 Continue\r\n\r\n" + own.chunked, late],
+            ending: "500 failed",
+        },
+        {
+            name: "100 in the piece of its answer",
+            pieces: [`HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\n${own.length}`, late],
+            ending: "500 failed",
+        },
+        { name: "204 with a length", pieces: [findHead(formatAnswer("204 None", "b", "ok")), late], ending: "204 " },
+        { name: "304 with a length", pieces: [findHead(formatAnswer("304 Same", "b", "ok")), late], ending: "304 " },
+        { name: "304 in chunks", pieces: [findHead(formatChunked("304 Same", "b", "ok")), late], ending: "304 " },
+        {
+            name: "an earlier attempt's 304 with a length",
+            pieces: [findHead(formatAnswer("304 Same", "a", "x".repeat(own.length.length))), own.length, late],
+            ending: "500 failed",
+        },
+    ];
+    for (const { name, pieces, ending } of cases) {
+        it(`(${name}) end as ${ending}`, async () => {
+            expect((await play({ pieces })).second).equals(ending);
+        });
+    }
+});
