--- a/standin/platformCluster.ts
+++ b/standin/platformCluster.ts
@@ -7,7 +7,7 @@
 import { join } from "node:path";
 import process from "node:process";
 import { PlatformStore } from "./platformStore.js";
-import type { UpstreamCall } from "./platformUpstream.js";
+import type { UpstreamCall, UpstreamPlan } from "./platformUpstream.js";
 import { PlatformUpstream } from "./platformUpstream.js";
 import { waitFor, waitForExit } from "./processes.js";
 
@@ -117,6 +117,7 @@
         private readonly nodeFlags: readonly string[] = [],
         /** Level of the nodes' log. */
         private readonly logLevel = "info",
+        private readonly createUpstream = (plan: UpstreamPlan): PlatformUpstream => new PlatformUpstream(plan),
     ) {
         this.store = new PlatformStore(this.createAddress(1), ports.store);
         for (const service of services) {
@@ -170,7 +171,7 @@
         const address = this.createAddress(this.machines.length + 2);
         const file = join(this.folder, `${address}.toml`);
         writeFileSync(file, this.formatSettings(address, service.name));
-        const upstream = new PlatformUpstream({
+        const upstream = this.createUpstream({
             address,
             port: ports.upstream,
             service: service.name,
--- a/standin/platformUpstream.ts
+++ b/standin/platformUpstream.ts
@@ -24,10 +24,12 @@
     readonly outboundPort: number;
     /** Where heartbeats go. */
     readonly controlPort: number;
+    /** Time between heartbeats, in milliseconds; 300 if left out. */
+    readonly heartbeatMs?: number;
 }
 
 /** Time between heartbeats, in milliseconds. */
-const heartbeatMs = 300;
+const usualHeartbeatMs = 300;
 
 /** One upstream. */
 export class PlatformUpstream {
@@ -73,18 +75,15 @@
         this.id = this.createId();
         this.state = "ready";
         this.number = 0;
-        this.server = createServer((request, response) => void this.serve(request, response));
-        const { port, address } = this.plan;
-        await new Promise<void>(resolve => this.server!.listen(port, address, resolve));
-        this.timer = setInterval(() => void this.sendHeartbeat(), heartbeatMs);
+        await this.startServer();
+        this.timer = setInterval(() => void this.sendHeartbeat(), this.plan.heartbeatMs ?? usualHeartbeatMs);
         await this.sendHeartbeat();
     }
 
     /** Ends at once, without a word. */
     endAbruptly(): void {
         clearInterval(this.timer);
-        this.server?.closeAllConnections();
-        this.server?.close();
+        this.closeServer();
         this.running = 0;
     }
 
@@ -114,6 +113,19 @@
         });
     }
 
+    /** Starts to accept connections. */
+    protected async startServer(): Promise<void> {
+        this.server = createServer((request, response) => void this.serve(request, response));
+        const { port, address } = this.plan;
+        await new Promise<void>(resolve => this.server!.listen(port, address, resolve));
+    }
+
+    /** Closes all connections and accepts no more. */
+    protected closeServer(): void {
+        this.server?.closeAllConnections();
+        this.server?.close();
+    }
+
     private createId(): string {
         return this.fixedId ?? `i-${this.plan.address}-${this.life}`;
     }
