Join no send of one node to the run of another

What callers would see: a success with the answer to another request. Two nodes that asked one endpoint's node for runs under the same attempt identifier and send number shared one run, and an outcome for 2.5 s after it, though the requests differed.

Cause: the node beside the endpoint knew a send by attempt and send number only, and whoever makes requests chooses the identifier. A cancellation of the one sender also ended the run of the other. The key now has the address of the sending node; a sender that lost its link keeps its address, so that its own send still runs once.

--- a/src/process/endpoint/remoteRuns.ts
+++ b/src/process/endpoint/remoteRuns.ts
@@ -24,7 +24,10 @@
     readonly waiters: Map<AcceptedLink, number>;
 }
 
-/** Runs requested by other nodes, by attempt and send number. */
+/**
+ * Runs requested by other nodes, by node, attempt and send number. An attempt identifier alone isn't enough: whoever makes
+ * requests chooses it, and a node that joined the run of another one would hand on the answer to another request.
+ */
 export class RemoteRuns {
     private readonly deduplicator: SendDeduplicator;
     private readonly runs = new Map<string, RemoteRun>();
@@ -37,7 +40,7 @@
 
     /** Starts a run, or joins the one that the same send started over another link. */
     start(message: RunMessage, link: AcceptedLink): void {
-        const key = `${message.attemptId}/${message.sendNumber}`;
+        const key = `${link.getPeerAddress()}/${message.sendNumber}/${message.attemptId}`;
         const run = this.runs.get(key) ?? { cancellation: new Cancellation(), waiters: new Map() };
         run.waiters.set(link, message.id);
         this.getRunKeys(link).set(message.id, key);
