Close a connection at once that has bytes behind its answer

What callers saw: a request lost, its outcome unknown, whose endpoint had answered it: bytes that came behind an earlier answer, in its piece, stayed in the parser and were read as the beginning of the next answer.

Cause: bytes without a request in progress ended the connection only if they came in a piece of their own, or held a whole answer.

Change: what the parser has read of a further answer when the piece ends, and no request is in progress, ends the connection as a piece of its own would. The next request goes to another connection.

--- a/src/connection/answerParser.ts
+++ b/src/connection/answerParser.ts
@@ -29,6 +29,8 @@
 interface LibraryState {
     /** Next element that is due. */
     readonly state: string;
+    /** Beginning of a line that isn't complete. */
+    readonly line: string;
     /** Reads the next line without its end; `undefined` if it isn't complete. */
     consumeLine: () => string | undefined;
 }
@@ -48,6 +50,7 @@
 /** Parser for the answers of one connection. */
 export class AnswerParser {
     private readonly library: InstanceType<typeof HTTPParser>;
+    private readonly libraryState: LibraryState;
 
     constructor(handler: AnswerHandler) {
         const library = new HTTPParser(HTTPParser.RESPONSE);
@@ -58,8 +61,9 @@
         };
         library.onBody = (chunk, offset, length) => handler.addBody(chunk.subarray(offset, offset + length));
         library.onMessageComplete = handler.finishAnswer;
-        checkLines(library as unknown as LibraryState);
         this.library = library;
+        this.libraryState = library as unknown as LibraryState;
+        checkLines(this.libraryState);
     }
 
     /** Parses a piece of the connection's bytes; returns whether it is valid so far. */
@@ -67,6 +71,11 @@
         return typeof this.library.execute(piece) === "number";
     }
 
+    /** Whether nothing of a further answer has been read. */
+    isBetweenAnswers(): boolean {
+        return this.libraryState.state === "RESPONSE_LINE" && this.libraryState.line === "";
+    }
+
     /** Ends an answer without a length; returns whether the bytes may end here. */
     finish(): boolean {
         return !(this.library.finish() instanceof Error);
--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -169,8 +169,7 @@
             return;
         }
         if (this.exchange === undefined) {
-            this.context.strayAnswers.recordUnasked(this.number);
-            this.fail("garbled");
+            this.endUnasked();
             return;
         }
         const simpleAnswer = this.parser === undefined && !this.exchange.isBodyless
@@ -185,9 +184,19 @@
         const isValid = this.parser.parse(chunk);
         if (!isValid || this.hasProtocolError || this.framingBytes > maxFramingBytes) {
             this.fail("garbled");
+            return;
+        }
+        if (this.isOpen && this.exchange === undefined && !this.parser.isBetweenAnswers()) {
+            this.endUnasked();
         }
     }
 
+    /** Ends the connection because of bytes that nobody waits for. */
+    private endUnasked(): void {
+        this.context.strayAnswers.recordUnasked(this.number);
+        this.fail("garbled");
+    }
+
     private createParser(): AnswerParser {
         return new AnswerParser({
             startAnswer: head => this.startAnswer(head),
--- a/test/routed/secondAnswers.test.ts
+++ b/test/routed/secondAnswers.test.ts
@@ -384,3 +384,23 @@
         });
     }
 });
+
+describe("bytes behind an answer of the local endpoint, in its piece,", () => {
+    const rest = findHead(lateOfFirst.length);
+    const cases: readonly { readonly name: string; readonly bytes: string; }[] = [
+        { name: "a word", bytes: "rugs" },
+        { name: "a part of a status line", bytes: rest.slice(0, 10) },
+        { name: "a part of a head", bytes: rest.slice(0, 30) },
+        { name: "a head", bytes: rest },
+        { name: "a part of a body", bytes: `${rest}o` },
+        { name: "a second answer", bytes: lateOfFirst.length },
+        { name: "a second answer and a part of a third", bytes: lateOfFirst.length + rest },
+        { name: "an interim answer", bytes: "HTTP/1.1 100 Continue\r\n\r\nH" },
+    ];
+    for (const { name, bytes } of cases) {
+        it(`(${name}) end the connection, and the next request is answered on another`, async () => {
+            const endings = await play({ first: failures.length + bytes, pieces: [own.length] });
+            expect(endings).deep.equals({ first: "500 failed", second: "500 failed" });
+        });
+    }
+});
