Have the soak of stops tell its own lateness, ids and log lines apart from faults

Three flaws of the soak, found by tracing its findings on the code so far:

- A stand-in that ran a request again made its calls with the ids of before, and the first one's refusal counted as "refused though run".
Each run gives its calls ids of its own now, where deadlines are kept.
- Its timer may fire a millisecond early, and a run that the deadline cut short then answered 200.
It answers 504 now.

A finding now comes with what the entry's node logged of its stop and of the request.

--- a/bench/stops.ts
+++ b/bench/stops.ts
@@ -7,7 +7,7 @@
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import type { Finding } from "../standin/stopFindings.js";
+import type { TracedFinding } from "../standin/stopSoak.js";
 import { StopSoak } from "../standin/stopSoak.js";
 
 /** Grace time of a stop, in seconds; that of the platform. */
@@ -27,13 +27,15 @@
     process.exit(findings.length === 0 && oddExits.length === 0 ? 0 : 1);
 }
 
-function formatFinding({ kind, request, runs }: Finding): string {
-    const { attempt, entry, startedAt, sentAt, endedAt, status, deadlineMs } = request;
+function formatFinding({ kind, request, runs, log }: TracedFinding): string {
+    const { attempt, entry, startedAt, sentAt, endedAt, status, deadlineMs, unseenMs } = request;
     const since = (time: number | undefined): string => time === undefined ? "-" : String(Math.round(time - startedAt));
     const described = runs.map(run => `${run.machine}:${since(run.startedAt)}..${since(run.abandonedAt)}`);
     return `${kind} ${attempt} entry=${entry} at=${Math.round(startedAt)} sentMs=${since(sentAt)} endedMs=${
         since(endedAt)
-    } deadlineMs=${deadlineMs} status=${status} runs=${described.join(",") || "none"}`;
+    } deadlineMs=${deadlineMs} status=${status} unseenMs=${Math.round(unseenMs)} runs=${described.join(",") || "none"}${
+        log.map(line => `\n    ${line}`).join("")
+    }`;
 }
 
 await main();
--- a/standin/platformUpstream.ts
+++ b/standin/platformUpstream.ts
@@ -41,8 +41,8 @@
     readonly runMs: number;
     readonly calls: readonly UpstreamCall[];
     /**
-     * Whether it gives up a run at the deadline that it was told, and its calls expire then; else it ends all runs, and calls
-     * have a second.
+     * Whether it gives up a run at the deadline that it was told, and its calls expire then and have ids of their own in each run;
+     * else it ends all runs, calls have a second, and a run that is repeated makes them with the same ids.
      */
     readonly keepsDeadlines?: boolean;
     /** Where calls go. */
@@ -209,8 +209,14 @@
         const deadlineMs = Number(request.headers["deadline-ms"] ?? Infinity);
         const leftMs = (): number =>
             this.plan.keepsDeadlines === true ? startedAt + deadlineMs - performance.now() : Infinity;
-        await sleep(Math.min(Number(query.get("run") ?? this.runMs), Math.max(0, leftMs())));
-        const status = this.fault === "fail" ? 500 : await this.runCalls(attempt, query.get("call"), leftMs);
+        const runMs = Number(query.get("run") ?? this.runMs);
+        const isInTime = runMs < leftMs();
+        await sleep(isInTime ? runMs : Math.max(0, leftMs()));
+        const status = this.fault === "fail"
+            ? 500
+            : isInTime
+            ? await this.runCalls(attempt, query.get("call"), leftMs)
+            : 504;
         this.running -= 1;
         if (this.fault === "reset") {
             response.socket?.resetAndDestroy();
@@ -226,13 +232,16 @@
 
     /** Makes the calls of a run; returns the status of its answer. */
     private async runCalls(attempt: string, callRunMs: string | null, leftMs: () => number): Promise<number> {
+        const suffix = this.plan.keepsDeadlines === true
+            ? `r${this.plan.address.replaceAll(".", "-")}-${this.runs.length}`
+            : "";
         for (const [index, { host, path }] of this.plan.calls.entries()) {
             if (leftMs() < 1) {
                 return 504;
             }
             const url = callRunMs === null ? path : `${path}?run=${callRunMs}`;
             const deadlineMs = Math.floor(Math.min(leftMs(), this.plan.keepsDeadlines === true ? Infinity : 1000));
-            if (await this.call({ host, path: url }, `${attempt}.c${index}`, deadlineMs) !== 200) {
+            if (await this.call({ host, path: url }, `${attempt}.c${index}${suffix}`, deadlineMs) !== 200) {
                 return leftMs() < 1 ? 504 : 500;
             }
         }
--- a/standin/stopFindings.ts
+++ b/standin/stopFindings.ts
@@ -11,6 +11,8 @@
     /** Time at which its last byte was sent; `undefined` if it wasn't. */
     readonly sentAt: number | undefined;
     readonly endedAt: number | undefined;
+    /** Part of the time in between in which nobody watched the connection, in milliseconds. */
+    readonly unseenMs: number;
     /** The client's deadline or the route's timeout, whichever comes first, from the start. */
     readonly deadlineMs: number;
     /** 0 when the connection ended without a whole answer. */
@@ -82,7 +84,7 @@
     if (sentAt === undefined || endedAt === undefined || endedAt >= startedAt + deadlineMs - timerSlackMs) {
         return undefined;
     }
-    const isCut = status === 0 && (runs.length > 0 || endedAt - sentAt > lostSlackMs);
+    const isCut = status === 0 && (runs.length > 0 || endedAt - sentAt - request.unseenMs > lostSlackMs);
     const isReplaced = status >= 500 && status !== 503 && !request.isSigned
         && runs.some(run => run.abandonedAt !== undefined);
     if (!isCut && !isReplaced || isExcused(request.entry, sentAt, runs, stops, graceMs)) {
--- a/standin/stopSoak.ts
+++ b/standin/stopSoak.ts
@@ -9,6 +9,7 @@
 import { sleep, waitFor, waitForExit } from "./processes.js";
 import type { Random } from "./random.js";
 import { createRandom } from "./random.js";
+import { Stalls } from "./stalls.js";
 import type { Finding, JudgedRequest, JudgedRun, PlannedStop } from "./stopFindings.js";
 import { listFindings } from "./stopFindings.js";
 
@@ -29,9 +30,16 @@
 const downloadBytes = 6_000_000;
 const downloadBytesPerMs = 6000;
 
+/** A finding, with what the entry's node logged of its stop in that time. */
+export interface TracedFinding extends Finding {
+    readonly log: readonly string[];
+}
+/** Time around a finding of which log lines are shown, in milliseconds. */
+const logMarginMs = 6000;
+
 /** What a soak showed. */
 export interface SoakResult {
-    readonly findings: readonly Finding[];
+    readonly findings: readonly TracedFinding[];
     readonly asked: number;
     readonly served: number;
     readonly refused: number;
@@ -40,6 +48,8 @@
     readonly unanswered: number;
     /** Exits of stopped processes other than code 0. */
     readonly oddExits: readonly string[];
+    /** Longest time in which the soak's own process ran nothing, in milliseconds. */
+    readonly longestStallMs: number;
 }
 
 const routes = [
@@ -77,6 +87,7 @@
     private readonly cluster: PlatformCluster;
     private readonly callers: KeptCaller[];
     private readonly stops: PlannedStop[] = [];
+    private readonly stalls = new Stalls();
     private readonly oddExits: string[] = [];
     /** Draws the stops; each caller draws for itself, so that the stops of a seed are the same in every run. */
     private readonly random: Random;
@@ -100,6 +111,7 @@
     /** Plays so many rounds and judges them. */
     async run(rounds: number): Promise<SoakResult> {
         await this.cluster.start(formatConfiguration(this.version));
+        this.stalls.start();
         const running = this.callers.map(caller => caller.run());
         for (let round = 0; round < rounds; round += 1) {
             await sleep(calmMs);
@@ -107,6 +119,7 @@
         }
         this.callers.forEach(caller => caller.stop());
         await Promise.all(running);
+        this.stalls.stop();
         const result = this.judge();
         await this.cluster.stop();
         return result;
@@ -202,35 +215,54 @@
         };
     }
 
+    /** Lines on the entry's node and the request itself, with their times from the start of the request, in milliseconds. */
+    private listLog({ attempt, entry, startedAt, endedAt = startedAt }: JudgedRequest): string[] {
+        const { log } = this.cluster.machines.find(({ address }) => address === entry)!;
+        return log.split("\n").flatMap(line => {
+            const [, time, rest] = /^time=(\S+) level=\w+ (.*)$/.exec(line) ?? [];
+            const sinceMs = Math.round(Date.parse(time ?? "") - performance.timeOrigin - startedAt);
+            const isNear = sinceMs > -logMarginMs && startedAt + sinceMs < endedAt + logMarginMs;
+            const isOfStop = /event=(stopping|closed|stopped|started) /.test(line)
+                || line.includes(`request=${attempt} `);
+            return isNear && isOfStop ? [`${sinceMs} ${rest}`] : [];
+        });
+    }
+
     private judge(): SoakResult {
         const sent = this.callers.flatMap(caller => caller.requests);
         const runs: JudgedRun[] = this.cluster.machines.flatMap(({ address, upstream }) =>
             upstream.runRecords.map(run => ({ ...run, machine: address }))
         );
         const requests = [...sent.map(describeSent), ...this.cluster.machines.flatMap(describeCalls)];
+        const measured = requests.map(request => ({
+            ...request,
+            unseenMs: this.stalls.measureMs(request.sentAt ?? 0, request.endedAt ?? 0),
+        }));
         const count = (isCounted: (request: SentRequest) => boolean): number => sent.filter(isCounted).length;
+        const findings = listFindings(measured, runs, this.stops, this.graceSeconds * 1000);
         return {
-            findings: listFindings(requests, runs, this.stops, this.graceSeconds * 1000),
+            findings: findings.map(finding => ({ ...finding, log: this.listLog(finding.request) })),
             asked: sent.length,
             served: count(({ status }) => status === 200),
             refused: count(({ status }) => status === 503),
             failed: count(({ status }) => status >= 500 && status !== 503),
             unanswered: count(({ status }) => status === 0),
             oddExits: this.oddExits,
+            longestStallMs: Math.round(this.stalls.getLongestMs()),
         };
     }
 }
 
-function describeSent(request: SentRequest): JudgedRequest {
+function describeSent(request: SentRequest): Omit<JudgedRequest, "unseenMs"> {
     return { ...request, deadlineMs: Math.min(request.deadlineMs, timeoutMs) };
 }
 
-function describeCalls({ address, upstream }: Machine): JudgedRequest[] {
+function describeCalls({ address, upstream }: Machine): Omit<JudgedRequest, "unseenMs">[] {
     return upstream.callRecords.map(call => ({
         ...call,
         entry: address,
         // Of the two calls of a run, the first may run only once.
-        isAtMostOnce: call.attempt.endsWith(".c0"),
+        isAtMostOnce: call.attempt.includes(".c0"),
         sentAt: call.startedAt,
     }));
 }
--- a/test/routed/stopFindings.test.ts
+++ b/test/routed/stopFindings.test.ts
@@ -15,6 +15,7 @@
     startedAt: 14_000,
     sentAt: 14_000,
     endedAt: 15_000,
+    unseenMs: 0,
     deadlineMs: 3000,
     status: 0,
     isSigned: false,
@@ -31,6 +32,11 @@
         { name: "are cut requests that ran", runs: [{}], finds: ["cut"] },
         { name: "are cut requests that didn't run, beyond the slack", finds: ["cut"] },
         { name: "are no requests that cross the close", request: { endedAt: 14_150 }, finds: [] },
+        {
+            name: "are no requests that may have crossed the close while nobody watched",
+            request: { endedAt: 14_500, unseenMs: 310 },
+            finds: [],
+        },
         { name: "are no incomplete requests", request: { sentAt: undefined }, finds: [] },
         { name: "are no requests at their deadline", request: { endedAt: 17_000 }, runs: [{}], finds: [] },
         {
