Tell endpoints the time that is left of a stop, and refuse what can't be done in it

Callers got the node's own 502 or 504 while an endpoint was at work for them, at the end of a planned stop: calls of runs in progress are taken up to 1 s before it whatever their deadline is, and runs of other nodes at the only instance of a service until the endpoint is closed. Both were cut with the process, though they had come late in the grace. The endpoint was told the caller's deadline, which lay beyond.

GracefulStop lowers the deadline of whatever is taken during a stop to 0.1 s before its end, at the entry and at the endpoint's runner, so that the endpoint ends in that time and answers itself. A run that usually takes longer than what is left is refused before it runs. The entry waits for the answer until the caller's own deadline or the end.

--- a/src/process/endpoint/endpointRunner.ts
+++ b/src/process/endpoint/endpointRunner.ts
@@ -66,6 +66,8 @@
     readonly isRestored: () => boolean;
     /** Whether this node is stopping and gives the endpoint no more work. */
     readonly isEndpointClosed: () => boolean;
+    /** Deadline that the endpoint is told of a run that starts now; earlier than that of the request while this node stops. */
+    readonly lowerDeadline: (deadline: number) => number;
     /** Weight of a customer among those that compete; 1 is usual. */
     readonly findCustomerWeight: (customer: string) => number;
     /** Whether this node is stable: it has run for a while and is not about to stop. */
@@ -131,6 +133,9 @@
         if (this.isQuarantined(request)) {
             return this.refuse(request, "quarantined", quarantineRetryAfterMs);
         }
+        if (this.hasNoTimeBeforeStop(request, arrivedAt)) {
+            return this.refuse(request, "leaving", unavailableRetryAfterMs);
+        }
         this.updateLimit();
         const refusal = await this.waitForSlot(request, arrivedAt, cancellation);
         if (refusal !== undefined) {
@@ -158,6 +163,13 @@
         return !quarantine.isEmpty() && quarantine.isRefused(computeRunFingerprint(request));
     }
 
+    /** Whether this node stops before a run of usual length ends that its deadline leaves time for. */
+    private hasNoTimeBeforeStop(request: RunRequest, now: number): boolean {
+        const limited = this.dependencies.lowerDeadline(request.deadline);
+        const usualMs = Math.max(request.usualRunMs, this.queue.getAverageRunMs(request.route));
+        return limited < request.deadline && limited - now < usualMs;
+    }
+
     private findUnavailableCause(): RefusalCause | undefined {
         const { endpoint, isEndpointClosed, isRestored } = this.dependencies;
         if (isEndpointClosed()) {
@@ -247,7 +259,10 @@
         if (unavailableCause !== undefined) {
             return this.refuse(request, unavailableCause, unavailableRetryAfterMs);
         }
-        const timeLeftMs = request.deadline - startedAt;
+        const timeLeftMs = this.dependencies.lowerDeadline(request.deadline) - startedAt;
+        if (timeLeftMs < minRunMs && this.hasNoTimeBeforeStop(request, startedAt)) {
+            return this.refuse(request, "leaving", unavailableRetryAfterMs);
+        }
         const runCancellation = new Cancellation();
         const cancel = (): void => runCancellation.cancel();
         const timer = this.dependencies.clock.startTimer(timeLeftMs + answerGraceMs, cancel);
--- a/src/process/node/gracefulStop.ts
+++ b/src/process/node/gracefulStop.ts
@@ -7,7 +7,8 @@
  * enough time for its last runs is left.
  *
  * Callers may go on sending until the process has ended, and what is in progress then is cut. So in the later part of a
- * stop the node takes only what is sure to be answered before its end, and refuses the rest at once.
+ * stop the node takes only what is sure to be answered before its end, and refuses the rest at once. Whatever it takes is due
+ * before the end: endpoints are told the time that is really left, and answer in it.
  */
 import { Cancellation } from "../base/cancellation.js";
 import type { Clock } from "../base/clock.js";
@@ -98,6 +99,16 @@
         return leftMs + lastAnswerMs <= remainingMs || (isCall && remainingMs >= lastCallsReserveMs);
     }
 
+    /**
+     * Limits the deadline of a request or run that is taken now, so that its endpoint answers before the end of the stop. Times
+     * are monotonic, in milliseconds.
+     */
+    lowerDeadline(deadline: number): number {
+        return this.startedAt === undefined
+            ? deadline
+            : Math.min(deadline, this.startedAt + computeStopMs(this.graceMs) - lastAnswerMs);
+    }
+
     private measureElapsedMs(): number {
         return this.startedAt === undefined ? 0 : this.clock.readMonotonic() - this.startedAt;
     }
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -324,6 +324,7 @@
             recordNamedLimit: (id, perSecond) => this.endpointLifecycle.recordNamedLimit(id, perSecond),
             isRestored: () => this.endpointLifecycle.isRestored(),
             isEndpointClosed: () => this.isEndpointClosed,
+            lowerDeadline: deadline => this.gracefulStop.lowerDeadline(deadline),
             findCustomerWeight: customer =>
                 this.clusterState.configurationHolder.getTable()?.customers.getWeight(customer) ?? 1,
             isSettled: () => this.isSettled(),
--- a/src/request/entryRequest.ts
+++ b/src/request/entryRequest.ts
@@ -47,6 +47,8 @@
      * a run at the local endpoint makes it.
      */
     readonly canTake: (deadline: number, isCall: boolean) => boolean;
+    /** Deadline that the endpoint is told of a request that is taken now (monotonic, in milliseconds). */
+    readonly lowerDeadline: (deadline: number) => number;
     /** Cancelled when the process ends. */
     readonly ending: Cancellation;
 }
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -246,7 +246,7 @@
     routedRequest: RoutedRequest,
     attemptId: string,
 ): Promise<ForwardResult | "gone"> {
-    const { request, response, route, startedAt, deadline, body } = routedRequest;
+    const { request, route, startedAt, deadline, body } = routedRequest;
     const call: RoutedCall = {
         attemptId,
         route,
@@ -257,13 +257,13 @@
         body,
         origin: createOrigin(routedRequest),
         callsLeft: routedRequest.parent?.getCallsLeft() ?? 1,
-        deadline,
+        deadline: dependencies.stop.lowerDeadline(deadline),
         target: routedRequest.target,
         cancellation: new Cancellation(),
     };
     const result = hasNoRoom(dependencies, routedRequest, call)
         ? noRoomResult
-        : await forwardUntilDeadline(dependencies, call, response);
+        : await forwardUntilDeadline(dependencies, routedRequest, call);
     const elapsedMs = dependencies.clock.readMonotonic() - startedAt;
     if (result === "gone") {
         recordRequestEnd(dependencies, routedRequest, call, result, callerGoneStatus, elapsedMs);
@@ -279,14 +279,14 @@
 }
 
 /**
- * Forwards a request until it ends, its caller disconnects, its deadline passes or this process ends. At the deadline, and at
+ * Forwards a request until it ends, its caller disconnects, its caller's deadline passes or this process ends. At the deadline, and at
  * the end of the process, the request is cancelled; its actual outcome still counts if it arrives within
  * {@link lateResultWaitMs}. Returns "gone" if the caller disconnected.
  */
 function forwardUntilDeadline(
     dependencies: RoutedEntryDependencies,
+    { response, deadline }: RoutedRequest,
     call: RoutedCall,
-    response: ServerResponse,
 ): Promise<ForwardResult | "gone"> {
     const { clock, forwarder, stop } = dependencies;
     return new Promise(resolve => {
@@ -295,7 +295,7 @@
             call.cancellation.cancel();
             timer = clock.startTimer(lateResultWaitMs, () => finish(timedOutResult));
         };
-        let timer = clock.startTimer(Math.max(0, call.deadline - clock.readMonotonic()), giveUp);
+        let timer = clock.startTimer(Math.max(0, deadline - clock.readMonotonic()), giveUp);
         const finish = (result: ForwardResult | "gone"): void => {
             timer.stop();
             stop.ending.removeListener(giveUp);
--- a/test/routed/entryPlay.ts
+++ b/test/routed/entryPlay.ts
@@ -39,6 +39,8 @@
     isStopping = false;
     /** Latest deadline of a request that is taken. */
     lastDeadline = Infinity;
+    /** Deadline of whatever is taken, at the latest. */
+    limitedDeadline = Infinity;
     readonly ending = new Cancellation();
     /** Why a customer with a quota gets no unit. */
     unitCause: "quota" | "noGrantor" = "quota";
@@ -95,6 +97,7 @@
             stop: {
                 hasStarted: () => this.isStopping,
                 canTake: (deadline: number) => deadline <= this.lastDeadline,
+                lowerDeadline: (deadline: number) => Math.min(deadline, this.limitedDeadline),
                 ending: this.ending,
             },
         };
--- a/test/routed/gracefulStop.test.ts
+++ b/test/routed/gracefulStop.test.ts
@@ -8,7 +8,7 @@
 import { InFlightRequests } from "../../src/process/node/inFlightRequests.js";
 import { sleep } from "../../standin/processes.js";
 import { FakeClock } from "../fakes.js";
-import { EntryPlay, formatRequest, waitUntil } from "./entryPlay.js";
+import { createAnswer, EntryPlay, formatRequest, waitUntil } from "./entryPlay.js";
 import { createRoute, formatConfiguration } from "./samples.js";
 
 /** A stop, as a list of what holds until when. */
@@ -136,8 +136,46 @@
         });
     }
 
+    const limitCases: readonly {
+        readonly name: string;
+        readonly atMs: number;
+        readonly leftMs: number;
+        readonly limitedMs: number;
+    }[] = [
+        { name: "keep a deadline before the end of the stop", atMs: 4000, leftMs: 1200, limitedMs: 1200 },
+        { name: "are due before the end of the stop", atMs: 4000, leftMs: 2500, limitedMs: 1300 },
+        { name: "are due before it from the signal on", atMs: 0, leftMs: 9000, limitedMs: 5300 },
+    ];
+    for (const { name, atMs, leftMs, limitedMs } of limitCases) {
+        it(`${name}, whoever sends them`, () => {
+            const clock = new FakeClock();
+            const stop = new GracefulStop(clock, graceMs);
+            expect(stop.lowerDeadline(clock.readMonotonic() + 9000)).equals(clock.readMonotonic() + 9000);
+            stop.start();
+            clock.addTime(atMs);
+            expect(stop.lowerDeadline(clock.readMonotonic() + leftMs)).equals(clock.readMonotonic() + limitedMs);
+        });
+    }
+
     const headers = ["Attempt-Id: a", "Deadline-Ms: 900"];
 
+    it("get the answer that their endpoint gives at the limited deadline, and not the node's own", async () => {
+        const play = new EntryPlay();
+        await play.start();
+        play.holder.adoptIfNewer(formatConfiguration(1, [createRoute()]));
+        play.limitedDeadline = performance.now() + 300;
+        play.forward = async call => {
+            await sleep(call.deadline - performance.now() + 60);
+            return createAnswer(call.cancellation.isCancelled() ? "cancelled" : "endpoint");
+        };
+        const caller = await play.connect();
+        caller.write(formatRequest("GET", "/loom/1", headers));
+        await caller.waitForAnswers(1);
+        expect(caller.listAnswers().map(({ status, body }) => [status, body])).deep.equals([[200, "endpoint"]]);
+        expect(play.calls.map(call => call.deadline)).deep.equals([play.limitedDeadline]);
+        await play.stop();
+    });
+
     it("are told when to come back if they are refused, and reach no instance", async () => {
         const play = new EntryPlay();
         await play.start();
