Ask the nodes of a service for the requests that crash endpoints

Cause: suspects were in the memory of the process, and a crash was sent to others once, when it happened. A process that starts asked nobody.

A restarted node gives its endpoint no requests until one node of its service has told, or each that is linked to can't tell or can't be reached, a second at most from when requests can first come. The wait for the own record ends by the same bound, which began at the start of the process before. Earlier builds skip the new field and get no message that they don't know, since only those that state a number are asked. The readiness cause of that wait is named for both.

--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -9,6 +9,7 @@
 // This entry of the library leaves out its native addon, which costs a start more than it spares a short life.
 import { Packr } from "msgpackr/pack";
 import type { AskUnitsMessage, GrantUnitsMessage } from "../process/customers/unitMessages.js";
+import type { SuspectItem } from "../process/endpoint/suspectItem.js";
 import type { AnsweredRun, FailedRun, RefusedRun } from "../process/load/runOutcome.js";
 import type { Origin } from "../process/load/runsInProgress.js";
 import type { HeaderList } from "../request/headers.js";
@@ -103,17 +104,24 @@
         readonly version: number;
         /** Record of the sender's instance, as JSON. */
         readonly record: string;
+        /**
+         * Number of requests that the sender suspects of crashing endpoints of its service; `undefined` if it doesn't know yet,
+         * or is of an earlier build. Whoever states it answers when asked for them.
+         */
+        readonly suspectCount: number | undefined;
     }
     | { readonly kind: "ping"; } & LogPosition
     | { readonly kind: "pong"; readonly load: LoadReport; } & LogPosition
     /** Sent at once when the state of the endpoint changes or the node is about to stop. */
     | { readonly kind: "load"; readonly load: LoadReport; }
-    /** Asks for the configuration or the records of the known instances, which are sent in a message of that kind. */
-    | { readonly kind: "ask"; readonly topic: "configuration" | "instances"; }
+    /** Asks for what is sent in a message of that kind; for suspects only where a hello message stated their number. */
+    | { readonly kind: "ask"; readonly topic: "configuration" | "instances" | "suspects"; }
     | { readonly kind: "configuration"; readonly text: string; }
     | { readonly kind: "instances"; readonly records: readonly string[]; }
     /** Reports a crash of the sender's endpoint: the fingerprints of the requests lost in it, and its identifier. */
     | { readonly kind: "crashes"; readonly fingerprints: readonly string[]; readonly incident: string; }
+    /** Requests that the sender suspects of crashing endpoints, as it was asked. */
+    | { readonly kind: "suspects"; readonly items: readonly SuspectItem[]; }
     | AskUnitsMessage
     | GrantUnitsMessage;
 
@@ -134,6 +142,7 @@
     "crashes",
     "askUnits",
     "grantUnits",
+    "suspects",
 ] as const satisfies readonly LinkMessage["kind"][];
 
 /** Place of a field that earlier builds send and this one doesn't read. */
@@ -176,7 +185,7 @@
     refused: ["id", "cause", "retryAfterMs", "load"],
     failed: ["id", "cause", "ranMs", "load"],
     cancel: ["id"],
-    hello: ["address", "incarnation", "version", "record"],
+    hello: ["address", "incarnation", "version", "record", "suspectCount"],
     ping: ["version", "era", "isFollowing"],
     pong: ["version", "era", "isFollowing", "load"],
     load: ["load"],
@@ -186,10 +195,11 @@
     crashes: ["fingerprints", "incident"],
     askUnits: ["group", "session", "number", "stamp", "isSupporting", "nodes", "items"],
     grantUnits: ["group", "session", "number", "stamp", "items"],
+    suspects: ["items"],
 };
 
 /** Number of the last fields of a kind that a message of an earlier build lacks. */
-const optionalFieldsByKind: { readonly [Kind in LinkMessage["kind"]]?: number; } = { run: 2, answer: 2 };
+const optionalFieldsByKind: { readonly [Kind in LinkMessage["kind"]]?: number; } = { run: 2, answer: 2, hello: 1 };
 
 /** Maximum size of a message, in bytes. */
 const maxMessageBytes = 80_000_000;
--- a/src/process/endpoint/endpointLifecycle.ts
+++ b/src/process/endpoint/endpointLifecycle.ts
@@ -9,8 +9,12 @@
 import type { Logger } from "../telemetry/logger.js";
 import { probeEndpoint } from "./endpointProbe.js";
 import type { EndpointReport, EndpointState, ReportResult } from "./endpointState.js";
+import type { SuspectExchange } from "./suspectExchange.js";
 
-/** Longest time after a restart in which the endpoint gets no requests for want of the own record, in milliseconds. */
+/**
+ * Longest time after a restart, from when requests can first reach this node, in which the endpoint gets none for want of what
+ * was known before, in milliseconds.
+ */
 const maxRestoreMs = 1000;
 /** Interval at which the end of that wait is checked, in milliseconds. */
 const restorePollMs = 20;
@@ -30,6 +34,8 @@
     readonly clusterState: Pick<ClusterState, "configurationHolder" | "hasOwnRecord" | "publishOwnRecord">;
     /** Whether all nodes start now for the first time, so that no earlier process knew anything. */
     readonly isFirstStart: boolean;
+    /** What the other nodes of the service know of requests that crash endpoints. */
+    readonly suspects: Pick<SuspectExchange, "hasContact" | "isInformed">;
     /** Refuses the requests that wait for the endpoint. */
     readonly refuseWaiting: () => void;
     /** Sends the endpoint's load on every link that other nodes opened. */
@@ -48,7 +54,7 @@
         this.isRestoreOver = dependencies.isFirstStart;
     }
 
-    /** Whether it is known what earlier processes of this node knew of the endpoint. */
+    /** Whether it is known what earlier processes of this node knew, or the wait for that has ended. */
     isRestored(): boolean {
         return this.isRestoreOver;
     }
@@ -110,20 +116,40 @@
     }
 
     /**
-     * After a restart of the node, waits until its record from before is read, from the log or from another node. It may
-     * say that the endpoint leaves, which late reports and the health check don't. If nobody can be heard, the wait ends.
+     * After a restart of the node, waits until its record from before is read, from the log or from another node, and until
+     * the other nodes of the service have told which requests crash endpoints. The record may say that the endpoint leaves,
+     * which late reports and the health check don't. If that can't be heard, the wait ends.
      */
     async restore(signal: AbortSignal): Promise<void> {
-        const { clock, clusterState, announceLoad } = this.dependencies;
-        const giveUpAt = clock.readMonotonic() + maxRestoreMs;
-        while (!clusterState.hasOwnRecord() && clock.readMonotonic() < giveUpAt && !signal.aborted) {
+        const { clock, logger, clusterState, suspects, announceLoad } = this.dependencies;
+        const startedAt = clock.readMonotonic();
+        let giveUpAt = Infinity;
+        while (!(clusterState.hasOwnRecord() && suspects.isInformed()) && !signal.aborted) {
+            const now = clock.readMonotonic();
+            if (this.canRequestsCome()) {
+                giveUpAt = Math.min(giveUpAt, now + maxRestoreMs);
+            }
+            if (now >= giveUpAt) {
+                break;
+            }
             await clock.sleep(restorePollMs, signal);
         }
         this.isRestoreOver = true;
+        logger.info("restored", {
+            waitedMs: Math.round(clock.readMonotonic() - startedAt),
+            ownRecord: clusterState.hasOwnRecord(),
+            suspects: suspects.isInformed(),
+        });
         announceLoad();
         await this.learnIncarnation(signal);
     }
 
+    /** Whether requests can reach this node: of its own callers with a configuration, of others over links. */
+    private canRequestsCome(): boolean {
+        const { clusterState, suspects } = this.dependencies;
+        return clusterState.configurationHolder.getVersion() >= 0 || suspects.hasContact();
+    }
+
     /** Reads the id of the endpoint's incarnation from its health check instead of waiting for its next report. */
     private async learnIncarnation(signal: AbortSignal): Promise<void> {
         const { clock, logger, service, endpoint, pool, clusterState, announceLoad } = this.dependencies;
--- a/src/process/endpoint/quarantine.ts
+++ b/src/process/endpoint/quarantine.ts
@@ -24,6 +24,15 @@
     until: number;
 }
 
+/** A suspect or refused request, as nodes of a service tell each other. */
+export interface Suspect {
+    readonly fingerprint: string;
+    /** Time for which it stays suspect, in milliseconds. */
+    readonly leftMs: number;
+    /** Crashes at which it was in progress, as many as the threshold at most. */
+    readonly incidents: readonly string[];
+}
+
 /** Suspect and refused requests, by their fingerprints. */
 export class Quarantine {
     private readonly records = new Map<string, CrashRecord>();
@@ -47,6 +56,31 @@
         return !wasRefused && record.incidents.size >= crashThreshold;
     }
 
+    /** Lists at most `maxCount` suspects, refused ones first, then the newest. */
+    listSuspects(maxCount: number): Suspect[] {
+        const now = this.clock.readMonotonic();
+        const newest = [...this.records].filter(([, { until }]) => now <= until).reverse();
+        const refused = newest.filter(([, { incidents }]) => incidents.size >= crashThreshold);
+        const others = newest.filter(([, { incidents }]) => incidents.size < crashThreshold);
+        return [...refused, ...others].slice(0, maxCount).map(([fingerprint, { incidents, until }]) => ({
+            fingerprint,
+            leftMs: until - now,
+            incidents: [...incidents].slice(-crashThreshold),
+        }));
+    }
+
+    /** Adds what another node knows of a suspect. It takes back nothing that is known here. */
+    learnSuspect({ fingerprint, leftMs, incidents }: Suspect): void {
+        if (this.completed.has(fingerprint)) {
+            return;
+        }
+        const record = this.records.get(fingerprint) ?? { incidents: new Set<string>(), until: 0 };
+        incidents.forEach(incident => record.incidents.add(incident));
+        record.until = Math.max(record.until, this.clock.readMonotonic() + Math.min(leftMs, quarantineMs));
+        this.records.set(fingerprint, record);
+        forgetOldest(this.records, maxRecords);
+    }
+
     /**
      * Puts a request that the shared log lists under quarantine, for `durationMs` milliseconds from now, unless it is
      * among the remembered completed ones. The incidents `log-0` and so on are placeholders that reach the threshold.
--- a/src/process/membership/peerGossip.ts
+++ b/src/process/membership/peerGossip.ts
@@ -147,12 +147,12 @@
         }
     }
 
-    private answerRequest(topic: "configuration" | "instances", reply: Reply): void {
+    private answerRequest(topic: "configuration" | "instances" | "suspects", reply: Reply): void {
         const { configurationHolder, registry } = this.dependencies;
         if (topic === "instances") {
             reply({ kind: "instances", records: registry.list().map(formatInstanceRecord) });
         }
-        else if (configurationHolder.getVersion() >= 0) {
+        else if (topic === "configuration" && configurationHolder.getVersion() >= 0) {
             reply({ kind: "configuration", text: configurationHolder.getText() });
         }
     }
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -7,6 +7,7 @@
 import { isEndpointRunning } from "../../connection/endpointLiveness.js";
 import type { KeyedLog } from "../../connection/keyedLog.js";
 import type { HelloMessage } from "../../connection/link.js";
+import type { LinkMessage } from "../../connection/linkMessage.js";
 import type { AcceptedLink } from "../../connection/linkServer.js";
 import { LinkServer } from "../../connection/linkServer.js";
 import { PeerLinks } from "../../connection/peerLinks.js";
@@ -27,6 +28,7 @@
 import { EndpointState } from "../endpoint/endpointState.js";
 import { Quarantine } from "../endpoint/quarantine.js";
 import { RemoteRuns } from "../endpoint/remoteRuns.js";
+import { SuspectExchange } from "../endpoint/suspectExchange.js";
 import { EntryThrottle } from "../load/entryThrottle.js";
 import { InstanceSelector } from "../load/instanceSelector.js";
 import { LoadRefresher } from "../load/loadRefresher.js";
@@ -40,6 +42,7 @@
 import { ClusterState } from "../membership/clusterState.js";
 import { InstanceSubsets } from "../membership/instanceSubset.js";
 import { LinkKeeper } from "../membership/linkKeeper.js";
+import type { Reply } from "../membership/peerGossip.js";
 import { hasReservedReturns } from "../settings/routedSettings.js";
 import type { RoutedSettings, SwitchableDecision } from "../settings/routedSettings.js";
 import type { Logger } from "../telemetry/logger.js";
@@ -77,6 +80,7 @@
     private readonly pool: EndpointConnectionPool;
     private readonly quarantine: Quarantine;
     private readonly crashFlood: CrashFlood;
+    private readonly suspects: SuspectExchange;
     private readonly runs = new RunsInProgress();
     private readonly runner: EndpointRunner;
     private readonly remoteRuns: RemoteRuns;
@@ -163,6 +167,7 @@
                 }
             },
         });
+        this.suspects = this.createSuspectExchange(isReachable);
         this.endpointLifecycle = new EndpointLifecycle({
             clock,
             logger,
@@ -171,6 +176,7 @@
             pool: this.pool,
             clusterState: this.clusterState,
             isFirstStart: settings.isFirstStart,
+            suspects: this.suspects,
             refuseWaiting: () => this.runner.refuseWaiting("leaving"),
             announceLoad: () => this.announceLoad(),
             announceRecord: () => {
@@ -290,7 +296,7 @@
         if (this.clusterState.configurationHolder.getVersion() < 0) {
             return "no configuration is known";
         }
-        return this.endpointLifecycle.isRestored() ? undefined : "the own record is not read";
+        return this.endpointLifecycle.isRestored() ? undefined : "what was known before is not read";
     }
 
     private createRunner(): EndpointRunner {
@@ -325,6 +331,24 @@
         });
     }
 
+    private createSuspectExchange(isReachable: (peer: string) => boolean): SuspectExchange {
+        const { logger, settings, quarantine, subsets, clusterState } = this;
+        const { address, service, isFirstStart } = settings;
+        const { registry } = clusterState;
+        return new SuspectExchange({
+            logger,
+            quarantine,
+            isFirstStart,
+            arePeersKnown: () => clusterState.hasOwnRecord(),
+            listPeers: () =>
+                subsets.choose(registry.listForService(service)).map(each => each.address).filter(each =>
+                    each !== address
+                ),
+            isPeer: peer => peer !== address && registry.get(peer)?.service === service,
+            isReachable,
+        });
+    }
+
     private isOn(decision: SwitchableDecision): boolean {
         return !this.settings.decisions.off.includes(decision);
     }
@@ -447,13 +471,12 @@
             logger: this.logger,
             createHello: () => this.createHello(),
             getLogPosition: () => this.clusterState.getLogPosition(),
-            handleHello: hello =>
-                this.clusterState.gossip.handleHello(hello, message => this.links.post(hello.address, message)),
+            handleHello: hello => this.handleHello(hello, message => this.links.post(hello.address, message)),
             handleMessage: (address, message) => {
                 if (message.kind === "grantUnits") {
                     this.quotas.receive(address, message);
                 }
-                this.clusterState.gossip.handleMessage(message, reply => this.links.post(address, reply));
+                this.handleGossip(address, message, reply => this.links.post(address, reply));
             },
             recordLoad: (address, load) => {
                 this.placement.recordLoad(address, load);
@@ -468,7 +491,7 @@
         return new LinkServer({
             createHello: () => this.createHello(),
             handleHello: (hello, link) => {
-                this.clusterState.gossip.handleHello(hello, link.post);
+                this.handleHello(hello, link.post);
                 this.links.recordAlive(hello.address);
             },
             run: (message, link) => this.remoteRuns.start(message, link),
@@ -483,12 +506,22 @@
                 if (message.kind === "askUnits") {
                     this.answerUnits(message, link);
                 }
-                this.clusterState.gossip.handleMessage(message, link.post);
+                this.handleGossip(link.getPeerAddress(), message, link.post);
             },
             reportFailure: (cause, peer) => this.logger.warn("linkRefused", { cause, peer }),
         });
     }
 
+    private handleHello(hello: HelloMessage, reply: Reply): void {
+        this.clusterState.gossip.handleHello(hello, reply);
+        this.suspects.handleHello(hello, reply);
+    }
+
+    private handleGossip(peer: string | undefined, message: LinkMessage, reply: Reply): void {
+        this.clusterState.gossip.handleMessage(message, reply);
+        this.suspects.handleMessage(peer, message, reply);
+    }
+
     private answerUnits(message: AskUnitsMessage, link: AcceptedLink): void {
         const holder = link.getPeerAddress();
         const answer = holder === undefined ? undefined : this.quotas.answer(holder, message);
@@ -504,6 +537,7 @@
             incarnation: this.incarnation,
             version: this.clusterState.configurationHolder.getVersion(),
             record: this.clusterState.formatOwnRecord(),
+            suspectCount: this.suspects.countSuspects(),
         };
     }
 
--- a/test/routed/gracefulStop.test.ts
+++ b/test/routed/gracefulStop.test.ts
@@ -200,7 +200,14 @@
 
     it("and outcomes on links count until they have left the process", async () => {
         const server = new LinkServer({
-            createHello: () => ({ kind: "hello", address, incarnation: 1, version: 1, record: "x" }),
+            createHello: () => ({
+                kind: "hello",
+                address,
+                incarnation: 1,
+                version: 1,
+                record: "x",
+                suspectCount: undefined,
+            }),
             handleHello: () => undefined,
             run: () => undefined,
             cancel: () => undefined,
--- a/test/routed/linkMessage.test.ts
+++ b/test/routed/linkMessage.test.ts
@@ -51,7 +51,14 @@
     { kind: "refused", id: 2, cause: "full", retryAfterMs: 12, load },
     { kind: "failed", id: 3, cause: "reset", ranMs: 1, load },
     { kind: "cancel", id: 4 },
-    { kind: "hello", address: "10.0.0.1", incarnation: 1_764_812_345_678_901, version: -1, record: "{}" },
+    {
+        kind: "hello",
+        address: "10.0.0.1",
+        incarnation: 1_764_812_345_678_901,
+        version: -1,
+        record: "{}",
+        suspectCount: 2,
+    },
     { kind: "ping", version: 4_294_967_295, era: 2, isFollowing: true },
     { kind: "pong", version: 12, era: -1, isFollowing: false, load },
     { kind: "load", load },
@@ -70,6 +77,7 @@
         items: [["weavers", 4, 1, 2]],
     },
     { kind: "grantUnits", group: 2, session: 7, number: 3, stamp: "", items: [["weavers", 5, -1], ["dyers", 0, 60]] },
+    { kind: "suspects", items: [["f", 599_000, ["10.0.0.1/1764812345678901/1", "10.0.0.2/1764812345678902/1"]]] },
 ];
 
 /** A run for a customer whose priority isn't that of the route. */
@@ -126,6 +134,12 @@
             cut: items => [...items.slice(0, -2), [["mutu", 8, 4, 55, 120]]],
             change: { connection: undefined },
         },
+        {
+            name: "a hello without the number of suspects",
+            sample: samples[5]!,
+            cut: items => items.slice(0, -1),
+            change: { suspectCount: undefined },
+        },
         {
             name: "an answer without the connection that it came on",
             sample: samples[1]!,
--- a/test/routed/links.test.ts
+++ b/test/routed/links.test.ts
@@ -21,7 +21,7 @@
 const address = "127.0.0.1";
 
 function createHello(incarnation: number): HelloMessage {
-    return { kind: "hello", address, incarnation, version: 1, record: "{}" };
+    return { kind: "hello", address, incarnation, version: 1, record: "{}", suspectCount: undefined };
 }
 
 /** A node that answers links, with runs that take a while. */
