Test that a field of another build at the end of a hello is skipped

The number of suspects stands at the end of the hello message, where earlier builds read nothing. The table of messages of other builds now also holds one with a field more than this build knows.

--- a/test/routed/linkMessage.test.ts
+++ b/test/routed/linkMessage.test.ts
@@ -140,6 +140,12 @@
             cut: items => items.slice(0, -1),
             change: { suspectCount: undefined },
         },
+        {
+            name: "a hello with a field that this build doesn't know, as the number of suspects is to earlier ones",
+            sample: samples[5]!,
+            cut: items => [...items, ["unknown", 1]],
+            change: {},
+        },
         {
             name: "an answer without the connection that it came on",
             sample: samples[1]!,
@@ -166,7 +172,7 @@
         },
     ];
     for (const { name, sample, cut, change } of earlier) {
-        it(`of an earlier build are taken: ${name}`, () => {
+        it(`of another build are taken: ${name}`, () => {
             const packr = new Packr({ useRecords: false });
             const packed = packr.pack(cut(packr.unpack(encodeMessage(sample).subarray(4)) as unknown[]));
             const framed = Buffer.concat([Buffer.alloc(4), packed]);
