--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -7,8 +7,6 @@
 import { isEndpointRunning } from "../../connection/endpointLiveness.js";
 import type { KeyedLog } from "../../connection/keyedLog.js";
 import type { HelloMessage } from "../../connection/link.js";
-import type { LinkMessage } from "../../connection/linkMessage.js";
-import type { AcceptedLink } from "../../connection/linkServer.js";
 import { LinkServer } from "../../connection/linkServer.js";
 import { PeerLinks } from "../../connection/peerLinks.js";
 import type { Dialect } from "../../request/dialect.js";
@@ -19,7 +17,6 @@
 import type { Clock } from "../base/clock.js";
 import { CustomerQuotas } from "../customers/customerQuotas.js";
 import type { QuotaBounds } from "../customers/quotaBound.js";
-import type { AskUnitsMessage } from "../customers/unitMessages.js";
 import { CrashDetector } from "../endpoint/crashDetector.js";
 import type { CrashReport } from "../endpoint/crashFlood.js";
 import { CrashFlood } from "../endpoint/crashFlood.js";
@@ -42,13 +39,13 @@
 import { ClusterState } from "../membership/clusterState.js";
 import { InstanceSubsets } from "../membership/instanceSubset.js";
 import { LinkKeeper } from "../membership/linkKeeper.js";
-import type { Reply } from "../membership/peerGossip.js";
 import { hasReservedReturns } from "../settings/routedSettings.js";
 import type { RoutedSettings, SwitchableDecision } from "../settings/routedSettings.js";
 import type { Logger } from "../telemetry/logger.js";
 import { RoutedMetrics } from "../telemetry/routedMetrics.js";
 import { GracefulStop } from "./gracefulStop.js";
 import { InFlightRequests } from "./inFlightRequests.js";
+import { PeerMessages } from "./peerMessages.js";
 import { addRoutedGauges } from "./routedGauges.js";
 import { RoutedListeners } from "./routedListeners.js";
 
@@ -94,6 +91,7 @@
     /** Times at which refused callers come back; `undefined` where the settings don't call for it. */
     private readonly returnSchedule: ReturnSchedule | undefined;
     private readonly quotas: CustomerQuotas;
+    private readonly peerMessages: PeerMessages;
     private readonly inFlightRequests: InFlightRequests;
     private readonly listeners: RoutedListeners;
     /**
@@ -197,6 +195,13 @@
         );
         this.returnSchedule = hasReservedReturns(settings) ? new ReturnSchedule(clock, Math.random) : undefined;
         this.quotas = this.createQuotas();
+        this.peerMessages = new PeerMessages({
+            clusterState: this.clusterState,
+            suspects: this.suspects,
+            crashFlood: this.crashFlood,
+            quotas: this.quotas,
+            getLoad: () => this.runner.getLoad(),
+        });
         this.listeners = new RoutedListeners({
             settings,
             logger,
@@ -478,13 +483,9 @@
             logger: this.logger,
             createHello: () => this.createHello(),
             getLogPosition: () => this.clusterState.getLogPosition(),
-            handleHello: hello => this.handleHello(hello, message => this.links.post(hello.address, message)),
-            handleMessage: (address, message) => {
-                if (message.kind === "grantUnits") {
-                    this.quotas.receive(address, message);
-                }
-                this.handleGossip(address, message, reply => this.links.post(address, reply));
-            },
+            handleHello: hello => this.peerMessages.handleHello(hello, reply => this.links.post(hello.address, reply)),
+            handleMessage: (address, message) =>
+                this.peerMessages.handleOnOwnLink(address, message, reply => this.links.post(address, reply)),
             recordLoad: (address, load) => {
                 this.placement.recordLoad(address, load);
                 this.loadRefresher.recordLoad(address);
@@ -498,45 +499,17 @@
         return new LinkServer({
             createHello: () => this.createHello(),
             handleHello: (hello, link) => {
-                this.handleHello(hello, link.post);
+                this.peerMessages.handleHello(hello, link.post);
                 this.links.recordAlive(hello.address);
             },
             run: (message, link) => this.remoteRuns.start(message, link),
             cancel: (id, link) => this.remoteRuns.cancel(id, link),
-            handleMessage: (message, link) => {
-                if (message.kind === "ping") {
-                    link.post({ kind: "pong", ...this.clusterState.getLogPosition(), load: this.runner.getLoad() });
-                }
-                if (message.kind === "crashes") {
-                    this.crashFlood.receive(message);
-                }
-                if (message.kind === "askUnits") {
-                    this.answerUnits(message, link);
-                }
-                this.handleGossip(link.getPeerAddress(), message, link.post);
-            },
+            handleMessage: (message, link) =>
+                this.peerMessages.handleOnAcceptedLink(link.getPeerAddress(), message, link.post),
             reportFailure: (cause, peer) => this.logger.warn("linkRefused", { cause, peer }),
         });
     }
 
-    private handleHello(hello: HelloMessage, reply: Reply): void {
-        this.clusterState.gossip.handleHello(hello, reply);
-        this.suspects.handleHello(hello, reply);
-    }
-
-    private handleGossip(peer: string | undefined, message: LinkMessage, reply: Reply): void {
-        this.clusterState.gossip.handleMessage(message, reply);
-        this.suspects.handleMessage(peer, message, reply);
-    }
-
-    private answerUnits(message: AskUnitsMessage, link: AcceptedLink): void {
-        const holder = link.getPeerAddress();
-        const answer = holder === undefined ? undefined : this.quotas.answer(holder, message);
-        if (answer !== undefined) {
-            link.post(answer);
-        }
-    }
-
     private createHello(): HelloMessage {
         return {
             kind: "hello",
