Refuse a body that holds another answer to the same request

Cause: a body with a length, in chunks or to the end of the connection that is cut off takes what follows for its rest. If that is exactly a whole answer, the rest of the connection is valid HTTP.

Change: a body that holds a status line and, in the head behind it, the attempt id of the request in progress ends the connection and the request as garbled. Bodies of skipped answers are searched, and those that didn't come in one piece; a simple answer to the request isn't, so its cost is as before.

Not told apart: a body whose missing rest is filled by less of the second answer than its head up to the attempt id.

--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -16,6 +16,7 @@
 import type { AnswerBudget, BudgetedAnswer } from "./answerBudget.js";
 import type { AnswerHead } from "./answerParser.js";
 import { AnswerParser } from "./answerParser.js";
+import { hasInnerAnswer } from "./innerAnswer.js";
 import type { SimpleAnswer } from "./simpleAnswer.js";
 import { parseSimpleAnswer } from "./simpleAnswer.js";
 import type { StrayAnswers } from "./strayAnswers.js";
@@ -294,8 +295,15 @@
             this.hasProtocolError = true;
             return;
         }
+        const body = joinChunks(partialAnswer.chunks);
+        const isOwn = metadata.attemptId === exchange.attemptId;
+        // A simple answer has come in one piece, so that nothing came between its beginning and its end.
+        if ((!isOwn || this.parser !== undefined) && hasInnerAnswer(body, exchange.attemptId)) {
+            this.hasProtocolError = true;
+            return;
+        }
         // The answer to a health check carries no attempt identifier, as its request.
-        if (metadata.attemptId !== exchange.attemptId) {
+        if (!isOwn) {
             // A duplicate or late answer to an earlier request is skipped. An answer without an attempt identifier
             // can't be matched to a request, so it closes the connection.
             this.hasProtocolError ||= metadata.attemptId === undefined;
@@ -312,7 +320,6 @@
         if (!partialAnswer.shouldKeepAlive || this.socket.writableLength > 0) {
             this.close();
         }
-        const body = joinChunks(partialAnswer.chunks);
         exchange.settle({
             kind: "answered",
             answer: {
--- a/test/routed/secondAnswers.test.ts
+++ b/test/routed/secondAnswers.test.ts
@@ -19,6 +19,8 @@
     readonly first?: string;
     /** What it writes when the second request has come, attempt b, each in a piece of its own. */
     readonly pieces: readonly string[];
+    /** Whether it ends the connection then. */
+    readonly isEnding?: boolean;
 }
 
 /** How the requests ended. */
@@ -50,14 +52,16 @@
 }
 
 /** Plays a script; a connection that is given up ends it. */
-async function play({ methods = ["GET", "GET"], first = failures.length, pieces }: Script): Promise<Endings> {
+async function play(
+    { methods = ["GET", "GET"], first = failures.length, pieces, isEnding = false }: Script,
+): Promise<Endings> {
     const endpoint = new ScriptedEndpoint((socket, attempt) => {
         socket.setNoDelay(true);
         if (attempt === "a") {
             socket.write(first, "latin1");
             return;
         }
-        void writePieces(socket, pieces);
+        void writePieces(socket, pieces).then(() => isEnding && socket.end());
     });
     const pool = createPool(await endpoint.start());
     const send = async (attemptId: string, method: string): Promise<string> => {
@@ -404,3 +408,50 @@
         });
     }
 });
+
+describe("bodies of answers of the local endpoint", () => {
+    /** Answer of which a part is missing that another answer fills. */
+    const cutBefore = (attempt: string, filling: string): string =>
+        formatAnswer("200 OK", attempt, `part${filling}`).slice(0, -filling.length);
+    const chunkedHead =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: b\r\nUpstream-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const size = (4 + late.length).toString(16);
+    const cases: readonly { readonly name: string; readonly pieces: readonly string[]; readonly ending: RegExp; }[] = [
+        { name: "a second answer in the rest of its length", pieces: [cutBefore("b", late), late], ending: /^lost/ },
+        {
+            name: "a second answer in the rest of a chunk",
+            pieces: [`${chunkedHead}${size}\r\npart`, late, "\r\n0\r\n\r\n"],
+            ending: /^lost/,
+        },
+        {
+            name: "a second answer before the end of the connection",
+            pieces: [formatUnlimited("200 OK", "b", "part"), late],
+            ending: /^lost/,
+        },
+        {
+            name: "a failure in the rest of an earlier answer",
+            pieces: [cutBefore("a", own.length), own.length, late],
+            ending: /^lost garbled/,
+        },
+        {
+            name: "a failure in the rest of an earlier answer, in one piece",
+            pieces: [cutBefore("a", own.length) + own.length, late],
+            ending: /^lost garbled/,
+        },
+        {
+            name: "another attempt's answer",
+            pieces: [formatAnswer("200 OK", "b", lateOfFirst.length).slice(0, -2), "ok"],
+            ending: /^200 HTTP/,
+        },
+        {
+            name: "a request",
+            pieces: [formatAnswer("200 OK", "b", "GET / HTTP/1.1\r\nAttempt-Id: b\r\n").slice(0, -1), "\n"],
+            ending: /^200/,
+        },
+    ];
+    for (const { name, pieces, ending } of cases) {
+        it(`with ${name} end as ${ending.source}`, async () => {
+            expect((await play({ pieces, isEnding: true })).second).matches(ending);
+        });
+    }
+});
