Check the run that an answer of the own interface's endpoint names

What callers saw (MIXED, by its cause): on the own interface a late second answer to an earlier request stood for the answer to the next on a kept connection.

Cause: answers there name no request.

Change: an endpoint may repeat turmericspoke-run, which it gets with each request, in its answer. An answer with the token of another run fails the request as lost and closes the connection. The header is optional: without it an answer counts as before, so what is open for endpoints that don't repeat it stays open.

The test failed before: "200 late" where the endpoint had answered 500, in two of four requests; now both are lost.

--- a/src/connection/httpPool.ts
+++ b/src/connection/httpPool.ts
@@ -11,6 +11,11 @@
     readonly path: string;
     readonly headers: HeaderList;
     readonly body: Buffer;
+    /**
+     * Header of this request alone, by its name in lower case, that the answer may repeat. An answer that has it with another value
+     * belongs to another request, and its connection is closed.
+     */
+    readonly echo?: { readonly name: string; readonly value: string; };
     /** Timeout for the whole call, in milliseconds. */
     readonly timeoutMs: number;
     /** Aborts the call by closing its connection. */
@@ -147,6 +152,10 @@
     onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
         this.status = status;
         this.headers = readRawHeaders(controller);
+        if (!this.isOwnAnswer()) {
+            this.cancel("the answer is that to another request");
+            return;
+        }
         if (this.isRefusal(this.headers)) {
             this.onResponseEnd();
             controller.abort(new Error("the request was refused"));
@@ -170,6 +179,12 @@
         this.fail(error.message || error.name);
     }
 
+    private isOwnAnswer(): boolean {
+        const { echo } = this.call;
+        const echoed = echo === undefined ? undefined : findLowerCaseHeader(this.headers, echo.name);
+        return echoed === undefined || echoed === echo?.value;
+    }
+
     private cancel(message: string): void {
         this.fail(message);
         this.controller?.abort(new Error(message));
--- a/src/process/endpoint/localEndpoint.ts
+++ b/src/process/endpoint/localEndpoint.ts
@@ -177,6 +177,7 @@
             path: call.path,
             headers: [...call.headers, ...createEndpointHeaders(call, run, timeoutMs)],
             body: call.body,
+            echo: { name: headerNames.run, value: run.token },
             timeoutMs,
             signal: call.signal,
         });
--- a/test/httpPool.test.ts
+++ b/test/httpPool.test.ts
@@ -27,7 +27,8 @@
     const pool = new HttpPool(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, 1_000_000, isRefusal);
     const endings: string[] = [];
     for (let index = 0; index < count; index += 1) {
-        const call = { method: "POST", path: "/", headers: [], body: Buffer.alloc(0), timeoutMs: 1000 };
+        const echo = { name: headerNames.run, value: `run${index + 1}` };
+        const call = { method: "POST", path: "/", headers: [], body: Buffer.alloc(0), echo, timeoutMs: 1000 };
         const result = await pool.send(call);
         endings.push(result.kind === "answered" ? `${result.status} ${result.body.toString()}` : result.kind);
         await new Promise(resolve => setTimeout(resolve, 10));
@@ -59,4 +60,18 @@
         });
         expect(endings).deep.equals(["lost", "200 body", "lost", "200 body"]);
     });
+
+    // MIXED: a late second answer to an earlier request stood for the answer to the next.
+    it("that name the run of an earlier request are no answer to the next", async () => {
+        const formatAnswer = (status: string, run: string, body: string): string =>
+            `HTTP/1.1 ${status}\r\n${run}Content-Length: ${body.length}\r\n\r\n${body}`;
+        const endings = await runRequests(4, (socket, request, previous) => {
+            const run = request === 4 ? "" : `${headerNames.run}: run${request}\r\n`;
+            const late = socket === previous
+                ? formatAnswer("200 OK", `${headerNames.run}: run${request - 1}\r\n`, "late")
+                : "";
+            socket.write(late + formatAnswer("500 Failed", run, `failed${request}`));
+        });
+        expect(endings).deep.equals(["500 failed1", "lost", "500 failed3", "lost"]);
+    });
 });
