--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -2,10 +2,14 @@
  * An HTTP/1.1 connection to the local endpoint. It carries one request at a time and buffers each answer completely.
  *
  * An answer is matched to the request in progress by its attempt identifier; an answer that names another attempt is
- * skipped; it is read by the method of that attempt, and if that isn't known, the connection is closed. The connection is closed after data without a request in progress, after a truncated answer, and after an
- * answer that arrived before the request was fully written, since the endpoint could take the remaining bytes for
- * another request. A late copy of an answer can't be told from the answer to the same attempt sent again, so a connection
- * carries an attempt once. The connection is closed too when bytes come without end, in a head, in a body or between pieces of one.
+ * skipped, and read by the method of that attempt. A late copy of an answer can't be told from the answer to the same
+ * attempt sent again, so a connection carries an attempt once. The connection is closed
+ * - after data without a request in progress, also behind an answer in its piece;
+ * - after a truncated answer, a line that isn't valid, a change of protocol, or an answer whose attempt or end isn't known;
+ * - after a body that holds another answer to the request: the body was cut off, and a second answer followed;
+ * - after an answer that arrived before the request was fully written, since the endpoint could take the remaining bytes
+ *   for another request;
+ * - when bytes come without end, in a head, in a body or between pieces of one.
  */
 import type { Socket } from "node:net";
 import { connect } from "node:net";
