--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -2,10 +2,14 @@
  * An HTTP/1.1 connection to the local endpoint. It carries one request at a time and buffers each answer completely.
  *
  * An answer is matched to the request in progress by its attempt identifier; an answer that names another attempt is
- * skipped; it is read by the method of that attempt, and if that isn't known, the connection is closed. The connection is closed after data without a request in progress, after a truncated answer, and after an
- * answer that arrived before the request was fully written, since the endpoint could take the remaining bytes for
- * another request. A late copy of an answer can't be told from the answer to the same attempt sent again, so a connection
- * carries an attempt once. The connection is closed too when bytes come without end, in a head, in a body or between pieces of one.
+ * skipped, and read by the method of that attempt. A late copy of an answer can't be told from the answer to the same
+ * attempt sent again, so a connection carries an attempt once. The connection is closed
+ * - after data without a request in progress, also behind an answer in its piece;
+ * - after a truncated answer, a line that isn't valid, a change of protocol, or an answer whose attempt or end isn't known;
+ * - after a body that holds another answer to the request: the body was cut off, and a second answer followed;
+ * - after an answer that arrived before the request was fully written, since the endpoint could take the remaining bytes
+ *   for another request;
+ * - when bytes come without end, in a head, in a body or between pieces of one.
  */
 import type { Socket } from "node:net";
 import { connect } from "node:net";
@@ -16,6 +20,7 @@
 import type { AnswerBudget, BudgetedAnswer } from "./answerBudget.js";
 import type { AnswerHead } from "./answerParser.js";
 import { AnswerParser } from "./answerParser.js";
+import { hasInnerAnswer } from "./innerAnswer.js";
 import type { SimpleAnswer } from "./simpleAnswer.js";
 import { parseSimpleAnswer } from "./simpleAnswer.js";
 import type { StrayAnswers } from "./strayAnswers.js";
@@ -294,8 +299,15 @@
             this.hasProtocolError = true;
             return;
         }
+        const body = joinChunks(partialAnswer.chunks);
+        const isOwn = metadata.attemptId === exchange.attemptId;
+        // A simple answer has come in one piece, so that nothing came between its beginning and its end.
+        if ((!isOwn || this.parser !== undefined) && hasInnerAnswer(body, exchange.attemptId)) {
+            this.hasProtocolError = true;
+            return;
+        }
         // The answer to a health check carries no attempt identifier, as its request.
-        if (metadata.attemptId !== exchange.attemptId) {
+        if (!isOwn) {
             // A duplicate or late answer to an earlier request is skipped. An answer without an attempt identifier
             // can't be matched to a request, so it closes the connection.
             this.hasProtocolError ||= metadata.attemptId === undefined;
@@ -312,7 +324,6 @@
         if (!partialAnswer.shouldKeepAlive || this.socket.writableLength > 0) {
             this.close();
         }
-        const body = joinChunks(partialAnswer.chunks);
         exchange.settle({
             kind: "answered",
             answer: {
