--- a/standin/platformUpstream.ts
+++ b/standin/platformUpstream.ts
@@ -16,6 +16,8 @@
 export interface RunRecord {
     readonly attempt: string;
     readonly startedAt: number;
+    /** Deadline that it was told, as a time from the start; work stops at it. */
+    readonly deadlineMs: number;
     /** Time at which the connection closed before the answer had left; `undefined` if it didn't. */
     abandonedAt: number | undefined;
 }
@@ -195,7 +197,8 @@
         const attempt = echo["Attempt-Id"]!;
         const query = new URL(request.url ?? "/", "http://upstream").searchParams;
         const startedAt = performance.now();
-        const record: RunRecord = { attempt, startedAt, abandonedAt: undefined };
+        const deadlineMs = Number(request.headers["deadline-ms"] ?? Infinity);
+        const record: RunRecord = { attempt, startedAt, deadlineMs, abandonedAt: undefined };
         this.runs.push(attempt);
         this.runRecords.push(record);
         this.running += 1;
@@ -206,7 +209,6 @@
                 record.abandonedAt = performance.now();
             }
         });
-        const deadlineMs = Number(request.headers["deadline-ms"] ?? Infinity);
         const leftMs = (): number =>
             this.plan.keepsDeadlines === true ? startedAt + deadlineMs - performance.now() : Infinity;
         const runMs = Number(query.get("run") ?? this.runMs);
--- a/standin/stopFindings.ts
+++ b/standin/stopFindings.ts
@@ -86,13 +86,18 @@
     }
     const isCut = status === 0 && (runs.length > 0 || endedAt - sentAt - request.unseenMs > lostSlackMs);
     const isReplaced = status >= 500 && status !== 503 && !request.isSigned
-        && runs.some(run => run.abandonedAt !== undefined);
+        && runs.some(hasBrokenOffWork);
     if (!isCut && !isReplaced || isExcused(request.entry, sentAt, runs, stops, graceMs)) {
         return undefined;
     }
     return isCut ? "cut" : "replaced";
 }
 
+/** Whether a run was broken off while its endpoint was at work; an endpoint stops at the deadline that it was told. */
+export function hasBrokenOffWork({ startedAt, deadlineMs, abandonedAt }: RunRecord): boolean {
+    return abandonedAt !== undefined && abandonedAt < startedAt + deadlineMs;
+}
+
 /** Whether an upstream was still at work in the last part of the grace time on a request that was sent early in it. */
 function isExcused(
     entry: string,
