--- a/bench/answerOwnership.ts
+++ b/bench/answerOwnership.ts
@@ -41,6 +41,7 @@
         chunked: { type: "string", default: "0" },
         unlengthed: { type: "string", default: "0" },
         repeat: { type: "boolean", default: false },
+        behindSuccesses: { type: "boolean", default: false },
         // Shares of the requests of clients.
         head: { type: "string", default: "0" },
         ahead: { type: "string", default: "0" },
@@ -109,6 +110,7 @@
         chunked: Number(values.chunked),
         unlengthed: Number(values.unlengthed),
         isRepeat: values.repeat,
+        isBehindSuccesses: values.behindSuccesses,
         repeatsIds: values.repeatsIds,
     };
     const cluster = new PlatformCluster(
--- a/bench/answeringEndpoint.ts
+++ b/bench/answeringEndpoint.ts
@@ -29,6 +29,8 @@
     readonly unlengthed: number;
     /** Whether a second answer repeats the first one. */
     readonly isRepeat: boolean;
+    /** Whether only successes are answered twice. */
+    readonly isBehindSuccesses: boolean;
     /** Whether calls that a run makes have the same ids when the run is made again. */
     readonly repeatsIds: boolean;
 }
@@ -165,7 +167,7 @@
         if (framing === "close") {
             connection.socket.end();
         }
-        else if (this.random() < this.answers.second) {
+        else if (this.random() < this.answers.second && (status === 200 || !this.answers.isBehindSuccesses)) {
             this.offerSecond(connection, send, this.answers.isRepeat ? first : format(200, own, secondBody, "length"));
         }
     }
