Let changed settings not shorten a stop in progress

A file that lowers graceSeconds, read at SIGHUP during a stop, ended the process at once and cut what was in progress (LOST), though the platform counts the grace from its own signal. A changed grace period now counts for the next stop.

--- a/src/process/node/gracefulStop.ts
+++ b/src/process/node/gracefulStop.ts
@@ -68,8 +68,9 @@
     /** `graceMs` is the time from the signal until the platform kills the process, in milliseconds. */
     constructor(private readonly clock: Clock, private graceMs: number) {}
 
+    /** Changes the grace period of a later stop: the platform counts one that is in progress from its own signal. */
     setGrace(graceMs: number): void {
-        this.graceMs = graceMs;
+        this.graceMs = this.hasStarted() ? this.graceMs : graceMs;
     }
 
     start(): void {
--- a/test/routed/gracefulStop.test.ts
+++ b/test/routed/gracefulStop.test.ts
@@ -157,6 +157,19 @@
         });
     }
 
+    it("are taken as long as before when the settings change the grace period meanwhile", () => {
+        const clock = new FakeClock();
+        const stop = new GracefulStop(clock, graceMs);
+        stop.setGrace(8000);
+        stop.setGrace(graceMs);
+        stop.start();
+        clock.addTime(2600);
+        stop.setGrace(3000);
+        const inProgress = { isEndpointClosed: true, hasOtherInstance: true, inProgress: 1 };
+        expect(stop.canTake(clock.readMonotonic() + 9000, false)).equals(true);
+        expect(stop.decideStep(inProgress)).equals("wait");
+    });
+
     const headers = ["Attempt-Id: a", "Deadline-Ms: 900"];
 
     it("get the answer that their endpoint gives at the limited deadline, and not the node's own", async () => {
