Show what clients that don't behave do to a node, before any change

The tests play 13 crowds against real processes with the command line of the deployment: bodies that stop short of their end, announced or in large or tiny chunks, bodies far over the limit, whole bodies in front of slow endpoints, bodies to no route, and more connections than a process may have. Three more send one body of 64 MiB in calm. Bounds come from the smallest machine: 250 MB, and the limit of descriptors less the 200 that are kept for files. Nothing is checked against a time. A crowd is 60 callers with bodies of at most 8 MiB, 400 with bodies of 1 MiB, or 600 connections to a process of 300 descriptors.

--- a/standin/platformCluster.ts
+++ b/standin/platformCluster.ts
@@ -59,11 +59,14 @@
         private readonly settingsFile: string,
         /** Flags of Node.js for the node's process. */
         private readonly nodeFlags: readonly string[],
+        /** Program that runs the node, and what stands before its flags. */
+        private readonly command: readonly [string, ...string[]],
     ) {}
 
     /** Starts the node's process. */
     startNode(): void {
-        const node = spawn(process.execPath, [...this.nodeFlags, this.program], {
+        const [runtime, ...words] = this.command;
+        const node = spawn(runtime, [...words, ...this.nodeFlags, this.program], {
             env: { ...process.env, TURMERICSPOKE_SETTINGS: this.settingsFile },
             stdio: ["ignore", "pipe", "inherit"],
         });
@@ -126,6 +129,8 @@
         /** Level of the nodes' log. */
         private readonly logLevel = "info",
         private readonly createUpstream = (plan: UpstreamPlan): PlatformUpstream => new PlatformUpstream(plan),
+        /** Program that runs the nodes, and what stands before its flags. */
+        private readonly command: readonly [string, ...string[]] = [process.execPath],
     ) {
         this.store = new PlatformStore(this.createAddress(1), ports.store);
         for (const service of services) {
@@ -190,7 +195,7 @@
             outboundPort: ports.caller,
             controlPort: ports.report,
         });
-        return new Machine(address, service.name, upstream, file, this.nodeFlags);
+        return new Machine(address, service.name, upstream, file, this.nodeFlags, this.command);
     }
 
     private formatSettings(address: string, service: string): string {
--- a/standin/platformUpstream.ts
+++ b/standin/platformUpstream.ts
@@ -2,6 +2,7 @@
  * Stand-in of an upstream on the platform: runs requests in a limited number of slots, makes calls through its node, and sends
  * its heartbeats. It records each run, so that a test sees what ran how often.
  */
+import { createHash } from "node:crypto";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer, request as httpRequest } from "node:http";
 import { sleep } from "./processes.js";
@@ -199,7 +200,10 @@
         };
     }
 
-    /** The query of a request may set the time of its run (`run`), that of its calls (`call`) and the size of its answer (`bytes`). */
+    /**
+     * The query of a request may set the time of its run (`run`), that of its calls (`call`) and the size of its answer (`bytes`), or
+     * ask for a digest of its body as the answer (`digest`).
+     */
     private async run(
         request: IncomingMessage,
         echo: Record<string, string>,
@@ -239,9 +243,8 @@
         if (this.fault === "silent") {
             return;
         }
-        const bytes = Number(query.get("bytes") ?? 0);
         response.writeHead(status, { ...echo, "Upstream-Signature": `s.${this.id}` })
-            .end(bytes > 0 && status === 200 ? Buffer.alloc(bytes, "rug ") : body);
+            .end(createAnswerBody(status, query, body));
     }
 
     /** Makes the calls of a run; returns the status of its answer. */
@@ -304,6 +307,15 @@
     }
 }
 
+/** Body of an answer: that of the request, unless a success is asked for something else. */
+function createAnswerBody(status: number, query: URLSearchParams, body: Buffer): Buffer | string {
+    const bytes = Number(query.get("bytes") ?? 0);
+    if (status !== 200 || (bytes === 0 && !query.has("digest"))) {
+        return body;
+    }
+    return bytes > 0 ? Buffer.alloc(bytes, "rug ") : createHash("sha256").update(body).digest("hex");
+}
+
 /** Gives a call the path that deploy/wire.toml gives it. */
 function formatCall(path: string): string {
     const [, call, id] = /call=instances\.(heartbeat|deregister)&of=(.+)$/.exec(path)!;
--- a/standin/processes.ts
+++ b/standin/processes.ts
@@ -1,5 +1,6 @@
 /** Helpers for processes that tests and benches start and talk to. */
 import type { ChildProcess } from "node:child_process";
+import { readdirSync, readFileSync } from "node:fs";
 import { request } from "undici";
 
 /** Waits. */
@@ -50,3 +51,13 @@
         child.once("exit", code => reject(new Error(`the process ended with ${code} before it was ready`)));
     });
 }
+
+/** Most memory that a process has taken so far, in bytes. */
+export function readPeakMemoryBytes(pid: number): number {
+    return 1024 * Number(/^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, "utf8"))![1]);
+}
+
+/** Descriptors that a process has open. */
+export function countDescriptors(pid: number): number {
+    return readdirSync(`/proc/${pid}/fd`).length;
+}
