Close the connection that waits longest when callers have too many open

What callers saw: with more connections open than a node's process has descriptors, an ordinary caller got no answer for as long as they were open, and the node couldn't read its settings or reach its endpoint.

Cause: each listener took 10,000 connections, whatever the process may open, and nothing was closed to make room.

Change: callers get half of the descriptors that aren't kept for files (1,950 of 4,100), each other listener a 64th part. A new connection is taken in by closing the one whose last request or answer is longest ago, unless a whole request of it is being worked on. The limit comes from the platform's settings (limits.descriptors) or else from the system. New gauges: caller_connections, caller_connections_closed. The test of a single large body has a second service now, so that half of its requests run beside another node than their entry.

--- a/src/connection/httpServer.ts
+++ b/src/connection/httpServer.ts
@@ -5,6 +5,7 @@
 import type { Answer } from "../request/answer.js";
 import { reasonStatus, unknownStatus } from "../request/answer.js";
 import { headerNames } from "../request/headers.js";
+import { ConnectionRoom } from "./connectionRoom.js";
 import { startListening } from "./listening.js";
 import type { PipelineTurn } from "./requestPipeline.js";
 import { RequestPipeline } from "./requestPipeline.js";
@@ -18,8 +19,8 @@
 const headersTimeoutMs = 10_000;
 /** Timeout for receiving a whole request, in milliseconds. */
 const requestTimeoutMs = 60_000;
-/** Maximum number of connections of one listener. */
-const maxConnections = 10_000;
+/** Maximum number of connections of a listener for which none is given. */
+const defaultMaxConnections = 10_000;
 
 /**
  * Handles one request; `turn` is its place among those of its connection. A rejection is reported as an error and closes
@@ -42,17 +43,28 @@
 export class HttpListener {
     private readonly server: Server;
     private readonly pipelines = new WeakMap<Socket, RequestPipeline>();
+    /** Connections that are open, and how many were closed to make room. */
+    readonly room: ConnectionRoom;
     /** Whether answers ask clients to close their connections. */
     private isClosingConnections = false;
 
-    constructor(handler: RequestHandler, maxHeaderBytes: number, onError: (error: unknown) => void) {
+    constructor(
+        handler: RequestHandler,
+        maxHeaderBytes: number,
+        onError: (error: unknown) => void,
+        maxConnections = defaultMaxConnections,
+    ) {
+        this.room = new ConnectionRoom(maxConnections, socket => this.pipelines.get(socket)?.hasWork() === true);
         this.server = createServer(
             { maxHeaderSize: maxHeaderBytes, noDelay: true },
             (request, response) => {
-                const turn = this.findPipeline(request.socket).accept(request, response);
+                const { socket } = request;
+                const turn = this.findPipeline(socket).accept(request, response);
                 if (turn === undefined) {
                     return;
                 }
+                this.room.recordUse(socket);
+                response.once("finish", () => this.room.recordUse(socket));
                 if (this.isClosingConnections) {
                     response.setHeader("connection", "close");
                 }
@@ -69,7 +81,7 @@
         this.server.keepAliveTimeout = keepAliveTimeoutMs;
         this.server.headersTimeout = headersTimeoutMs;
         this.server.requestTimeout = requestTimeoutMs;
-        this.server.maxConnections = maxConnections;
+        this.server.on("connection", (socket: Socket) => this.room.add(socket));
     }
 
     /** Binds the listener to an address; rejects if that fails. */
--- a/src/connection/requestPipeline.ts
+++ b/src/connection/requestPipeline.ts
@@ -79,6 +79,11 @@
         return this.entries.length === 0 || (this.entries.length === 1 && !this.entries[0]!.response.headersSent);
     }
 
+    /** Whether a request was read whole and its answer isn't sent. */
+    hasWork(): boolean {
+        return this.entries.some(entry => entry.request.complete);
+    }
+
     /**
      * Makes the last of the answers that are due close the connection, since nothing more can be read from it. Returns false
      * if no answer is due, or if a request is incomplete and can't be answered.
--- a/src/process/node/routedGauges.ts
+++ b/src/process/node/routedGauges.ts
@@ -1,4 +1,5 @@
 /** Gauges of a routed node. Their values are read when the metrics are. */
+import type { ConnectionRoom } from "../../connection/connectionRoom.js";
 import type { PeerLinks } from "../../connection/peerLinks.js";
 import type { StrayAnswers } from "../../connection/strayAnswers.js";
 import type { CustomerQuotas } from "../customers/customerQuotas.js";
@@ -11,6 +12,7 @@
 
 /** Components that the gauges read. */
 export interface RoutedGaugeSources {
+    readonly callerRoom: Pick<ConnectionRoom, "countOpen" | "countClosed">;
     readonly clusterState: Pick<ClusterState, "configurationHolder" | "registry" | "getLogPosition">;
     readonly endpoint: Pick<EndpointState, "getNamedLimit">;
     readonly links: Pick<PeerLinks, "countOpenLinks">;
@@ -38,6 +40,12 @@
     ],
     ["repeats_sent", "Repeats that the budget paid for.", node => node.retryBudget.counts.sent],
     ["repeats_refused", "Repeats that the budget had no room for.", node => node.retryBudget.counts.refused],
+    ["caller_connections", "Open connections of callers.", node => node.callerRoom.countOpen()],
+    [
+        "caller_connections_closed",
+        "Connections of callers that were closed to make room for others.",
+        node => node.callerRoom.countClosed(),
+    ],
     ["instances_known", "Known instances.", node => node.clusterState.registry.count()],
     ["links_open", "Open links to other nodes.", node => node.links.countOpenLinks()],
     ["endpoint_running", "Requests at the endpoint.", node => node.runner.getLoad().running],
--- a/src/process/node/routedListeners.ts
+++ b/src/process/node/routedListeners.ts
@@ -1,11 +1,13 @@
 /** The HTTP listeners of a routed node. */
+import type { ConnectionRoom } from "../../connection/connectionRoom.js";
 import type { RequestHandler } from "../../connection/httpServer.js";
 import { HttpListener } from "../../connection/httpServer.js";
 import type { RoutedEntryDependencies } from "../../request/entryRequest.js";
 import { serveRoutedRequest } from "../../request/routedEntry.js";
 import type { ReportHandlers } from "../endpoint/endpointReports.js";
 import { serveEndpointReport } from "../endpoint/endpointReports.js";
-import type { RoutedSettings } from "../settings/routedSettings.js";
+import type { ConnectionLimits, RoutedSettings } from "../settings/routedSettings.js";
+import { computeConnectionLimits } from "../settings/routedSettings.js";
 import type { Logger } from "../telemetry/logger.js";
 import type { RoutedMetrics } from "../telemetry/routedMetrics.js";
 import type { InFlightRequests } from "./inFlightRequests.js";
@@ -29,14 +31,22 @@
 /** Listeners for callers, readiness probes, reports of the local endpoint, and metrics. */
 export class RoutedListeners {
     private readonly caller: HttpListener;
+    private readonly connectionLimits: ConnectionLimits;
 
     constructor(private readonly dependencies: RoutedListenersDependencies) {
-        const { inFlightRequests, entry } = dependencies;
+        const { inFlightRequests, entry, settings } = dependencies;
+        this.connectionLimits = computeConnectionLimits(settings);
         this.caller = this.createListener(
             inFlightRequests.track((request, response, turn) => serveRoutedRequest(entry, request, response, turn)),
+            this.connectionLimits.callers,
         );
     }
 
+    /** Connections of callers: those that are open, and those that were closed to make room. */
+    getCallerRoom(): Pick<ConnectionRoom, "countOpen" | "countClosed"> {
+        return this.caller.room;
+    }
+
     /** Binds all listeners. */
     async start(): Promise<void> {
         const { address, listeners } = this.dependencies.settings;
@@ -60,11 +70,15 @@
         this.caller.close();
     }
 
-    private createListener(handler: RequestHandler): HttpListener {
-        return new HttpListener(handler, maxHeaderBytes, error => {
+    private createListener(
+        handler: RequestHandler,
+        maxConnections = this.connectionLimits.others,
+    ): HttpListener {
+        const reportError = (error: unknown): void => {
             const cause = error instanceof Error ? error.stack : String(error);
             this.dependencies.logger.error("handlerFailed", { cause });
-        });
+        };
+        return new HttpListener(handler, maxHeaderBytes, reportError, maxConnections);
     }
 
     private serveReadiness(response: Parameters<RequestHandler>[1]): Promise<void> {
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -222,6 +222,7 @@
         );
         configurationHolder.addListener(() => this.quotas.updateQuotas());
         addRoutedGauges(this.metrics, {
+            callerRoom: this.listeners.getCallerRoom(),
             clusterState: this.clusterState,
             endpoint: this.endpoint,
             links: this.links,
--- a/src/process/settings/routedSettings.ts
+++ b/src/process/settings/routedSettings.ts
@@ -1,6 +1,7 @@
 /** Settings of a routed node: one TOML file, checked before anything starts. */
 import * as v from "valibot";
 import { createIntegerSchema, shortTextSchema } from "../../version/schema.js";
+import { readDescriptorLimit } from "../base/descriptorLimit.js";
 import type { Result } from "../base/result.js";
 import { logLevels } from "../telemetry/logger.js";
 import type { SettingsError } from "./settingsFile.js";
@@ -32,6 +33,17 @@
 ] as const;
 export type SwitchableDecision = typeof switchableDecisions[number];
 
+/** Descriptors that are kept for files. */
+const fileDescriptors = 200;
+/** Least part of the descriptors that is used for sockets. */
+const minSocketShare = 0.25;
+/** Part of the sockets that callers may take. */
+const callerSocketShare = 0.5;
+/** Part of the sockets that each other listener may take. */
+const listenerSocketShare = 1 / 64;
+/** Least number of connections of such a listener. */
+const minListenerConnections = 8;
+
 const nonNegativeNumberSchema = v.pipe(v.number(), v.minValue(0));
 
 const routedSettingsSchema = v.strictObject({
@@ -75,6 +87,14 @@
         /** Requests of a customer that may run in one window in addition. */
         quotaSlack: v.optional(nonNegativeNumberSchema, 0),
     }),
+    /** What this process may take of its machine. */
+    limits: v.optional(
+        v.strictObject({
+            /** Descriptors; without, the limit that the system sets this process. */
+            descriptors: v.optional(createIntegerSchema(64, 10_000_000)),
+        }),
+        {},
+    ),
     /**
      * Whether callers that are refused get reserved times to come back: where the deployment has one of the parts for
      * which it is called for. Without, they get random ones.
@@ -99,6 +119,27 @@
     return readSettingsText(file, text => parseRoutedSettings(file, text));
 }
 
+/** Connections that the listeners of this process may have open. */
+export interface ConnectionLimits {
+    /** Connections of callers. */
+    readonly callers: number;
+    /** Connections of each other listener. */
+    readonly others: number;
+}
+
+/**
+ * Divides the descriptors of this process. Callers may take half of what isn't kept for files; links, the connections to the endpoint
+ * and those of the other listeners have the rest.
+ */
+export function computeConnectionLimits({ limits }: RoutedSettings): ConnectionLimits {
+    const descriptors = limits.descriptors ?? readDescriptorLimit();
+    const sockets = Math.max(descriptors - fileDescriptors, descriptors * minSocketShare);
+    return {
+        callers: Math.floor(sockets * callerSocketShare),
+        others: Math.max(minListenerConnections, Math.floor(sockets * listenerSocketShare)),
+    };
+}
+
 /** Whether callers that are refused get reserved times to come back. */
 export function hasReservedReturns({ returns }: RoutedSettings): boolean {
     return returns.isReservedFor.some(part => returns.deploymentParts.includes(part));
--- a/test/routed/unrulyClients.test.ts
+++ b/test/routed/unrulyClients.test.ts
@@ -139,12 +139,12 @@
     return spawnSync(pinned, ["--version"]).status === 0 ? pinned : process.execPath;
 }
 
-/** Starts three nodes as the deployment does, each beside an endpoint of one service. */
+/** Starts nodes as the deployment does: three beside endpoints of one service, and one of another. */
 async function startCluster(maxBodyBytes: number, descriptors: number | undefined): Promise<PlatformCluster> {
     const flags = ["--max-old-space-size=160", "--single-threaded"];
     const runtime = chooseRuntime();
     const cluster = new PlatformCluster(
-        [{ name: "katalog", instances: 3, slots: 50, runMs: 5 }],
+        [{ name: "katalog", instances: 3, slots: 50, runMs: 5 }, { name: "kas", instances: 1, slots: 50, runMs: 5 }],
         4,
         flags,
         "info",
@@ -152,7 +152,16 @@
         descriptors === undefined ? [runtime] : ["sh", "-c", `ulimit -n ${descriptors}; exec "$0" "$@"`, runtime],
     );
     const configuration = JSON.parse(
-        formatConfiguration(1, [createRoute({ timeoutMs: patienceMs, targetLatencyMs: patienceMs })]),
+        formatConfiguration(1, [
+            createRoute({ timeoutMs: patienceMs, targetLatencyMs: patienceMs }),
+            createRoute({
+                name: "advance",
+                host: "kas.example",
+                timeoutMs: patienceMs,
+                targetLatencyMs: patienceMs,
+                shares: [{ service: "kas", weight: 1 }],
+            }),
+        ]),
     ) as { limits: Record<string, number>; };
     configuration.limits["maxBodyBytes"] = maxBodyBytes;
     await cluster.start(JSON.stringify(configuration));
@@ -212,9 +221,10 @@
             const [entry] = cluster.machines as [Machine];
             const path = "/loom/1?digest=1";
             const plan = { ...crowdOf60, connections: 1, oneWholeIn: 1, path, forms: [form] };
-            // More than one, so that the request runs beside its entry and beside another node.
-            for (let turn = 0; turn < 4; turn += 1) {
-                crowd = new CallerCrowd({ ...plan, name: `single${turn}` });
+            // The requests to kas run beside another node than their entry.
+            const hosts = ["katalog.example", "kas.example", "katalog.example", "kas.example"];
+            for (const [turn, host] of hosts.entries()) {
+                crowd = new CallerCrowd({ ...plan, host, name: `single${turn}` });
                 await crowd.send(entry.address, ports.caller);
                 await waitFor(() => Promise.resolve(crowd!.countStatuses().get(0) === undefined), patienceMs, "answer");
                 await sleep(50);
