Bound the memory of the bodies that callers send, and give it back at once

Cause: bodies were kept piece by piece as Node.js hands them out, on each connection up to the limit, and nothing bounded their sum. A piece of one byte took some 300 bytes of heap. Behind "too large" the pieces stayed with the paused connection. The body was read before the route, the key and the stop were looked at. What was copied was given back at the next collection only, and to an allocator that kept it in pieces: with the sum bounded at 82 MB, a process still took 255 to 380 MB.

Change: a budget for all bodies of a process, by the memory of its machine (limits.memoryMegabytes less 160 MB for the rest). While it is exceeded, the incomplete body whose bytes have waited longest for more is given up with 503: it hasn't run. Pieces are copied into memory that grows in place and is given back at once; connections that bring tiny pieces read in turns. A request is checked by its head before its body is kept; a body that isn't whole at its request's deadline ends with 408, one that is announced or sent beyond the limit with 413, both logged. What such a caller still sends is discarded for a second, so that it can read its answer.

--- /dev/null
+++ b/src/process/base/ownedMemory.ts
@@ -0,0 +1,36 @@
+/**
+ * Memory for bodies that grows in place and is given back at once. A buffer's memory is otherwise given back when the buffer is
+ * collected, which is too late where bodies come fast, and to an allocator that keeps it in pieces.
+ */
+
+/** What Node.js can do with the memory of a buffer, and the library's types don't tell yet; `transfer` is there from Node.js 22 on. */
+interface GrowingMemory extends ArrayBuffer {
+    resize(bytes: number): void;
+    transfer?(bytes: number): ArrayBuffer;
+}
+
+/** Size of a buffer below which giving its memory back isn't worth the time, in bytes. */
+const minFreedBytes = 256;
+
+/** Reserves memory of which nothing is taken yet; the system provides what is written to, after it was added by {@link growMemory}. */
+export function createGrowingMemory(maxBytes: number): ArrayBuffer {
+    const create = ArrayBuffer as new(bytes: number, options: { readonly maxByteLength: number; }) => ArrayBuffer;
+    return new create(0, { maxByteLength: maxBytes });
+}
+
+/** Makes reserved memory usable up to a size in bytes. Buffers in it stay where they are. */
+export function growMemory(memory: ArrayBuffer, bytes: number): void {
+    (memory as GrowingMemory).resize(bytes);
+}
+
+/** Gives back memory that nobody uses any more; it is empty afterwards, and so are the buffers in it. */
+export function freeMemory(memory: ArrayBufferLike): void {
+    (memory as Partial<GrowingMemory>).transfer?.(0);
+}
+
+/** Gives back the memory of a buffer that nobody uses any more, unless it shares it with others. */
+export function freeBuffer(buffer: Buffer): void {
+    if (buffer.length >= minFreedBytes && buffer.buffer.byteLength === buffer.length) {
+        freeMemory(buffer.buffer);
+    }
+}
--- a/src/process/node/routedGauges.ts
+++ b/src/process/node/routedGauges.ts
@@ -5,6 +5,7 @@
 import type { CustomerQuotas } from "../customers/customerQuotas.js";
 import type { EndpointRunner } from "../endpoint/endpointRunner.js";
 import type { EndpointState } from "../endpoint/endpointState.js";
+import type { BodyBudget } from "../load/bodyBudget.js";
 import type { ReturnSchedule } from "../load/returnSchedule.js";
 import type { ServiceRetryBudget } from "../load/serviceRetryBudget.js";
 import type { ClusterState } from "../membership/clusterState.js";
@@ -13,6 +14,7 @@
 /** Components that the gauges read. */
 export interface RoutedGaugeSources {
     readonly callerRoom: Pick<ConnectionRoom, "countOpen" | "countClosed">;
+    readonly bodies: Pick<BodyBudget, "getTotal" | "countGivenUp">;
     readonly clusterState: Pick<ClusterState, "configurationHolder" | "registry" | "getLogPosition">;
     readonly endpoint: Pick<EndpointState, "getNamedLimit">;
     readonly links: Pick<PeerLinks, "countOpenLinks">;
@@ -40,6 +42,12 @@
     ],
     ["repeats_sent", "Repeats that the budget paid for.", node => node.retryBudget.counts.sent],
     ["repeats_refused", "Repeats that the budget had no room for.", node => node.retryBudget.counts.refused],
+    ["bodies_bytes", "Memory that bodies of requests take, in bytes.", node => node.bodies.getTotal()],
+    [
+        "bodies_given_up",
+        "Bodies that were not read to their end, because bodies took too much memory together.",
+        node => node.bodies.countGivenUp(),
+    ],
     ["caller_connections", "Open connections of callers.", node => node.callerRoom.countOpen()],
     [
         "caller_connections_closed",
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -26,6 +26,7 @@
 import { Quarantine } from "../endpoint/quarantine.js";
 import { RemoteRuns } from "../endpoint/remoteRuns.js";
 import { SuspectExchange } from "../endpoint/suspectExchange.js";
+import { BodyBudget } from "../load/bodyBudget.js";
 import { EntryThrottle } from "../load/entryThrottle.js";
 import { InstanceSelector } from "../load/instanceSelector.js";
 import { LoadRefresher } from "../load/loadRefresher.js";
@@ -39,7 +40,7 @@
 import { ClusterState } from "../membership/clusterState.js";
 import { InstanceSubsets } from "../membership/instanceSubset.js";
 import { LinkKeeper } from "../membership/linkKeeper.js";
-import { hasReservedReturns } from "../settings/routedSettings.js";
+import { computeBodyBytes, hasReservedReturns } from "../settings/routedSettings.js";
 import type { RoutedSettings, SwitchableDecision } from "../settings/routedSettings.js";
 import type { Logger } from "../telemetry/logger.js";
 import { RoutedMetrics } from "../telemetry/routedMetrics.js";
@@ -78,6 +79,7 @@
     private readonly quarantine: Quarantine;
     private readonly crashFlood: CrashFlood;
     private readonly suspects: SuspectExchange;
+    private readonly bodies: BodyBudget;
     private readonly runs = new RunsInProgress();
     private readonly runner: EndpointRunner;
     private readonly remoteRuns: RemoteRuns;
@@ -121,6 +123,7 @@
         // One task for each peer listens to this signal, more than the default limit of listeners allows.
         setMaxListeners(0, this.stopController.signal);
         this.incarnation = Math.floor(clock.readDate().getTime() * 1000 + Math.random() * 1000);
+        this.bodies = new BodyBudget(clock, computeBodyBytes(settings));
         this.inFlightRequests = new InFlightRequests(clock);
         this.quarantine = new Quarantine(clock);
         this.crashFlood = new CrashFlood(this.quarantine, report => this.postToOwnService(report));
@@ -222,6 +225,7 @@
         );
         configurationHolder.addListener(() => this.quotas.updateQuotas());
         addRoutedGauges(this.metrics, {
+            bodies: this.bodies,
             callerRoom: this.listeners.getCallerRoom(),
             clusterState: this.clusterState,
             endpoint: this.endpoint,
@@ -411,6 +415,7 @@
             returnSchedule: this.returnSchedule,
             findUtilisation: serviceName => placement.computeUtilisation(registry.listForService(serviceName)),
             quotas: this.quotas,
+            bodies: this.bodies,
             stop: this.gracefulStop,
         };
     }
--- a/src/process/settings/routedSettings.ts
+++ b/src/process/settings/routedSettings.ts
@@ -43,6 +43,8 @@
 const listenerSocketShare = 1 / 64;
 /** Least number of connections of such a listener. */
 const minListenerConnections = 8;
+/** Memory of a process besides bodies, in bytes: program, heap, connections, and what isn't collected yet. */
+const processBytes = 160_000_000;
 
 const nonNegativeNumberSchema = v.pipe(v.number(), v.minValue(0));
 
@@ -90,6 +92,8 @@
     /** What this process may take of its machine. */
     limits: v.optional(
         v.strictObject({
+            /** Memory, in millions of bytes. */
+            memoryMegabytes: v.optional(createIntegerSchema(200, 1_000_000), 250),
             /** Descriptors; without, the limit that the system sets this process. */
             descriptors: v.optional(createIntegerSchema(64, 10_000_000)),
         }),
@@ -119,6 +123,11 @@
     return readSettingsText(file, text => parseRoutedSettings(file, text));
 }
 
+/** Memory for all bodies that this process holds, in bytes: what its machine has beside the rest of the process. */
+export function computeBodyBytes({ limits }: RoutedSettings): number {
+    return limits.memoryMegabytes * 1_000_000 - processBytes;
+}
+
 /** Connections that the listeners of this process may have open. */
 export interface ConnectionLimits {
     /** Connections of callers. */
--- /dev/null
+++ b/src/request/bodyBuffer.ts
@@ -0,0 +1,84 @@
+/**
+ * Collects the bytes of a message body in one buffer. Pieces are copied as they come, so that a body takes its own length and no more,
+ * however small its pieces are.
+ */
+import { createGrowingMemory, freeBuffer, freeMemory, growMemory } from "../process/base/ownedMemory.js";
+
+/** Size of the first buffer of a body that comes in several pieces, in bytes. */
+const firstBufferBytes = 16_384;
+/** Factor by which the buffer grows. */
+const growthFactor = 4;
+/** Size from which a body has memory of its own, that grows in place; in bytes. */
+const ownMemoryBytes = 65_536;
+
+const emptyBody: Buffer = Buffer.alloc(0);
+
+/** A body that is being received. */
+export class BodyBuffer {
+    private buffer = emptyBody;
+    private length = 0;
+    /** Memory of the buffer, if the body has its own. */
+    private memory: ArrayBuffer | undefined;
+
+    /** `maxBytes`: length that the body has if `isLengthKnown`, or at most. */
+    constructor(private readonly maxBytes: number, private readonly isLengthKnown: boolean) {}
+
+    /** Adds a piece, and takes it over: it is not to be used afterwards. The body must not exceed its maximum. */
+    add(piece: Buffer): void {
+        const { length } = piece;
+        if (this.isLengthKnown && length === this.maxBytes) {
+            this.buffer = piece;
+            this.length = length;
+            return;
+        }
+        if (this.length + length > this.buffer.length) {
+            this.extend(this.length + length);
+        }
+        piece.copy(this.buffer, this.length);
+        this.length += length;
+        freeBuffer(piece);
+    }
+
+    /** Body as far as it has come. */
+    finish(): Buffer {
+        const { buffer, length } = this;
+        return buffer.length === length ? buffer : buffer.subarray(0, length);
+    }
+
+    /** Gives back the memory of what has come. */
+    clear(): void {
+        if (this.memory !== undefined) {
+            freeMemory(this.memory);
+        }
+        else {
+            freeBuffer(this.buffer);
+        }
+        this.buffer = emptyBody;
+        this.length = 0;
+    }
+
+    /** Makes room for a length in bytes. */
+    private extend(bytes: number): void {
+        const wanted = Math.max(firstBufferBytes, this.buffer.length * growthFactor, bytes);
+        const size = Math.max(bytes, Math.min(wanted, this.maxBytes));
+        if (size <= ownMemoryBytes && !(this.isLengthKnown && this.maxBytes > ownMemoryBytes)) {
+            this.move(Buffer.allocUnsafeSlow(size));
+            return;
+        }
+        if (this.memory !== undefined) {
+            growMemory(this.memory, size);
+            this.buffer = Buffer.from(this.memory, 0, size);
+            return;
+        }
+        this.memory = createGrowingMemory(this.maxBytes);
+        growMemory(this.memory, size);
+        this.move(Buffer.from(this.memory, 0, size));
+    }
+
+    /** Moves what has come to a larger buffer. */
+    private move(larger: Buffer): void {
+        this.buffer.copy(larger, 0, 0, this.length);
+        freeBuffer(this.buffer);
+        this.buffer = larger;
+    }
+}
--- a/src/request/entryAnswer.ts
+++ b/src/request/entryAnswer.ts
@@ -7,8 +7,16 @@
  */
 import type { ServerResponse } from "node:http";
 import type { PipelineTurn } from "../connection/requestPipeline.js";
+import type { Clock } from "../process/base/clock.js";
+import { discardBody } from "./body.js";
 import type { EntryStop } from "./entryRequest.js";
 
+/**
+ * Longest time for which what a caller still sends is discarded behind an answer that closes the connection, in milliseconds. A
+ * connection that is closed on unread bytes is reset, which could cost the caller the answer.
+ */
+const maxDiscardMs = 1000;
+
 /** Names and values of headers, alternately, or by name. */
 export type AnswerHeaders = readonly string[] | Readonly<Record<string, string>>;
 
@@ -35,6 +43,20 @@
         this.write(status, headers, body);
     }
 
+    /** Sends an answer to a request whose body isn't read to its end, and closes the connection. */
+    async sendUnread(status: number, headers: AnswerHeaders, clock: Pick<Clock, "startTimer">): Promise<void> {
+        const { response } = this;
+        if (this.isDecided || response.destroyed) {
+            return;
+        }
+        this.isDecided = true;
+        response.setHeader("connection", "close");
+        response.writeHead(status, headers as string[]);
+        response.flushHeaders();
+        await discardBody(response.req, clock, maxDiscardMs);
+        response.end();
+    }
+
     private write(status: number, headers: AnswerHeaders, body: Buffer | undefined): void {
         const { response } = this;
         if (response.destroyed) {
--- a/src/request/entryRequest.ts
+++ b/src/request/entryRequest.ts
@@ -3,6 +3,7 @@
 import type { Cancellation } from "../process/base/cancellation.js";
 import type { Clock } from "../process/base/clock.js";
 import type { CustomerQuotas } from "../process/customers/customerQuotas.js";
+import type { BodyBudget, BodyShare } from "../process/load/bodyBudget.js";
 import type { EntryThrottle } from "../process/load/entryThrottle.js";
 import type { ReturnSchedule } from "../process/load/returnSchedule.js";
 import type { RunInProgress, RunsInProgress } from "../process/load/runsInProgress.js";
@@ -36,6 +37,8 @@
     readonly findUtilisation: (service: string) => number;
     /** Limits the requests of customers with a quota. */
     readonly quotas: Pick<CustomerQuotas, "take" | "releaseUnit">;
+    /** Memory for the bodies of requests. */
+    readonly bodies: BodyBudget;
     readonly stop: EntryStop;
 }
 
@@ -62,6 +65,8 @@
     readonly route: RouteContract;
     readonly version: number;
     readonly body: Buffer;
+    /** What the body takes of the budget; `undefined` if there is no body. */
+    readonly bodyShare: BodyShare | undefined;
     readonly startedAt: number;
     /** Monotonic time by which the request is answered in any case, in milliseconds. */
     readonly deadline: number;
--- a/src/request/routedCall.ts
+++ b/src/request/routedCall.ts
@@ -3,6 +3,7 @@
  * from the operator's configuration; the node with customers' contracts uses `call.ts`.
  */
 import type { Cancellation } from "../process/base/cancellation.js";
+import type { BodyShare } from "../process/load/bodyBudget.js";
 import type { Origin } from "../process/load/runsInProgress.js";
 import type { RouteContract } from "../version/configuration.js";
 import type { HeaderList } from "./headers.js";
@@ -16,6 +17,8 @@
     readonly path: string;
     readonly headers: HeaderList;
     readonly body: Buffer;
+    /** What the body takes of the budget, if that is counted. Who uses the body for longer than the request lasts retains it. */
+    readonly bodyShare?: BodyShare | undefined;
     /**
      * Route and priority of the outside request that the call belongs to, whether the call is part of a retry, its
      * depth below that request, and the number of calls of the same run that were served before it.
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -4,13 +4,14 @@
 import { Cancellation } from "../process/base/cancellation.js";
 import type { SpentUnit } from "../process/customers/unitHolder.js";
 import type { Origin } from "../process/load/runsInProgress.js";
-import type { Customer, CustomerTable } from "../version/customer.js";
-import { readBody } from "./body.js";
-import type { RequestMetadata } from "./dialect.js";
+import type { BodyError } from "./body.js";
+import { BodyReading, discardBody, findBodyLength } from "./body.js";
 import { EntryAnswer } from "./entryAnswer.js";
+import type { EntryRefusal, TakenRequest } from "./entryChecks.js";
+import { checkRequest } from "./entryChecks.js";
 import { logRequest, recordDownstreamOutcome, recordRequestEnd } from "./entryRecords.js";
 import type { RoutedEntryDependencies, RoutedRequest } from "./entryRequest.js";
-import { computeRetryAfterMs, hasNoRoom, maxRetryShare, minRetryMs, recordRoom, takeReturn } from "./entryReturns.js";
+import { computeRetryAfterMs, hasNoRoom, recordRoom, takeReturn } from "./entryReturns.js";
 import type { ForwardOutcome, ForwardResult } from "./forwarder.js";
 import { createUnsentResult } from "./forwarder.js";
 import type { RoutedCall } from "./routedCall.js";
@@ -20,15 +21,20 @@
  * milliseconds.
  */
 const lateResultWaitMs = 40;
-/** Retry-after delay while no configuration is known, in milliseconds. */
-const notReadyRetryMs = 500;
 /** Status that is logged when the caller disconnects; no answer is sent. */
 const callerGoneStatus = 499;
 /** Retry-after delay for requests that are refused because a downstream service is overloaded, in milliseconds. */
 const overloadedRetryMs = 900;
 
-/** Retry-after delay while this process stops: the time until the next one takes its place, in milliseconds. */
-const stoppingRetryMs = 800;
+/** Longest time for which the body of a request that isn't taken is discarded before its answer, in milliseconds. */
+const maxRefusedBodyMs = 2000;
+
+/** Answers to requests whose bodies were not read to their end, by what ended the reading. */
+const unreadBodyAnswers = {
+    tooLarge: { status: 413, cause: "bodyTooLarge" },
+    noRoom: { status: 503, cause: "noMemory" },
+    late: { status: 408, cause: "bodyLate" },
+} as const satisfies Partial<Record<BodyError, unknown>>;
 
 /** Longest time for which a request waits for a unit of its customer's quota, in milliseconds. */
 const maxUnitWaitMs = 800;
@@ -47,8 +53,8 @@
 const noRoomResult = createUnsentResult("noRoom", 0);
 
 /**
- * Serves one request and logs its outcome, unless its body is too large. Nothing is sent or logged if the caller
- * disconnects while it sends the body, or if the connection closes before the request's turn has come.
+ * Serves one request and logs its outcome. Nothing is sent or logged if the caller disconnects while it sends the body, or if the
+ * connection closes before the request's turn has come.
  */
 export async function serveRoutedRequest(
     dependencies: RoutedEntryDependencies,
@@ -63,100 +69,125 @@
         return;
     }
     const metadata = dependencies.dialect.readRequest(request.rawHeaders);
-    // Without a configuration there is no limit. Unless one arrives while the body is read, the request is refused
-    // below.
-    const maxBodyBytes = dependencies.configurationHolder.getTable()?.configuration.limits.maxBodyBytes ?? Infinity;
-    const body = await readBody(request, maxBodyBytes);
-    if (body === "cut") {
+    if (findBodyLength(request) === 0) {
+        await serveRead(dependencies, { request, response, turn, answer, metadata, startedAt, ...noBody });
         return;
     }
-    if (body === "tooLarge") {
-        response.setHeader("connection", "close");
-        sendEmptyAnswer(answer, 413, undefined);
+    const checked = checkRequest(dependencies, request, metadata, startedAt);
+    if (checked.kind === "refused") {
+        await refuseWithBody(dependencies, request, answer, checked);
         return;
     }
-    if (!turn.isNext() && isAtMostOnce(dependencies, request) && !await turn.waitUntilNext()) {
+    const reading = new BodyReading(request, findMaxBodyBytes(dependencies), dependencies.bodies);
+    const leftMs = Math.max(0, checked.deadline - dependencies.clock.readMonotonic());
+    const timer = dependencies.clock.startTimer(leftMs, () => reading.fail("late"));
+    const body = await reading.result;
+    timer.stop();
+    if (typeof body === "string") {
+        await refuseUnreadBody(dependencies, answer, checked, body);
         return;
     }
-    const table = dependencies.configurationHolder.getTable();
-    if (table === undefined) {
-        sendEmptyAnswer(answer, 503, notReadyRetryMs);
-        logRequest(dependencies, "refused", { request: metadata.attemptId, cause: "noConfiguration", status: 503 });
-        return;
+    const bodyShare = reading.getShare();
+    try {
+        await serveRead(dependencies, { request, response, turn, answer, metadata, startedAt, body, bodyShare });
     }
-    const { version } = table.configuration;
-    const route = table.find(request.headers.host ?? "", request.url ?? "/");
-    if (route === undefined) {
-        sendEmptyAnswer(answer, 404, undefined);
-        logRequest(dependencies, "refused", { request: metadata.attemptId, cause: "noRoute", version, status: 404 });
-        return;
+    finally {
+        bodyShare?.release();
     }
-    if (metadata.attemptId === undefined) {
-        sendEmptyAnswer(answer, 400, undefined);
-        logRequest(dependencies, "refused", { cause: "noAttempt", version, status: 400 });
-        return;
-    }
-    const parent = dependencies.runs.find(dependencies.dialect.findParentAttempt(metadata.attemptId));
-    const customer = parent === undefined ? findCustomer(table.customers, metadata.key) : undefined;
-    if (parent === undefined && customer === undefined && !route.isPublic && table.configuration.needsKeys) {
-        refuseUnknownCaller(dependencies, answer, metadata, {
-            request: metadata.attemptId,
-            route: route.name,
-            version,
-        });
+}
+
+/** A request whose body was read. */
+type ReadRequest =
+    & Pick<RoutedRequest, "request" | "response" | "answer" | "metadata" | "startedAt" | "body" | "bodyShare">
+    & { readonly turn: PipelineTurn; };
+
+const noBody = { body: Buffer.alloc(0), bodyShare: undefined } as const;
+
+/** Serves a request whose body was read. */
+async function serveRead(dependencies: RoutedEntryDependencies, read: ReadRequest): Promise<void> {
+    const { request, answer, metadata, startedAt, turn } = read;
+    if (!turn.isNext() && isAtMostOnce(dependencies, request) && !await turn.waitUntilNext()) {
         return;
     }
-    const deadline = startedAt + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs);
-    if (!dependencies.stop.canTake(deadline, parent !== undefined)) {
-        refuseWhileStopping(dependencies, answer, deadline, {
-            request: metadata.attemptId,
-            route: route.name,
-            customer: customer?.name,
-            version,
-        });
+    // Another version may have come into force, or the stop may have begun, while the body was read.
+    const checked = checkRequest(dependencies, request, metadata, startedAt);
+    if (checked.kind === "refused") {
+        sendRefusal(dependencies, answer, checked);
         return;
     }
-    const returned = parent === undefined
-        ? takeReturn(dependencies, request, metadata, customer, startedAt)
+    const { attemptId, ...taken } = checked;
+    const returned = taken.parent === undefined
+        ? takeReturn(dependencies, request, metadata, taken.customer, startedAt)
         : undefined;
     const routedRequest: RoutedRequest = {
-        request,
-        response,
-        answer,
-        metadata,
-        route,
-        version,
-        body,
-        startedAt,
-        deadline,
-        parent,
-        customer,
-        target: returned?.target ?? startedAt + route.targetLatencyMs,
+        ...read,
+        ...taken,
+        target: returned?.target ?? startedAt + taken.route.targetLatencyMs,
         hasReturned: returned?.isDue === true,
     };
-    if (parent !== undefined) {
-        await forwardRequest(dependencies, routedRequest, metadata.attemptId);
+    if (taken.parent !== undefined) {
+        await forwardRequest(dependencies, routedRequest, attemptId);
         return;
     }
-    if (!routedRequest.hasReturned && !dependencies.entryThrottle.admit(route.name)) {
+    if (!routedRequest.hasReturned && !dependencies.entryThrottle.admit(taken.route.name)) {
         refuseAtEntry(dependencies, routedRequest);
         return;
     }
-    await forwardWithinQuota(dependencies, routedRequest, metadata.attemptId);
+    await forwardWithinQuota(dependencies, routedRequest, attemptId);
+}
+
+/** Largest body that is read, in bytes: by the configuration in force, and by the memory of this process. */
+function findMaxBodyBytes({ configurationHolder, bodies }: RoutedEntryDependencies): number {
+    const limit = configurationHolder.getTable()?.configuration.limits.maxBodyBytes ?? Infinity;
+    return Math.min(limit, bodies.getMaxBodyBytes());
+}
+
+/** Refuses a request that isn't taken whatever its body is. The answer follows the body, as clients expect it. */
+async function refuseWithBody(
+    dependencies: RoutedEntryDependencies,
+    request: IncomingMessage,
+    answer: EntryAnswer,
+    refusal: EntryRefusal,
+): Promise<void> {
+    await discardBody(request, dependencies.clock, maxRefusedBodyMs);
+    if (request.complete) {
+        sendRefusal(dependencies, answer, refusal);
+    }
+    else if (!request.destroyed) {
+        recordRefusal(dependencies, refusal);
+        await answer.sendUnread(refusal.status, createEmptyHeaders(refusal.retryAfterMs), dependencies.clock);
+    }
 }
 
-/** Refuses a request that might not be answered before this process ends. */
-function refuseWhileStopping(
+/** Refuses a request whose body was not read to its end, and which has not run therefore. */
+async function refuseUnreadBody(
     dependencies: RoutedEntryDependencies,
     answer: EntryAnswer,
-    deadline: number,
-    fields: { readonly route: string; readonly [name: string]: string | number | undefined; },
-): void {
-    const leftMs = deadline - dependencies.clock.readMonotonic();
-    const spreadMs = stoppingRetryMs * (0.75 + dependencies.random() * 0.5);
-    sendEmptyAnswer(answer, 503, Math.max(minRetryMs, Math.min(spreadMs, leftMs * maxRetryShare)));
-    dependencies.metrics.recordRequestOutcome(fields.route, "refused", "stopping", 0);
-    logRequest(dependencies, "refused", { ...fields, cause: "stopping", status: 503 });
+    { attemptId, route, version, customer }: TakenRequest,
+    error: BodyError,
+): Promise<void> {
+    if (error === "cut") {
+        return;
+    }
+    const { status, cause } = unreadBodyAnswers[error];
+    const retryAfterMs = error === "noRoom" ? overloadedRetryMs * (0.75 + dependencies.random() * 0.5) : undefined;
+    const fields = { request: attemptId, customer: customer?.name, version };
+    recordRefusal(dependencies, { kind: "refused", status, cause, retryAfterMs, route: route.name, fields });
+    await answer.sendUnread(status, createEmptyHeaders(retryAfterMs), dependencies.clock);
+}
+
+/** Sends a refusal and records it. */
+function sendRefusal(dependencies: RoutedEntryDependencies, answer: EntryAnswer, refusal: EntryRefusal): void {
+    sendEmptyAnswer(answer, refusal.status, refusal.retryAfterMs);
+    recordRefusal(dependencies, refusal);
+}
+
+/** Counts and logs a refusal. */
+function recordRefusal(dependencies: RoutedEntryDependencies, { route, cause, status, fields }: EntryRefusal): void {
+    if (route !== undefined) {
+        dependencies.metrics.recordRequestOutcome(route, "refused", cause, 0);
+    }
+    logRequest(dependencies, "refused", { ...fields, route, cause, status });
 }
 
 /** Refuses a caller's request, before any work was spent on it, because a service behind its route is overloaded. */
@@ -255,6 +286,7 @@
         path: request.url ?? "/",
         headers: dependencies.dialect.copyRequestHeaders(request.rawHeaders),
         body,
+        bodyShare: routedRequest.bodyShare,
         origin: createOrigin(routedRequest),
         callsLeft: routedRequest.parent?.getCallsLeft() ?? 1,
         deadline: dependencies.stop.lowerDeadline(deadline),
@@ -335,32 +367,15 @@
 
 /** Sends an answer of the node itself, with an empty body. */
 function sendEmptyAnswer(answer: EntryAnswer, status: number, retryAfterMs: number | undefined): void {
-    answer.send(status, {
-        "Content-Length": "0",
-        ...(retryAfterMs === undefined ? {} : { "Retry-After": (retryAfterMs / 1000).toFixed(3) }),
-    });
-}
-
-function findCustomer(customers: CustomerTable, key: string | undefined): Customer | undefined {
-    return key === undefined ? undefined : customers.findByKey(key);
+    answer.send(status, createEmptyHeaders(retryAfterMs));
 }
 
-/**
- * Refuses a request that comes without a known key. A call of a run that is not known here carries none: the node was
- * started again while the endpoint ran on, or the run was given up. That says nothing against the caller, so it is told
- * to come again.
- */
-function refuseUnknownCaller(
-    dependencies: RoutedEntryDependencies,
-    answer: EntryAnswer,
-    { attemptId, key }: RequestMetadata,
-    fields: { readonly request: string; readonly route: string; readonly version: number; },
-): void {
-    const isCall = key === undefined && dependencies.dialect.findParentAttempt(attemptId ?? "") !== undefined;
-    const [status, cause] = isCall ? [503, "unknownRun"] as const : [401, "unknownKey"] as const;
-    sendEmptyAnswer(answer, status, isCall ? notReadyRetryMs : undefined);
-    dependencies.metrics.recordRequestOutcome(fields.route, "refused", cause, 0);
-    logRequest(dependencies, "refused", { ...fields, cause, status });
+/** Headers of an answer of the node itself, with an empty body. */
+function createEmptyHeaders(retryAfterMs: number | undefined): Readonly<Record<string, string>> {
+    return {
+        "Content-Length": "0",
+        ...(retryAfterMs === undefined ? {} : { "Retry-After": (retryAfterMs / 1000).toFixed(3) }),
+    };
 }
 
 /** Creates the origin of a request. A call of a run inherits the route and priority of the outside request. */
--- a/src/request/runRequest.ts
+++ b/src/request/runRequest.ts
@@ -1,4 +1,5 @@
 /** A request to run at the endpoint of an instance, either the local one or one reached over a link. */
+import type { BodyShare } from "../process/load/bodyBudget.js";
 import type { Origin } from "../process/load/runsInProgress.js";
 import type { HeaderList } from "./headers.js";
 
@@ -11,6 +12,8 @@
     readonly path: string;
     readonly headers: HeaderList;
     readonly body: Buffer;
+    /** What the body takes of the budget, if that is counted. Who uses the body for longer than the request lasts retains it. */
+    readonly bodyShare?: BodyShare | undefined;
     readonly isIdempotent: boolean;
     /** Service of the request's entry node. For a call that a run makes, this is the calling service. */
     readonly callerService: string;
--- a/src/request/sender.ts
+++ b/src/request/sender.ts
@@ -197,6 +197,7 @@
             path: call.path,
             headers: call.headers,
             body: call.body,
+            bodyShare: call.bodyShare,
             isIdempotent: route.repetition === "idempotent",
             callerService: this.dependencies.service,
             leavingEndpoint: this.dependencies.findLeavingEndpoint(address),
--- a/test/routed/entryPlay.ts
+++ b/test/routed/entryPlay.ts
@@ -6,6 +6,7 @@
 import { HttpListener } from "../../src/connection/httpServer.js";
 import { Cancellation } from "../../src/process/base/cancellation.js";
 import { SystemClock } from "../../src/process/base/clock.js";
+import { BodyBudget } from "../../src/process/load/bodyBudget.js";
 import { EntryThrottle } from "../../src/process/load/entryThrottle.js";
 import { RunsInProgress } from "../../src/process/load/runsInProgress.js";
 import { WeightedRoundRobin } from "../../src/process/load/weightedRoundRobin.js";
@@ -47,6 +48,8 @@
     /** What the forwarder does with a call. */
     forward: (call: RoutedCall) => Promise<ForwardOutcome> = async call => createAnswer(call.attemptId);
     private readonly clock = new SystemClock();
+    /** Memory for bodies, in bytes. */
+    readonly bodies = new BodyBudget(this.clock, 100_000_000);
     private readonly address = `127.1.${1 + process.pid % 250}.1`;
     private readonly listener = this.createListener();
 
@@ -93,6 +96,7 @@
                 take: () => Promise.resolve({ kind: "none", cause: this.unitCause, retryAfterMs: 500 } as const),
                 releaseUnit: () => undefined,
             },
+            bodies: this.bodies,
             findUtilisation: () => 0,
             stop: {
                 hasStarted: () => this.isStopping,
