Send large bodies over links without copies, and refuse runs whose bodies find no room

What callers saw: one body of 64 MiB, alone in calm, took its entry to 350 MB and the endpoint's node to 192, more than a machine of 250 MB has. Whole bodies of many callers took the endpoint's nodes to any size, since nothing bounded there what links brought.

Cause: a message was packed, which copied the body, and copied again to put its length in front. The receiver kept the pieces of a message and joined them, which takes twice its size.

Change: a large body is a part of its own between the packed fields before and behind it; the bytes on the wire are the same, so nodes of earlier builds read them and are read. The receiver collects a large message in memory of its size. A message that asks for a run makes room in the same budget as callers' bodies first; without room its bytes are skipped, and the run is refused as "full", which earlier builds understand and which says that it hasn't run. The sender's share lasts until the body has left.

--- a/src/connection/link.ts
+++ b/src/connection/link.ts
@@ -18,7 +18,8 @@
     RefusedMessage,
     RunMessage,
 } from "./linkMessage.js";
-import { encodeMessage, MessageReader } from "./linkMessage.js";
+import { MessageReader } from "./messageReader.js";
+import { sendMessage } from "./messageSocket.js";
 
 /** Timeout for opening a connection and receiving the hello message on it, in milliseconds. */
 const connectTimeoutMs = 700;
@@ -78,7 +79,7 @@
     /** Sends a message without waiting for an answer. Does nothing if the link is closed. */
     post(message: LinkMessage): void {
         if (this.isOpen) {
-            this.socket.write(encodeMessage(message));
+            sendMessage(this.socket, message);
         }
     }
 
@@ -98,7 +99,10 @@
                 cancellation.removeListener(cancel);
                 resolve(outcome);
             });
-            this.post(createRunMessage(id, request, isResent, this.clock.readMonotonic()));
+            // The request may end before its body has left.
+            request.bodyShare?.retain();
+            const message = createRunMessage(id, request, isResent, this.clock.readMonotonic());
+            sendMessage(this.socket, message, () => request.bodyShare?.release());
             cancellation.listen(cancel);
         });
     }
@@ -135,6 +139,7 @@
             return;
         }
         this.isOpen = false;
+        this.reader.close();
         this.socket.destroy();
         const pendingCallbacks = [...this.callbacksByRequestId.values()];
         this.callbacksByRequestId.clear();
@@ -254,6 +259,6 @@
         socket.on("error", () => undefined);
         socket.once("close", fail);
         socket.on("data", readChunk);
-        socket.once("connect", () => socket.write(encodeMessage(ownHello)));
+        socket.once("connect", () => sendMessage(socket, ownHello));
     });
 }
--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -10,6 +10,7 @@
 import { Packr } from "msgpackr/pack";
 import type { AskUnitsMessage, GrantUnitsMessage } from "../process/customers/unitMessages.js";
 import type { SuspectItem } from "../process/endpoint/suspectItem.js";
+import type { BodyShare } from "../process/load/bodyBudget.js";
 import type { AnsweredRun, FailedRun, RefusedRun } from "../process/load/runOutcome.js";
 import type { Origin } from "../process/load/runsInProgress.js";
 import type { HeaderList } from "../request/headers.js";
@@ -48,6 +49,8 @@
     readonly path: string;
     readonly headers: HeaderList;
     readonly body: Buffer;
+    /** What a received message takes of the budget for bodies, if it was counted on its way; not sent. */
+    readonly bodyShare?: BodyShare | undefined;
     readonly isIdempotent: boolean;
     /** Request of a caller to which this run and all calls made by it belong. */
     readonly origin: Origin;
@@ -145,6 +148,9 @@
     "suspects",
 ] as const satisfies readonly LinkMessage["kind"][];
 
+/** Size of the length in front of a message, in bytes. */
+export const lengthBytes = 4;
+
 /** Place of a field that earlier builds send and this one doesn't read. */
 const unusedField = "unused";
 
@@ -201,72 +207,95 @@
 /** Number of the last fields of a kind that a message of an earlier build lacks. */
 const optionalFieldsByKind: { readonly [Kind in LinkMessage["kind"]]?: number; } = { run: 2, answer: 2, hello: 1 };
 
-/** Maximum size of a message, in bytes. */
-const maxMessageBytes = 80_000_000;
 const packr = new Packr({ useRecords: false });
 
+/** Body size from which a body is sent from where it is, in bytes; a smaller one is copied into its message. */
+const separateBodyBytes = 65_536;
+/** First byte of a MessagePack array of up to 15 items, less their number. */
+const shortArrayCode = 0x90;
+const maxShortArrayItems = 15;
+/** First byte of a longer MessagePack array, before the number of its items as 16 bits. */
+const arrayCode = 0xdc;
+/** First byte of MessagePack binary data, before their length as 32 bits. */
+const binaryCode = 0xc6;
+
 /** Encodes a message, with its length in front. */
 export function encodeMessage(message: LinkMessage): Buffer {
+    return Buffer.concat(encodeMessageParts(message));
+}
+
+/** Encodes a message, with its length in front, as parts that are to be sent one after the other. A large body is a part of its own. */
+export function encodeMessageParts(message: LinkMessage): readonly Buffer[] {
     const values = message as unknown as Readonly<Record<string, unknown>>;
+    const fields = fieldsByKind[message.kind];
     const items: unknown[] = [kinds.indexOf(message.kind)];
-    for (const field of fieldsByKind[message.kind]) {
+    for (const field of fields) {
         items.push(encodeField(field, values[field]));
     }
+    if ("body" in message && message.body.length >= separateBodyBytes) {
+        const bodyIndex = fields.indexOf("body") + 1;
+        return encodeAroundBody(items.slice(0, bodyIndex), message.body, items.slice(bodyIndex + 1));
+    }
     const packed = packr.pack(items);
-    const framed = Buffer.allocUnsafe(4 + packed.length);
+    const framed = Buffer.allocUnsafe(lengthBytes + packed.length);
     framed.writeUInt32BE(packed.length, 0);
-    packed.copy(framed, 4);
-    return framed;
+    packed.copy(framed, lengthBytes);
+    return [framed];
 }
 
-/** Decodes the messages of a byte stream. */
-export class MessageReader {
-    private bufferedChunks: Buffer[] = [];
-    private bufferedBytes = 0;
+/** Encodes a message without a copy of its body. */
+function encodeAroundBody(before: readonly unknown[], body: Buffer, after: readonly unknown[]): readonly Buffer[] {
+    const count = before.length + 1 + after.length;
+    const head = Buffer.concat([
+        Buffer.alloc(lengthBytes),
+        encodeArrayHead(count),
+        ...before.map(encodeItem),
+        encodeBinaryHead(body.length),
+    ]);
+    const tail = Buffer.concat(after.map(encodeItem));
+    head.writeUInt32BE(head.length - lengthBytes + body.length + tail.length, 0);
+    return [head, body, tail];
+}
 
-    /**
-     * Adds received bytes and returns the messages that they complete; returns `undefined` if the stream is malformed.
-     */
-    read(chunk: Buffer): LinkMessage[] | undefined {
-        this.bufferedChunks.push(chunk);
-        this.bufferedBytes += chunk.length;
-        const messages: LinkMessage[] = [];
-        while (this.bufferedBytes >= 4) {
-            const length = this.readLength();
-            if (length > maxMessageBytes) {
-                return undefined;
-            }
-            if (this.bufferedBytes < 4 + length) {
-                break;
-            }
-            const message = decodeMessage(this.takeBytes(4 + length).subarray(4));
-            if (message === undefined) {
-                return undefined;
-            }
-            messages.push(message);
-        }
-        return messages;
-    }
+function encodeArrayHead(count: number): Buffer {
+    return count <= maxShortArrayItems
+        ? Buffer.from([shortArrayCode | count])
+        : Buffer.from([arrayCode, count >> 8, count & 0xff]);
+}
 
-    private readLength(): number {
-        if (this.bufferedChunks[0]!.length < 4) {
-            this.bufferedChunks = [Buffer.concat(this.bufferedChunks)];
-        }
-        return this.bufferedChunks[0]!.readUInt32BE(0);
-    }
+function encodeBinaryHead(bytes: number): Buffer {
+    const head = Buffer.from([binaryCode, 0, 0, 0, 0]);
+    head.writeUInt32BE(bytes, 1);
+    return head;
+}
+
+/** The packed item lies in memory that the next one may use. */
+function encodeItem(item: unknown): Buffer {
+    return Buffer.from(packr.pack(item));
+}
+
+/** Length of the first bytes of a packed message that tell its kind and its id. */
+const maxMessageHeadBytes = 16;
 
-    /** Removes the given number of bytes from the front of the buffer and returns them. */
-    private takeBytes(length: number): Buffer {
-        const joined = this.bufferedChunks.length === 1 ? this.bufferedChunks[0]! : Buffer.concat(this.bufferedChunks);
-        const remainder = joined.subarray(length);
-        this.bufferedChunks = remainder.length === 0 ? [] : [remainder];
-        this.bufferedBytes -= length;
-        return joined.subarray(0, length);
+/** Reads the id of a packed message that asks for a run from its first bytes; `undefined` if it is of another kind. */
+export function findRunId(bytes: Buffer): number | undefined {
+    const start = bytes[0] === arrayCode ? 3 : 1;
+    const values: unknown[] = [];
+    try {
+        packr.unpackMultiple(bytes.subarray(start, maxMessageHeadBytes), (value: unknown) => {
+            values.push(value);
+            // Ends behind the id; what comes next may be cut off.
+            return values.length < 2 ? undefined : false;
+        });
+    }
+    catch {
+        return undefined;
     }
+    return kinds[values[0] as number] === "run" ? Number(values[1]) : undefined;
 }
 
 /** Decodes one message; returns `undefined` if the bytes are not a message of a known kind. */
-function decodeMessage(bytes: Buffer): LinkMessage | undefined {
+export function decodeMessage(bytes: Buffer): LinkMessage | undefined {
     let items: unknown;
     try {
         items = packr.unpack(bytes);
--- a/src/connection/linkServer.ts
+++ b/src/connection/linkServer.ts
@@ -3,8 +3,10 @@
 import { createServer } from "node:net";
 import type { HelloMessage } from "./link.js";
 import type { LinkMessage, RunMessage } from "./linkMessage.js";
-import { encodeMessage, MessageReader } from "./linkMessage.js";
 import { startListening } from "./listening.js";
+import type { AdmitRun } from "./messageReader.js";
+import { MessageReader } from "./messageReader.js";
+import { sendMessage } from "./messageSocket.js";
 
 /** Server side of one link. */
 export interface AcceptedLink {
@@ -23,6 +25,10 @@
     readonly handleHello: (hello: HelloMessage, link: AcceptedLink) => void;
     readonly run: (message: RunMessage, link: AcceptedLink) => void;
     readonly cancel: (id: number, link: AcceptedLink) => void;
+    /** Makes room for the message of a run. */
+    readonly admitRun: AdmitRun;
+    /** Refuses a run whose message was skipped, since there was no room for it. */
+    readonly refuseRun: (id: number, link: AcceptedLink) => void;
     /** Called with each message of another kind. */
     readonly handleMessage: (message: LinkMessage, link: AcceptedLink) => void;
     /** Called when a link is closed because of a malformed message or a handler that threw. */
@@ -65,7 +71,7 @@
     }
 
     private accept(socket: Socket): void {
-        const reader = new MessageReader();
+        const reader = new MessageReader(this.handlers.admitRun);
         const listeners: (() => void)[] = [];
         let peerAddress: string | undefined;
         let isOpen = true;
@@ -73,7 +79,7 @@
             getPeerAddress: () => peerAddress,
             post: message => {
                 if (isOpen) {
-                    socket.write(encodeMessage(message));
+                    sendMessage(socket, message);
                 }
             },
             isOpen: () => isOpen,
@@ -84,6 +90,7 @@
         socket.on("error", () => undefined);
         socket.on("close", () => {
             isOpen = false;
+            reader.close();
             this.links.delete(link);
             this.sockets.delete(socket);
             listeners.forEach(listener => listener());
@@ -101,6 +108,7 @@
                 }
                 this.dispatch(message, link, socket);
             }
+            reader.takeSkippedRuns().forEach(id => this.handlers.refuseRun(id, link));
         });
         link.post(this.handlers.createHello());
     }
--- a/src/process/endpoint/remoteRuns.ts
+++ b/src/process/endpoint/remoteRuns.ts
@@ -8,6 +8,7 @@
 import type { RunRequest } from "../../request/runRequest.js";
 import { Cancellation } from "../base/cancellation.js";
 import type { Clock } from "../base/clock.js";
+import type { BodyBudget, BodyShare } from "../load/bodyBudget.js";
 import type { RunOutcome } from "../load/runOutcome.js";
 import type { EndpointRunner } from "./endpointRunner.js";
 import { SendDeduplicator } from "./sendDeduplicator.js";
@@ -17,6 +18,12 @@
  */
 const reconnectGraceMs = 400;
 
+/** Retry-after delay of a run that finds no room for its body, in milliseconds. */
+const noRoomRetryMs = 300;
+
+/** What a run without a body takes of the budget. */
+const noShare: Pick<BodyShare, "release"> = { release: () => undefined };
+
 /** A run in progress and the links that wait for its outcome. */
 interface RemoteRun {
     readonly cancellation: Cancellation;
@@ -34,12 +41,36 @@
     /** Keys of the runs that each link waits for, by the id of the request on the link. */
     private readonly runKeysByLink = new WeakMap<AcceptedLink, Map<number, string>>();
 
-    constructor(private readonly clock: Clock, private readonly runner: Pick<EndpointRunner, "run" | "getLoad">) {
+    constructor(
+        private readonly clock: Clock,
+        private readonly runner: Pick<EndpointRunner, "run" | "getLoad">,
+        private readonly bodies: Pick<BodyBudget, "open">,
+    ) {
         this.deduplicator = new SendDeduplicator(clock);
     }
 
+    /** Makes room for the body of a run that is being received, of that many bytes; `undefined` if there is none. */
+    admit(bytes: number): BodyShare | undefined {
+        const share = this.bodies.open(() => undefined);
+        if (!share.add(bytes)) {
+            return undefined;
+        }
+        share.finish();
+        return share;
+    }
+
+    /** Refuses a run, because there is no room for its body. */
+    refuse(id: number, link: AcceptedLink): void {
+        link.post({ kind: "refused", id, cause: "full", retryAfterMs: noRoomRetryMs, load: this.runner.getLoad() });
+    }
+
     /** Starts a run, or joins the one that the same send started over another link. */
     start(message: RunMessage, link: AcceptedLink): void {
+        const share = message.bodyShare ?? (message.body.length === 0 ? noShare : this.admit(message.body.length));
+        if (share === undefined) {
+            this.refuse(message.id, link);
+            return;
+        }
         const key = `${link.getPeerAddress()}/${message.sendNumber}/${message.attemptId}`;
         const run = this.runs.get(key) ?? { cancellation: new Cancellation(), waiters: new Map() };
         run.waiters.set(link, message.id);
@@ -51,6 +82,7 @@
             () => this.runner.run(this.createRequest(message), run.cancellation),
         );
         void outcome.then(result => {
+            share.release();
             if (!isDuplicate) {
                 this.runs.delete(key);
             }
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -136,7 +136,7 @@
             logger,
         );
         this.runner = this.createRunner();
-        this.remoteRuns = new RemoteRuns(clock, this.runner);
+        this.remoteRuns = new RemoteRuns(clock, this.runner, this.bodies);
         const isReachable = (peer: string): boolean => peer === address || this.links.isReachable(peer);
         this.placement = new Placement(clock, Math.random, address, dataCentre, isReachable);
         this.subsets = new InstanceSubsets(address, dataCentre);
@@ -513,6 +513,8 @@
             },
             run: (message, link) => this.remoteRuns.start(message, link),
             cancel: (id, link) => this.remoteRuns.cancel(id, link),
+            admitRun: bytes => this.remoteRuns.admit(bytes),
+            refuseRun: (id, link) => this.remoteRuns.refuse(id, link),
             handleMessage: (message, link) =>
                 this.peerMessages.handleOnAcceptedLink(link.getPeerAddress(), message, link.post),
             reportFailure: (cause, peer) => this.logger.warn("linkRefused", { cause, peer }),
--- a/test/routed/gracefulStop.test.ts
+++ b/test/routed/gracefulStop.test.ts
@@ -262,6 +262,8 @@
             handleHello: () => undefined,
             run: () => undefined,
             cancel: () => undefined,
+            admitRun: () => undefined,
+            refuseRun: () => undefined,
             handleMessage: () => undefined,
             reportFailure: () => undefined,
         });
--- a/test/routed/linkMessage.test.ts
+++ b/test/routed/linkMessage.test.ts
@@ -3,7 +3,8 @@
 import fc from "fast-check";
 import { Packr } from "msgpackr";
 import type { LinkMessage, RunMessage } from "../../src/connection/linkMessage.js";
-import { encodeMessage, MessageReader } from "../../src/connection/linkMessage.js";
+import { encodeMessage } from "../../src/connection/linkMessage.js";
+import { MessageReader } from "../../src/connection/messageReader.js";
 import { readPropertyOptions } from "../fakes.js";
 
 const load = { running: 3, waiting: 1, limit: 9, failureShare: 0.25, isSettled: false, shedShare: 0.5, slowness: 1.25 };
--- a/test/routed/links.test.ts
+++ b/test/routed/links.test.ts
@@ -9,6 +9,7 @@
 import { Cancellation } from "../../src/process/base/cancellation.js";
 import { SystemClock } from "../../src/process/base/clock.js";
 import { RemoteRuns } from "../../src/process/endpoint/remoteRuns.js";
+import { BodyBudget } from "../../src/process/load/bodyBudget.js";
 import type { RunOutcome } from "../../src/process/load/runOutcome.js";
 import type { PeerRunRequest } from "../../src/request/runRequest.js";
 import { sleep } from "../../standin/processes.js";
@@ -40,12 +41,14 @@
             const body = Buffer.from("done");
             return { kind: "answer", status: 200, headers: [], body, runMs, waitedMs: 0, behind: "none", pressure: 0 };
         };
-        this.remoteRuns = new RemoteRuns(clock, { run, getLoad: () => load });
+        this.remoteRuns = new RemoteRuns(clock, { run, getLoad: () => load }, new BodyBudget(clock, 100_000_000));
         this.server = new LinkServer({
             createHello: () => createHello(this.incarnation),
             handleHello: () => undefined,
             run: (message, link) => this.remoteRuns.start(message, link),
             cancel: (id, link) => this.remoteRuns.cancel(id, link),
+            admitRun: bytes => this.remoteRuns.admit(bytes),
+            refuseRun: (id, link) => this.remoteRuns.refuse(id, link),
             handleMessage: (message, link: AcceptedLink) => {
                 if (message.kind === "ping") {
                     link.post({ kind: "pong", ...position, load });
--- a/test/routed/remoteRuns.test.ts
+++ b/test/routed/remoteRuns.test.ts
@@ -3,6 +3,7 @@
 import type { LinkMessage, RunMessage } from "../../src/connection/linkMessage.js";
 import type { AcceptedLink } from "../../src/connection/linkServer.js";
 import { RemoteRuns } from "../../src/process/endpoint/remoteRuns.js";
+import { BodyBudget } from "../../src/process/load/bodyBudget.js";
 import type { RunOutcome } from "../../src/process/load/runOutcome.js";
 import type { RunRequest } from "../../src/request/runRequest.js";
 import { FakeClock } from "../fakes.js";
@@ -48,7 +49,12 @@
 /** Runs that end at once, each with the number of the run and its path as its body. */
 class Runs {
     readonly requests: RunRequest[] = [];
-    readonly runs = new RemoteRuns(new FakeClock(), { run: request => this.answer(request), getLoad: () => load });
+    readonly bodies = new BodyBudget(new FakeClock(), 1_000_000);
+    readonly runs = new RemoteRuns(
+        new FakeClock(),
+        { run: request => this.answer(request), getLoad: () => load },
+        this.bodies,
+    );
 
     private async answer(request: RunRequest): Promise<RunOutcome> {
         this.requests.push(request);
