--- a/src/process/settings/routedSettings.ts
+++ b/src/process/settings/routedSettings.ts
@@ -43,6 +43,8 @@
 const listenerSocketShare = 1 / 64;
 /** Least number of connections of such a listener. */
 const minListenerConnections = 8;
+/** Least part of the memory that is for bodies. */
+const minBodyShare = 0.2;
 /** Memory of a process besides bodies, in bytes: program, heap, connections, and what isn't collected yet. */
 const processBytes = 160_000_000;
 
@@ -93,9 +95,9 @@
     limits: v.optional(
         v.strictObject({
             /** Memory, in millions of bytes. */
-            memoryMegabytes: v.optional(createIntegerSchema(200, 1_000_000), 250),
+            memoryMegabytes: v.optional(v.pipe(v.number(), v.minValue(100)), 250),
             /** Descriptors; without, the limit that the system sets this process. */
-            descriptors: v.optional(createIntegerSchema(64, 10_000_000)),
+            descriptors: v.optional(v.pipe(v.number(), v.minValue(64))),
         }),
         {},
     ),
@@ -125,7 +127,8 @@
 
 /** Memory for all bodies that this process holds, in bytes: what its machine has beside the rest of the process. */
 export function computeBodyBytes({ limits }: RoutedSettings): number {
-    return limits.memoryMegabytes * 1_000_000 - processBytes;
+    const bytes = limits.memoryMegabytes * 1_000_000;
+    return Math.max(bytes - processBytes, bytes * minBodyShare);
 }
 
 /** Connections that the listeners of this process may have open. */
--- a/test/routed/deploy.test.ts
+++ b/test/routed/deploy.test.ts
@@ -16,9 +16,16 @@
 import { dirname, join, resolve } from "node:path";
 import process from "node:process";
 import { parse as parseToml } from "smol-toml";
-import { hasReservedReturns, parseRoutedSettings } from "../../src/process/settings/routedSettings.js";
+import { BodyBudget } from "../../src/process/load/bodyBudget.js";
+import {
+    computeBodyBytes,
+    computeConnectionLimits,
+    hasReservedReturns,
+    parseRoutedSettings,
+} from "../../src/process/settings/routedSettings.js";
 import { formatSettingsError } from "../../src/process/settings/settingsFile.js";
 import { formatConfigurationError, parseConfiguration } from "../../src/version/configuration.js";
+import { FakeClock } from "../fakes.js";
 
 /** Names that only platform/ may know. */
 const platformNames = [
@@ -174,6 +181,39 @@
             .deep.include({ quotaWindowSeconds: 5, quotaOverage: 0.1, quotaSlack: 20 });
     });
 
+    const limitCases: readonly {
+        readonly name: string;
+        readonly limits: Readonly<Record<string, number>> | undefined;
+        readonly bodyBytes: number;
+        readonly callers?: number;
+    }[] = [
+        {
+            name: "the smallest machine",
+            limits: { memory_mb: 250, max_fds: 4100 },
+            bodyBytes: 90_000_000,
+            callers: 1950,
+        },
+        {
+            name: "a large machine",
+            limits: { memory_mb: 602.4, max_fds: 8192 },
+            bodyBytes: 442_400_000,
+            callers: 3996,
+        },
+        { name: "a machine that isn't described", limits: undefined, bodyBytes: 90_000_000 },
+    ];
+    for (const { name, limits, bodyBytes, callers } of limitCases) {
+        it(`divide memory and descriptors of ${name}`, () => {
+            const text = fillTemplate(readFileSync("deploy/settings.toml", "utf8"), { ...fields, limits });
+            const settings = parseRoutedSettings("settings.toml", text);
+            const value = settings.ok ? settings.value : expect.fail(formatSettingsError(settings.error));
+            expect(computeBodyBytes(value)).equals(bodyBytes);
+            // The largest body that deployments state finds room.
+            expect(new BodyBudget(new FakeClock(), bodyBytes).getMaxBodyBytes()).above(67_108_864 + 100_000);
+            const computed = computeConnectionLimits(value);
+            expect(computed.callers).equals(callers ?? computed.callers);
+        });
+    }
+
     it("leave decisions out that the settings switch off, and no others", () => {
         const text = fillTemplate(readFileSync("deploy/settings.toml", "utf8"), fields);
         const parse = (words: string) =>
