Hold callers to the configuration's limits for headers

A head that stops short of its end kept its connection, and up to 64 KiB of memory, for 10 to 40 s, whatever the operator's header_timeout and max_header_bytes say.

Cause: the time was read into the configuration and used nowhere, the size wasn't read; the listener had limits of its own, and looked for slow requests every 30 s.

Change: both limits hold from the configuration in force, checked every second. A connection that was opened ahead and has sent nothing isn't a slow request: it stays for the idle timeout, where it got an unasked 408 before. A limit of bodies above what the process can hold is logged (bodyLimitLowered).

--- a/src/connection/httpServer.ts
+++ b/src/connection/httpServer.ts
@@ -15,13 +15,28 @@
  * first.
  */
 const keepAliveTimeoutMs = 65_000;
-/** Timeout for receiving the headers of a request, in milliseconds. */
+/** Timeout for receiving the headers of a request, in milliseconds, unless callers have another. */
 const headersTimeoutMs = 10_000;
+/** Interval at which requests that take too long to be received are looked for, in milliseconds. */
+const receiveCheckIntervalMs = 1000;
+/** Largest header section that is read whatever the limit of callers is, in bytes. */
+const largestHeaderBytes = 1_048_576;
+/** Size of a header section beyond the limit that is still read, in bytes: limits count separators, the parser doesn't. */
+const headerSlackBytes = 1024;
 /** Timeout for receiving a whole request, in milliseconds. */
 const requestTimeoutMs = 60_000;
 /** Maximum number of connections of a listener for which none is given. */
 const defaultMaxConnections = 10_000;
 
+/** What callers may send, and how long they may take. */
+export interface ListenerLimits {
+    readonly maxHeaderBytes: number;
+    /** Longest time from the first byte of a request to the end of its headers, in milliseconds. */
+    readonly headerTimeoutMs: number;
+    /** Longest time without a request, in milliseconds. */
+    readonly idleTimeoutMs: number;
+}
+
 /**
  * Handles one request; `turn` is its place among those of its connection. A rejection is reported as an error and closes
  * the connection.
@@ -32,17 +47,22 @@
     turn: PipelineTurn,
 ) => Promise<void>;
 
+/** Code of the error of a request that takes too long to be received. */
+const receiveTimeoutCode = "ERR_HTTP_REQUEST_TIMEOUT";
+
 /** Status of the answer to what can't be read as a request, by the code of the error; 400 for any other. */
 const unreadableStatus: Readonly<Record<string, string>> = {
     HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
     HPE_CHUNK_EXTENSIONS_OVERFLOW: "413 Payload Too Large",
-    ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+    [receiveTimeoutCode]: "408 Request Timeout",
 };
 
 /** HTTP server on one port. */
 export class HttpListener {
     private readonly server: Server;
     private readonly pipelines = new WeakMap<Socket, RequestPipeline>();
+    /** Connections that are closed if they send nothing for the idle timeout, since they haven't sent anything so far. */
+    private readonly unused = new WeakSet<Socket>();
     /** Connections that are open, and how many were closed to make room. */
     readonly room: ConnectionRoom;
     /** Whether answers ask clients to close their connections. */
@@ -56,13 +76,16 @@
     ) {
         this.room = new ConnectionRoom(maxConnections, socket => this.pipelines.get(socket)?.hasWork() === true);
         this.server = createServer(
-            { maxHeaderSize: maxHeaderBytes, noDelay: true },
+            { maxHeaderSize: maxHeaderBytes, noDelay: true, connectionsCheckingInterval: receiveCheckIntervalMs },
             (request, response) => {
                 const { socket } = request;
                 const turn = this.findPipeline(socket).accept(request, response);
                 if (turn === undefined) {
                     return;
                 }
+                if (this.unused.delete(socket)) {
+                    socket.setTimeout(0);
+                }
                 this.room.recordUse(socket);
                 response.once("finish", () => this.room.recordUse(socket));
                 if (this.isClosingConnections) {
@@ -89,9 +112,13 @@
         return startListening(this.server, address, port);
     }
 
-    /** Sets the idle timeout of connections, in milliseconds; the Keep-Alive header states it in seconds. */
-    setIdleTimeout(milliseconds: number): void {
-        this.server.keepAliveTimeout = milliseconds;
+    /** Sets the limits of callers; the Keep-Alive header states the idle timeout in seconds. Size and time of headers hold for new connections. */
+    setLimits({ maxHeaderBytes, headerTimeoutMs, idleTimeoutMs }: ListenerLimits): void {
+        this.server.keepAliveTimeout = idleTimeoutMs;
+        this.server.headersTimeout = headerTimeoutMs;
+        // Node.js reads it for each connection; its types have it as an option only.
+        (this.server as { maxHeaderSize?: number; }).maxHeaderSize = Math.min(maxHeaderBytes, largestHeaderBytes)
+            + headerSlackBytes;
     }
 
     /** Adds `connection: close` to the answers to all further requests; new connections are still accepted. */
@@ -128,6 +155,12 @@
      * first; the error counts as none of them.
      */
     private handleUnreadable(error: NodeJS.ErrnoException, socket: Socket): void {
+        if (error.code === receiveTimeoutCode && socket.bytesRead === 0) {
+            // Not a slow request, but a connection that was opened ahead.
+            this.unused.add(socket);
+            socket.setTimeout(this.server.keepAliveTimeout);
+            return;
+        }
         const pipeline = this.findPipeline(socket);
         if (pipeline.closeAfterAnswers()) {
             return;
--- a/src/process/node/routedListeners.ts
+++ b/src/process/node/routedListeners.ts
@@ -1,6 +1,6 @@
 /** The HTTP listeners of a routed node. */
 import type { ConnectionRoom } from "../../connection/connectionRoom.js";
-import type { RequestHandler } from "../../connection/httpServer.js";
+import type { ListenerLimits, RequestHandler } from "../../connection/httpServer.js";
 import { HttpListener } from "../../connection/httpServer.js";
 import type { RoutedEntryDependencies } from "../../request/entryRequest.js";
 import { serveRoutedRequest } from "../../request/routedEntry.js";
@@ -12,7 +12,7 @@
 import type { RoutedMetrics } from "../telemetry/routedMetrics.js";
 import type { InFlightRequests } from "./inFlightRequests.js";
 
-/** Longest header section of a request, in bytes; longer ones are refused. */
+/** Longest header section of a request, in bytes, unless callers have another limit; longer ones are refused. */
 const maxHeaderBytes = 65_536;
 
 /** Dependencies of the listeners. */
@@ -60,9 +60,9 @@
         await this.createListener((_request, response) => this.serveMetrics(response)).start(address, metricsPort);
     }
 
-    /** Sets the time after which idle connections of callers are closed, in milliseconds. */
-    setCallerIdleTimeout(milliseconds: number): void {
-        this.caller.setIdleTimeout(milliseconds);
+    /** Sets the limits of callers. */
+    setCallerLimits(limits: ListenerLimits): void {
+        this.caller.setLimits(limits);
     }
 
     /** Closes the connections of callers, and takes no further ones. */
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -13,6 +13,7 @@
 import type { RoutedEntryDependencies } from "../../request/entryRequest.js";
 import { Forwarder } from "../../request/forwarder.js";
 import { Sender } from "../../request/sender.js";
+import type { CallerLimits } from "../../version/configuration.js";
 import type { InstanceDescription } from "../../version/instanceRecord.js";
 import type { Clock } from "../base/clock.js";
 import { CustomerQuotas } from "../customers/customerQuotas.js";
@@ -221,7 +222,7 @@
             findNotReadyCause: () => this.findNotReadyCause(),
         });
         configurationHolder.addListener(() =>
-            this.listeners.setCallerIdleTimeout(configurationHolder.getTable()!.configuration.limits.idleTimeoutMs)
+            this.applyCallerLimits(configurationHolder.getTable()!.configuration.limits)
         );
         configurationHolder.addListener(() => this.quotas.updateQuotas());
         addRoutedGauges(this.metrics, {
@@ -420,6 +421,14 @@
         };
     }
 
+    private applyCallerLimits(limits: CallerLimits): void {
+        this.listeners.setCallerLimits(limits);
+        const maxHeldBytes = this.bodies.getMaxBodyBytes();
+        if (limits.maxBodyBytes > maxHeldBytes) {
+            this.logger.warn("bodyLimitLowered", { maxBodyBytes: limits.maxBodyBytes, maxHeldBytes });
+        }
+    }
+
     private createQuotas(): CustomerQuotas {
         const { clock, settings, links, incarnation } = this;
         const { configurationHolder, registry } = this.clusterState;
--- a/src/version/configuration.ts
+++ b/src/version/configuration.ts
@@ -60,6 +60,7 @@
 
 /** Limits on callers' requests and connections. */
 export interface CallerLimits {
+    readonly maxHeaderBytes: number;
     readonly maxBodyBytes: number;
     readonly headerTimeoutMs: number;
     readonly idleTimeoutMs: number;
@@ -116,6 +117,7 @@
     maxConnections: v.optional(createIntegerSchema(1, 10_000_000), 10_000_000),
 });
 const limitsSchema = v.object({
+    maxHeaderBytes: v.optional(createIntegerSchema(0, Number.MAX_SAFE_INTEGER), 65_536),
     maxBodyBytes: v.optional(createIntegerSchema(0, Number.MAX_SAFE_INTEGER), 67_108_864),
     headerTimeoutMs: v.optional(millisecondsSchema, 10_000),
     idleTimeoutMs: v.optional(millisecondsSchema, 15_000),
--- a/test/routed/samples.ts
+++ b/test/routed/samples.ts
@@ -44,6 +44,11 @@
 ): string {
     const names = new Set(routes.flatMap(route => route.shares.map(share => share.service)));
     const services = [...names].map(name => ({ name, healthPath: "/healthz", maxConnections: 100 }));
-    const limits: Configuration["limits"] = { maxBodyBytes: 1_000_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 };
+    const limits: Configuration["limits"] = {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 1_000_000,
+        headerTimeoutMs: 3000,
+        idleTimeoutMs: 15_000,
+    };
     return JSON.stringify({ version, routes, services, limits, customers });
 }
