Bound the memory of answers that callers and nodes have still to read

What callers saw: callers that ask for large answers and don't read them, or read them all at once, took their entry to 461 and 341 MB, where the smallest machine has 250; one answer of 32 MiB alone took the endpoint's node to 281 MB.

Cause: answers were bounded only while they were read from the endpoint (96 MiB, beside whatever bodies take). From then on they were copied three times, kept for 2.5 s for a sender that loses its link, and held at the entry until the caller reads or leaves.

Change: answers count in the budget of bodies: while they are read from the endpoint, while they wait on a link, while they are kept for a sender, and until they have left the entry. Where memory is short, the connection of the caller that has left most unread for longest is closed, and kept answers are forgotten, before anything that runs is given up. An answer that finds no room ends as 502: it has run. The answer is collected in memory of its size, and given back when it has left.

--- a/src/connection/endpointConnection.ts
+++ b/src/connection/endpointConnection.ts
@@ -13,11 +13,11 @@
  */
 import type { Socket } from "node:net";
 import { connect } from "node:net";
-import { joinChunks } from "../request/body.js";
+import type { BodyBudget, BodyShare } from "../process/load/bodyBudget.js";
+import { BodyBuffer } from "../request/bodyBuffer.js";
 import type { AnswerMetadata, Dialect } from "../request/dialect.js";
 import { findHeader } from "../request/dialect.js";
 import type { HeaderList } from "../request/headers.js";
-import type { AnswerBudget, BudgetedAnswer } from "./answerBudget.js";
 import type { AnswerHead } from "./answerParser.js";
 import { AnswerParser } from "./answerParser.js";
 import { hasInnerAnswer } from "./innerAnswer.js";
@@ -29,7 +29,7 @@
 const connectTimeoutMs = 600;
 /** Maximum size of a buffered answer body, in bytes. */
 const maxAnswerBytes = 67_108_864;
-/** Memory that a piece of a body takes besides its content, in bytes. It counts for the maximum, since pieces may be tiny. */
+/** What a piece of a body counts for that maximum besides its content, in bytes, since pieces may be tiny and take time. */
 const pieceOverheadBytes = 128;
 /** Attempts that a connection carries, since it remembers each; then it is closed. */
 const maxAttempts = 256;
@@ -65,7 +65,8 @@
 
 /**
  * Why no complete answer was read: the connection was reset or closed, the data was not a valid answer (`garbled`), the
- * answer was truncated (`cutShort`), or this node closed the connection (`aborted`).
+ * answer was truncated (`cutShort`), or this node closed the connection (`aborted`). An answer that is given up for want of memory
+ * counts as garbled.
  */
 export type LossCause = "reset" | "closed" | "garbled" | "cutShort" | "aborted";
 
@@ -82,25 +83,31 @@
     readonly settle: (result: ExchangeResult) => void;
 }
 
-/** The answer that is being read. */
-interface PartialAnswer {
+/** What the head of an answer says. */
+interface AnswerDescription {
     readonly status: number;
     readonly headers: HeaderList;
     readonly metadata: AnswerMetadata;
-    readonly chunks: Buffer[];
-    bytes: number;
     readonly shouldKeepAlive: boolean;
 }
 
+/** The answer that is being read. */
+interface PartialAnswer extends AnswerDescription {
+    readonly body: BodyBuffer;
+    bytes: number;
+    /** What the body takes of the budget while it is read. */
+    readonly share: BodyShare;
+}
+
 /** What the connections to one endpoint share. */
 export interface EndpointConnectionContext {
     readonly dialect: Dialect;
-    readonly budget: AnswerBudget;
+    readonly bodies: Pick<BodyBudget, "open">;
     readonly strayAnswers: Pick<StrayAnswers, "recordSkipped" | "recordUnasked">;
 }
 
 /** An open connection to the endpoint. */
-export class EndpointConnection implements BudgetedAnswer {
+export class EndpointConnection {
     /** Monotonic time at which the connection became idle, in milliseconds; set by the pool. */
     idleSince = 0;
     /** Idle timeout that the endpoint announced in a Keep-Alive header, in milliseconds. */
@@ -216,19 +223,13 @@
         const metadata = this.context.dialect.readAnswer(headers);
         const isBodyless = this.isBodyless(metadata.attemptId);
         this.hasProtocolError ||= isBodyless === undefined || (isBodyless && body.length > 0);
-        this.partialAnswer = { status, headers, metadata, chunks: [body], bytes: body.length, shouldKeepAlive };
         this.framingBytes = body.length > 0 ? 0 : this.framingBytes + chunk.length;
-        this.finishAnswer();
+        this.settleAnswer({ status, headers, metadata, shouldKeepAlive }, body);
         if (this.hasProtocolError || this.framingBytes > maxFramingBytes) {
             this.fail("garbled");
         }
     }
 
-    /** Ends the answer in progress, since answers take too much memory together. */
-    endReading(): void {
-        this.fail("garbled");
-    }
-
     /**
      * Handles the end of the stream. A reset right after data is also reported as an end by the event loop. Writing an
      * empty buffer distinguishes the two: it sends no byte, but fails if the connection was reset.
@@ -257,7 +258,10 @@
         const metadata = this.context.dialect.readAnswer(headers);
         const isBodyless = this.isBodyless(metadata.attemptId);
         this.hasProtocolError ||= isBodyless === undefined;
-        this.partialAnswer = { status, headers, metadata, chunks: [], bytes: 0, shouldKeepAlive };
+        // Answers may take too much memory together.
+        const share = this.context.bodies.open(() => this.fail("garbled"));
+        const body = new BodyBuffer(maxAnswerBytes, false);
+        this.partialAnswer = { status, headers, metadata, body, bytes: 0, share, shouldKeepAlive };
         return isBodyless === false && canHaveBody(status);
     }
 
@@ -279,27 +283,39 @@
             return;
         }
         this.framingBytes = 0;
-        const bytes = chunk.length + pieceOverheadBytes;
-        partialAnswer.bytes += bytes;
-        partialAnswer.chunks.push(Buffer.from(chunk));
-        this.hasProtocolError ||= partialAnswer.bytes > maxAnswerBytes;
-        this.context.budget.add(this, bytes);
+        partialAnswer.bytes += chunk.length + pieceOverheadBytes;
+        if (partialAnswer.bytes > maxAnswerBytes) {
+            this.hasProtocolError = true;
+        }
+        else if (!partialAnswer.share.add(chunk.length)) {
+            this.fail("garbled");
+        }
+        else {
+            partialAnswer.body.add(chunk);
+        }
     }
 
     private finishAnswer(): void {
-        const { partialAnswer, exchange } = this;
+        const { partialAnswer } = this;
         this.partialAnswer = undefined;
-        this.context.budget.release(this);
-        if (partialAnswer === undefined || partialAnswer.status < 200 || this.hasProtocolError) {
+        partialAnswer?.share.release();
+        if (partialAnswer !== undefined) {
+            this.settleAnswer(partialAnswer, partialAnswer.body.finish());
+        }
+    }
+
+    /** Ends the request in progress with a complete answer, if it is the answer to that. */
+    private settleAnswer(answer: AnswerDescription, body: Buffer): void {
+        const { exchange } = this;
+        const { metadata, status, headers } = answer;
+        if (status < 200 || this.hasProtocolError) {
             return;
         }
-        const { metadata } = partialAnswer;
         if (exchange === undefined) {
             this.context.strayAnswers.recordUnasked(this.number);
             this.hasProtocolError = true;
             return;
         }
-        const body = joinChunks(partialAnswer.chunks);
         const isOwn = metadata.attemptId === exchange.attemptId;
         // A simple answer has come in one piece, so that nothing came between its beginning and its end.
         if ((!isOwn || this.parser !== undefined) && hasInnerAnswer(body, exchange.attemptId)) {
@@ -313,22 +329,22 @@
             this.hasProtocolError ||= metadata.attemptId === undefined;
             this.context.strayAnswers.recordSkipped({
                 connection: this.number,
-                status: partialAnswer.status,
+                status,
                 attemptId: metadata.attemptId,
                 expected: exchange.attemptId,
             });
             return;
         }
         this.exchange = undefined;
-        this.recordIdleTimeout(partialAnswer);
-        if (!partialAnswer.shouldKeepAlive || this.socket.writableLength > 0) {
+        this.recordIdleTimeout(headers);
+        if (!answer.shouldKeepAlive || this.socket.writableLength > 0) {
             this.close();
         }
         exchange.settle({
             kind: "answered",
             answer: {
-                status: partialAnswer.status,
-                headers: partialAnswer.headers,
+                status,
+                headers,
                 body,
                 metadata,
                 connection: this.number,
@@ -336,15 +352,16 @@
         });
     }
 
-    private recordIdleTimeout(partialAnswer: PartialAnswer): void {
-        const seconds = /timeout=(\d+)/.exec(findHeader(partialAnswer.headers, "keep-alive") ?? "")?.[1];
+    private recordIdleTimeout(headers: HeaderList): void {
+        const seconds = /timeout=(\d+)/.exec(findHeader(headers, "keep-alive") ?? "")?.[1];
         this.announcedIdleTimeoutMs = seconds === undefined ? this.announcedIdleTimeoutMs : Number(seconds) * 1000;
     }
 
     private close(): void {
         this.isOpen = false;
+        this.partialAnswer?.share.release();
+        this.partialAnswer?.body.clear();
         this.partialAnswer = undefined;
-        this.context.budget.release(this);
         this.socket.destroy();
     }
 
--- a/src/connection/endpointConnectionPool.ts
+++ b/src/connection/endpointConnectionPool.ts
@@ -1,9 +1,9 @@
 /** Pool of keep-alive connections to the local endpoint. The most recently used idle connection is used first. */
 import type { Cancellation } from "../process/base/cancellation.js";
 import type { Clock } from "../process/base/clock.js";
+import type { BodyBudget } from "../process/load/bodyBudget.js";
 import type { Logger } from "../process/telemetry/logger.js";
 import type { Dialect } from "../request/dialect.js";
-import { AnswerBudget } from "./answerBudget.js";
 import type {
     EndpointConnection,
     EndpointConnectionContext,
@@ -49,9 +49,10 @@
         private readonly port: number,
         dialect: Dialect,
         logger: Logger,
+        bodies: Pick<BodyBudget, "open">,
     ) {
         this.strayAnswers = new StrayAnswers(logger);
-        this.context = { dialect, budget: new AnswerBudget(), strayAnswers: this.strayAnswers };
+        this.context = { dialect, bodies, strayAnswers: this.strayAnswers };
     }
 
     /** Sends a request. A cancellation closes the connection that carries it. Never rejects. */
--- a/src/connection/linkServer.ts
+++ b/src/connection/linkServer.ts
@@ -12,8 +12,11 @@
 export interface AcceptedLink {
     /** Returns the address of the other node; `undefined` until its hello message has arrived. */
     readonly getPeerAddress: () => string | undefined;
-    /** Sends a message. Does nothing if the link is closed. */
-    readonly post: (message: LinkMessage) => void;
+    /**
+     * Sends a message. Does nothing if the link is closed. `handleWritten` is called once none of the message's bytes is used here any
+     * more, whether they were sent or not.
+     */
+    readonly post: (message: LinkMessage, handleWritten?: () => void) => void;
     readonly isOpen: () => boolean;
     /** Registers a listener that is called when the link is closed. */
     readonly onClose: (listener: () => void) => void;
@@ -77,9 +80,12 @@
         let isOpen = true;
         const link: AcceptedLink = {
             getPeerAddress: () => peerAddress,
-            post: message => {
+            post: (message, handleWritten) => {
                 if (isOpen) {
-                    sendMessage(socket, message);
+                    sendMessage(socket, message, handleWritten);
+                }
+                else {
+                    handleWritten?.();
                 }
             },
             isOpen: () => isOpen,
--- a/src/process/base/ownedMemory.ts
+++ b/src/process/base/ownedMemory.ts
@@ -5,6 +5,7 @@
 
 /** What Node.js can do with the memory of a buffer, and the library's types don't tell yet; `transfer` is there from Node.js 22 on. */
 interface GrowingMemory extends ArrayBuffer {
+    readonly resizable: boolean;
     resize(bytes: number): void;
     transfer?(bytes: number): ArrayBuffer;
 }
@@ -12,7 +13,7 @@
 /** Size of a buffer below which giving its memory back isn't worth the time, in bytes. */
 const minFreedBytes = 256;
 
-/** Reserves memory of which nothing is taken yet; the system provides what is written to, after it was added by {@link growMemory}. */
+/** Reserves memory for one body of which nothing is taken yet; the system provides what is written to, after it was added by {@link growMemory}. */
 export function createGrowingMemory(maxBytes: number): ArrayBuffer {
     const create = ArrayBuffer as new(bytes: number, options: { readonly maxByteLength: number; }) => ArrayBuffer;
     return new create(0, { maxByteLength: maxBytes });
@@ -28,6 +29,13 @@
     (memory as Partial<GrowingMemory>).transfer?.(0);
 }
 
+/** Gives back the memory of a body that nobody uses any more, if it has memory of its own. */
+export function freeBody(body: Buffer): void {
+    if ((body.buffer as Partial<GrowingMemory>).resizable === true) {
+        freeMemory(body.buffer);
+    }
+}
+
 /** Gives back the memory of a buffer that nobody uses any more, unless it shares it with others. */
 export function freeBuffer(buffer: Buffer): void {
     if (buffer.length >= minFreedBytes && buffer.buffer.byteLength === buffer.length) {
--- a/src/process/endpoint/remoteRuns.ts
+++ b/src/process/endpoint/remoteRuns.ts
@@ -46,10 +46,10 @@
         private readonly runner: Pick<EndpointRunner, "run" | "getLoad">,
         private readonly bodies: Pick<BodyBudget, "open">,
     ) {
-        this.deduplicator = new SendDeduplicator(clock);
+        this.deduplicator = new SendDeduplicator(clock, bodies);
     }
 
-    /** Makes room for the body of a run that is being received, of that many bytes; `undefined` if there is none. */
+    /** Makes room for the body of a run that is being received, or of an answer, of that many bytes; `undefined` if there is none. */
     admit(bytes: number): BodyShare | undefined {
         const share = this.bodies.open(() => undefined);
         if (!share.add(bytes)) {
@@ -107,7 +107,16 @@
         run.waiters.delete(link);
         this.getRunKeys(link).delete(id);
         const load = this.runner.getLoad();
-        link.post({ ...outcome, id, load });
+        if (outcome.kind !== "answer" || outcome.body.length === 0) {
+            link.post({ ...outcome, id, load });
+            return;
+        }
+        const share = this.admit(outcome.body.length);
+        if (share === undefined) {
+            link.post({ kind: "failed", cause: "noRoom", ranMs: outcome.runMs, id, load });
+            return;
+        }
+        link.post({ ...outcome, id, load }, () => share.release());
     }
 
     /** Keys of the runs that a link waits for. The first call also registers the handler for the link's end. */
--- a/src/process/load/runOutcome.ts
+++ b/src/process/load/runOutcome.ts
@@ -34,8 +34,17 @@
  * - `unsigned`: the answer does not carry the endpoint's signature header; the header's value is not checked.
  * - `noAnswer`: the run was aborted while it waited for the answer.
  * - `linkLost`: the link to the instance's node was lost.
+ * - `noRoom`: there was no memory for the answer.
  */
-export type FailureCause = "reset" | "closed" | "garbled" | "cutShort" | "unsigned" | "noAnswer" | "linkLost";
+export type FailureCause =
+    | "reset"
+    | "closed"
+    | "garbled"
+    | "cutShort"
+    | "unsigned"
+    | "noAnswer"
+    | "linkLost"
+    | "noRoom";
 
 /** The endpoint answered; the answer is complete. */
 export interface AnsweredRun {
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -135,6 +135,7 @@
             endpoint.address.port,
             platform.dialect,
             logger,
+            this.bodies,
         );
         this.runner = this.createRunner();
         this.remoteRuns = new RemoteRuns(clock, this.runner, this.bodies);
--- a/src/request/body.ts
+++ b/src/request/body.ts
@@ -115,7 +115,7 @@
             freeBuffer(piece);
             return;
         }
-        this.buffer.add(piece);
+        this.buffer.take(piece);
     }
 
     private finish(): void {
--- a/src/request/bodyBuffer.ts
+++ b/src/request/bodyBuffer.ts
@@ -23,20 +23,25 @@
     /** `maxBytes`: length that the body has if `isLengthKnown`, or at most. */
     constructor(private readonly maxBytes: number, private readonly isLengthKnown: boolean) {}
 
-    /** Adds a piece, and takes it over: it is not to be used afterwards. The body must not exceed its maximum. */
-    add(piece: Buffer): void {
-        const { length } = piece;
-        if (this.isLengthKnown && length === this.maxBytes) {
+    /** Takes over a piece: it is not to be used afterwards. The body must not exceed its maximum. */
+    take(piece: Buffer): void {
+        if (this.isLengthKnown && piece.length === this.maxBytes) {
             this.buffer = piece;
-            this.length = length;
+            this.length = piece.length;
             return;
         }
-        if (this.length + length > this.buffer.length) {
-            this.extend(this.length + length);
+        this.add(piece);
+        freeBuffer(piece);
+    }
+
+    /** Adds a copy of a piece. The body must not exceed its maximum. */
+    add(piece: Buffer): void {
+        const bytes = this.length + piece.length;
+        if (bytes > this.buffer.length) {
+            this.extend(bytes);
         }
         piece.copy(this.buffer, this.length);
-        this.length += length;
-        freeBuffer(piece);
+        this.length = bytes;
     }
 
     /** Body as far as it has come. */
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { PipelineTurn } from "../connection/requestPipeline.js";
 import { Cancellation } from "../process/base/cancellation.js";
+import { freeBody } from "../process/base/ownedMemory.js";
 import type { SpentUnit } from "../process/customers/unitHolder.js";
 import { smallBodyBytes } from "../process/load/bodyBudget.js";
 import type { Origin } from "../process/load/runsInProgress.js";
@@ -350,8 +351,12 @@
     routedRequest: RoutedRequest,
     outcome: ForwardOutcome,
 ): number {
-    const { answer } = routedRequest;
+    const { answer, response } = routedRequest;
     if (outcome.kind === "answer") {
+        if (!keepAnswer(dependencies, response, outcome.body)) {
+            sendEmptyAnswer(answer, 502, undefined);
+            return 502;
+        }
         const length = ["Content-Length", String(outcome.body.length)];
         answer.send(outcome.status, [...outcome.headers, ...length], outcome.body);
         return outcome.status;
@@ -365,6 +370,22 @@
     return status;
 }
 
+/**
+ * Counts an answer until it has left, or its caller has; then its memory is given back. Where memory is short, the connection of the caller that has left most unread for
+ * longest is closed; `false` if there is no room even so.
+ */
+function keepAnswer({ bodies }: RoutedEntryDependencies, response: ServerResponse, body: Buffer): boolean {
+    if (body.length === 0 || response.destroyed) {
+        return true;
+    }
+    const share = bodies.open(() => response.destroy());
+    response.once("close", () => {
+        share.release();
+        freeBody(body);
+    });
+    return share.add(body.length);
+}
+
 /** Sends an answer of the node itself, with an empty body. */
 function sendEmptyAnswer(answer: EntryAnswer, status: number, retryAfterMs: number | undefined): void {
     answer.send(status, createEmptyHeaders(retryAfterMs));
--- a/standin/callerCrowd.ts
+++ b/standin/callerCrowd.ts
@@ -8,8 +8,8 @@
 
 /** How a caller sends a body. */
 export interface BodyForm {
-    /** `announced`: with a Content-Length; `chunked`: in chunks; `headOnly`: the head stops short of its end, and no body comes. */
-    readonly coding: "announced" | "chunked" | "headOnly";
+    /** `announced`: with a Content-Length; `chunked`: in chunks; `headOnly`: the head stops short of its end; `silent`: nothing is sent. */
+    readonly coding: "announced" | "chunked" | "headOnly" | "silent";
     /** Content of one write, or of one chunk, in bytes. */
     readonly pieceBytes: number;
     /** Length of the body, in bytes. */
@@ -25,6 +25,8 @@
     readonly forms: readonly BodyForm[];
     /** One caller in so many sends its body to the end; `undefined` if none does. */
     readonly oneWholeIn?: number;
+    /** Whether callers read what they are answered; they do unless it is said. */
+    readonly isReading?: boolean;
     readonly host: string;
     readonly path: string;
     readonly deadlineMs: number;
@@ -85,7 +87,12 @@
         const socket = connect(port, address);
         const caller: CrowdCaller = { socket, text: "", isClosed: false };
         this.callers.push(caller);
-        socket.on("data", chunk => caller.text += chunk.toString("latin1"));
+        if (this.plan.isReading === false) {
+            socket.pause();
+        }
+        else {
+            socket.on("data", chunk => caller.text += chunk.toString("latin1"));
+        }
         socket.on("error", () => undefined);
         socket.once("close", () => caller.isClosed = true);
         const form = forms[index % forms.length]!;
@@ -97,6 +104,10 @@
             `Deadline-Ms: ${deadlineMs}`,
             form.coding === "chunked" ? "Transfer-Encoding: chunked" : `Content-Length: ${form.bodyBytes}`,
         ].join("\r\n");
+        if (form.coding === "silent") {
+            await once(socket, "connect").catch(() => undefined);
+            return;
+        }
         const isSent = await write(caller, Buffer.from(`${head}\r\n`));
         if (form.coding === "headOnly" || !isSent || !await write(caller, Buffer.from("\r\n"))) {
             return;
--- a/test/routed/bodyBudget.test.ts
+++ b/test/routed/bodyBudget.test.ts
@@ -134,7 +134,7 @@
             const buffer = new BodyBuffer(isKnown ? length : 2 * length + 1, isKnown);
             let at = 0;
             for (const size of sizes) {
-                buffer.add(Buffer.from(sent.subarray(at, at + size)));
+                buffer.take(Buffer.from(sent.subarray(at, at + size)));
                 at += size;
             }
             expect(buffer.finish().equals(sent)).equals(true);
--- a/test/routed/scriptedEndpoint.ts
+++ b/test/routed/scriptedEndpoint.ts
@@ -6,6 +6,7 @@
 import { EndpointConnectionPool } from "../../src/connection/endpointConnectionPool.js";
 import { Cancellation } from "../../src/process/base/cancellation.js";
 import { SystemClock } from "../../src/process/base/clock.js";
+import { BodyBudget } from "../../src/process/load/bodyBudget.js";
 import { silentLogger } from "../fakes.js";
 
 /** Creates a cancellation that comes after a time, in milliseconds. */
@@ -17,9 +18,13 @@
 
 const dialect = new PlatformDialect();
 
+/** Memory for answers, in bytes; as on the smallest machine. */
+const bodyBytes = 90_000_000;
+
 /** Creates a pool of connections to a port of this machine. */
 export function createPool(port: number, logger = silentLogger): EndpointConnectionPool {
-    return new EndpointConnectionPool(new SystemClock(), "127.0.0.1", port, dialect, logger);
+    const clock = new SystemClock();
+    return new EndpointConnectionPool(clock, "127.0.0.1", port, dialect, logger, new BodyBudget(clock, bodyBytes));
 }
 
 /** Text of an answer. */
--- a/test/routed/sendDeduplicator.test.ts
+++ b/test/routed/sendDeduplicator.test.ts
@@ -2,6 +2,7 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { SendDeduplicator } from "../../src/process/endpoint/sendDeduplicator.js";
+import { BodyBudget } from "../../src/process/load/bodyBudget.js";
 import type { RunOutcome } from "../../src/process/load/runOutcome.js";
 import { FakeClock, readPropertyOptions } from "../fakes.js";
 
@@ -15,7 +16,7 @@
                 ),
                 async arrivals => {
                     const clock = new FakeClock();
-                    const deduplicator = new SendDeduplicator(clock);
+                    const deduplicator = new SendDeduplicator(clock, new BodyBudget(clock, 1_000_000));
                     const runs = new Map<string, number>();
                     const firstAt = new Map<string, number>();
                     for (const { key, waitMs } of arrivals) {
@@ -42,7 +43,7 @@
 
     it("gives a sender that lost its link the outcome of the run, and later only that it is not known", async () => {
         const clock = new FakeClock();
-        const deduplicator = new SendDeduplicator(clock);
+        const deduplicator = new SendDeduplicator(clock, new BodyBudget(clock, 1_000_000));
         const first: RunOutcome = { kind: "refused", cause: "full", retryAfterMs: 7 };
         await deduplicator.run("a/1", () => Promise.resolve(first));
         expect(await deduplicator.run("a/1", () => expect.fail())).equals(first);
--- a/test/routed/unrulyClients.test.ts
+++ b/test/routed/unrulyClients.test.ts
@@ -23,6 +23,8 @@
 const fileDescriptors = 200;
 /** Largest body that a deployment states, in bytes. */
 const largestBodyBytes = 67_108_864;
+/** A large answer, in bytes. */
+const largeAnswerBytes = 33_554_432;
 /** Longest time that anything in these tests may take; nothing is checked against it, in milliseconds. */
 const patienceMs = 60_000;
 
@@ -112,6 +114,21 @@
         maxBodyBytes: mebibyte,
         crowd: { ...crowdOf60, connections: 400, forms: [createForm("announced", mebibyte, 65_536)] },
     },
+    {
+        name: "callers that don't read their large answers",
+        maxBodyBytes: 8 * mebibyte,
+        crowd: {
+            ...crowdOf60,
+            isReading: false,
+            path: `/loom/1?bytes=${8 * mebibyte}`,
+            forms: [createForm("announced", 0, 65_536)],
+        },
+    },
+    {
+        name: "callers that read their large answers, all at once",
+        maxBodyBytes: 8 * mebibyte,
+        crowd: { ...crowdOf60, path: `/loom/1?bytes=${8 * mebibyte}`, forms: [createForm("announced", 0, 65_536)] },
+    },
     {
         name: "more connections than the process has descriptors, with small bodies",
         maxBodyBytes: 8 * mebibyte,
@@ -237,4 +254,15 @@
             checkProcesses(cluster, machineDescriptors);
         });
     }
+
+    it("leave a single large answer served in calm", async () => {
+        cluster = await startCluster(largestBodyBytes, undefined);
+        const [entry] = cluster.machines as [Machine];
+        for (const [turn, host] of ["katalog.example", "kas.example", "katalog.example", "kas.example"].entries()) {
+            const path = `/loom/1?bytes=${largeAnswerBytes}`;
+            const answer = await entry.call("GET", host, path, `large${turn}`, patienceMs);
+            expect([answer.status, answer.body.length]).deep.equals([200, largeAnswerBytes]);
+        }
+        checkProcesses(cluster, machineDescriptors);
+    });
 });
