Close connections to the listener of links that don't say who they are

What callers saw: a node whose listener of links has more silent connections than its process has descriptors reaches neither its endpoint nor its settings.

Cause: the listener took any number of connections and waited for their first message without end.

Change: a connection without a hello message is closed after 10 s, and earlier if there are too many of them (a quarter of the sockets, 975 of 4,100 descriptors), the oldest first. Links count no longer once they have said who they are.

--- a/src/connection/connectionRoom.ts
+++ b/src/connection/connectionRoom.ts
@@ -39,6 +39,11 @@
         idle.destroy();
     }
 
+    /** Counts a connection no longer, since it has shown what it is for. */
+    remove(socket: Socket): void {
+        this.sockets.delete(socket);
+    }
+
     /** Records that a request was read from a connection, or an answer sent on it. */
     recordUse(socket: Socket): void {
         if (this.sockets.delete(socket)) {
--- a/src/connection/linkServer.ts
+++ b/src/connection/linkServer.ts
@@ -1,6 +1,7 @@
 /** Server side of links: accepts the links of other nodes and dispatches their messages. */
 import type { Server, Socket } from "node:net";
 import { createServer } from "node:net";
+import { ConnectionRoom } from "./connectionRoom.js";
 import type { HelloMessage } from "./link.js";
 import type { LinkMessage, RunMessage } from "./linkMessage.js";
 import { startListening } from "./listening.js";
@@ -8,6 +9,11 @@
 import { MessageReader } from "./messageReader.js";
 import { sendMessage } from "./messageSocket.js";
 
+/** Time in which the hello message has to come on a new connection, in milliseconds. */
+const helloTimeoutMs = 10_000;
+/** Connections without a hello message for which no other number is given. */
+const defaultMaxUnnamed = 1000;
+
 /** Server side of one link. */
 export interface AcceptedLink {
     /** Returns the address of the other node; `undefined` until its hello message has arrived. */
@@ -43,8 +49,12 @@
     private readonly server: Server;
     private readonly links = new Set<AcceptedLink>();
     private readonly sockets = new Set<Socket>();
+    /** Connections on which no hello message has come. */
+    private readonly unnamed: ConnectionRoom;
 
-    constructor(private readonly handlers: LinkHandlers) {
+    /** `maxUnnamed`: connections that may be open without a hello message. */
+    constructor(private readonly handlers: LinkHandlers, maxUnnamed = defaultMaxUnnamed) {
+        this.unnamed = new ConnectionRoom(maxUnnamed, () => false);
         this.server = createServer({ noDelay: true }, socket => this.accept(socket));
     }
 
@@ -93,6 +103,8 @@
         };
         this.links.add(link);
         this.sockets.add(socket);
+        this.unnamed.add(socket);
+        socket.setTimeout(helloTimeoutMs, () => socket.destroy());
         socket.on("error", () => undefined);
         socket.on("close", () => {
             isOpen = false;
@@ -111,6 +123,8 @@
             for (const message of messages) {
                 if (message.kind === "hello") {
                     peerAddress = message.address;
+                    this.unnamed.remove(socket);
+                    socket.setTimeout(0);
                 }
                 this.dispatch(message, link, socket);
             }
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -41,7 +41,7 @@
 import { ClusterState } from "../membership/clusterState.js";
 import { InstanceSubsets } from "../membership/instanceSubset.js";
 import { LinkKeeper } from "../membership/linkKeeper.js";
-import { computeBodyBytes, hasReservedReturns } from "../settings/routedSettings.js";
+import { computeBodyBytes, computeConnectionLimits, hasReservedReturns } from "../settings/routedSettings.js";
 import type { RoutedSettings, SwitchableDecision } from "../settings/routedSettings.js";
 import type { Logger } from "../telemetry/logger.js";
 import { RoutedMetrics } from "../telemetry/routedMetrics.js";
@@ -528,7 +528,7 @@
             handleMessage: (message, link) =>
                 this.peerMessages.handleOnAcceptedLink(link.getPeerAddress(), message, link.post),
             reportFailure: (cause, peer) => this.logger.warn("linkRefused", { cause, peer }),
-        });
+        }, computeConnectionLimits(this.settings).unnamedLinks);
     }
 
     private createHello(): HelloMessage {
--- a/src/process/settings/routedSettings.ts
+++ b/src/process/settings/routedSettings.ts
@@ -39,6 +39,8 @@
 const minSocketShare = 0.25;
 /** Part of the sockets that callers may take. */
 const callerSocketShare = 0.5;
+/** Part of the sockets that links may take whose nodes have not said who they are. */
+const unnamedLinkSocketShare = 0.25;
 /** Part of the sockets that each other listener may take. */
 const listenerSocketShare = 1 / 64;
 /** Least number of connections of such a listener. */
@@ -135,6 +137,8 @@
 export interface ConnectionLimits {
     /** Connections of callers. */
     readonly callers: number;
+    /** Connections of other nodes that have not said who they are. */
+    readonly unnamedLinks: number;
     /** Connections of each other listener. */
     readonly others: number;
 }
@@ -148,6 +152,7 @@
     const sockets = Math.max(descriptors - fileDescriptors, descriptors * minSocketShare);
     return {
         callers: Math.floor(sockets * callerSocketShare),
+        unnamedLinks: Math.floor(sockets * unnamedLinkSocketShare),
         others: Math.max(minListenerConnections, Math.floor(sockets * listenerSocketShare)),
     };
 }
--- a/test/routed/unrulyClients.test.ts
+++ b/test/routed/unrulyClients.test.ts
@@ -129,6 +129,13 @@
         maxBodyBytes: 8 * mebibyte,
         crowd: { ...crowdOf60, path: `/loom/1?bytes=${8 * mebibyte}`, forms: [createForm("announced", 0, 65_536)] },
     },
+    {
+        name: "connections to the listener of links that say nothing, more than the process has descriptors",
+        maxBodyBytes: 8 * mebibyte,
+        descriptors: 300,
+        port: ports.peer,
+        crowd: { ...crowdOf60, connections: 600, forms: [createForm("silent", 0, 1000)] },
+    },
     {
         name: "more connections than the process has descriptors, with small bodies",
         maxBodyBytes: 8 * mebibyte,
