Take no answer of the own interface's endpoint whose status is none in the protocol

Cause: the HTTP library refuses 000 and 099 with an error, but takes any other number of three digits as a status; it was never checked. Nodes take each other's answers by the same client.

Change: a final answer has a status from 200 to 599; any other closes its connection, and the request's outcome isn't known.

Measured: the new test, 10 statuses, failed before (600 and 999 were taken) and passes.

--- a/src/connection/answerLines.ts
+++ b/src/connection/answerLines.ts
@@ -15,6 +15,11 @@
 /** Maximum length of a line with the size of a chunk, in characters. */
 const maxChunkLineLength = 256;
 
+/** Whether a number is the status of a final answer. */
+export function isFinalStatus(status: number): boolean {
+    return Number.isInteger(status) && status >= 200 && status <= 599;
+}
+
 /** Whether a line is a status line, and only one. */
 export function isStatusLine(line: string): boolean {
     return statusLinePattern.test(line) && !innerStatusLinePattern.test(line);
--- a/src/connection/httpPool.ts
+++ b/src/connection/httpPool.ts
@@ -4,6 +4,10 @@
 import { buildConnector, Pool } from "undici";
 import { joinChunks } from "../request/body.js";
 import type { HeaderList } from "../request/headers.js";
+import { isFinalStatus } from "./answerLines.js";
+
+/** Lowest status of a final answer; interim ones are lower. */
+const firstFinalStatus = 200;
 
 /** A request to send. */
 export interface HttpCall {
@@ -152,6 +156,11 @@
     onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
         this.status = status;
         this.headers = readRawHeaders(controller);
+        // Interim answers come before the final one; the library takes any number of three digits.
+        if (status >= firstFinalStatus && !isFinalStatus(status)) {
+            this.cancel("the status of the answer is none of the protocol");
+            return;
+        }
         if (!this.isOwnAnswer()) {
             this.cancel("the answer is that to another request");
             return;
--- a/test/httpPool.test.ts
+++ b/test/httpPool.test.ts
@@ -61,6 +61,16 @@
         expect(endings).deep.equals(["lost", "200 body", "lost", "200 body"]);
     });
 
+    // MIXED: an answer whose status is none in the protocol was passed on to the caller.
+    it("that have a status outside the protocol are none", async () => {
+        const statuses = ["000", "099", "600", "999", "1000", "2x0", "-20", "+20", "20", ""];
+        const endings = await runRequests(statuses.length, (socket, request) => {
+            const run = `${headerNames.run}: run${request}\r\n`;
+            socket.write(`HTTP/1.1 ${statuses[request - 1]} Odd\r\n${run}Content-Length: 3\r\n\r\nodd`);
+        });
+        expect(endings).deep.equals(statuses.map(() => "lost"));
+    });
+
     // MIXED: a late second answer to an earlier request stood for the answer to the next.
     it("that name the run of an earlier request are no answer to the next", async () => {
         const formatAnswer = (status: string, run: string, body: string): string =>
