Take no answer from another node whose status is none in the protocol

A node of another build, or one that errs, could hand a status of 000 on: the message was taken as it came.

Change: an answer on a link whose status isn't a whole number from 200 to 599 counts as garbled; the request may have run.

Measured: nine odd statuses on a link failed on and pass now. A table of 11 statuses in four forms from the endpoint, to requests and to health checks, shows that none is taken; no fault was found there.

--- a/src/connection/linkMessage.ts
+++ b/src/connection/linkMessage.ts
@@ -14,6 +14,7 @@
 import type { AnsweredRun, FailedRun, RefusedRun } from "../process/load/runOutcome.js";
 import type { Origin } from "../process/load/runsInProgress.js";
 import type { HeaderList } from "../request/headers.js";
+import { isFinalStatus } from "./answerLines.js";
 
 /** Load of a node's local endpoint, sent with the outcome of every request. */
 export interface LoadReport {
@@ -320,7 +321,16 @@
             message[field] = decodeField(field, items[index + 1] ?? undefined);
         }
     });
-    return message as unknown as LinkMessage;
+    return refuteOddAnswer(message as unknown as LinkMessage);
+}
+
+/** Turns an answer whose status is none of the protocol, as a node of another build may send it, into a failure. */
+function refuteOddAnswer(message: LinkMessage): LinkMessage {
+    if (message.kind !== "answer" || isFinalStatus(message.status)) {
+        return message;
+    }
+    const { id, runMs, load } = message;
+    return { kind: "failed", id, cause: "garbled", ranMs: runMs, load };
 }
 
 /** Encodes one field of a message; the pressure is sent in whole hundredths. */
--- a/test/routed/endpointConnection.test.ts
+++ b/test/routed/endpointConnection.test.ts
@@ -144,6 +144,41 @@
     });
 });
 
+// MIXED: an answer whose status is none in the protocol was passed on to the caller.
+describe("answers of the local endpoint with a status outside the protocol", () => {
+    const statuses = ["000", "099", "600", "999", "1000", "2x0", "-20", "+20", "20", "0", ""];
+    const forms: readonly { readonly name: string; readonly rest: string; }[] = [
+        { name: "a length", rest: "Content-Length: 3\r\n\r\nodd" },
+        { name: "an empty body", rest: "Content-Length: 0\r\n\r\n" },
+        { name: "chunks", rest: "Transfer-Encoding: chunked\r\n\r\n3\r\nodd\r\n0\r\n\r\n" },
+        { name: "the end of the connection", rest: "Connection: close\r\n\r\nodd" },
+    ];
+    for (const { name, rest } of forms) {
+        it(`are none, to requests and to health checks: with ${name}`, async () => {
+            const endings: string[] = [];
+            for (const status of statuses) {
+                const endpoint = new ScriptedEndpoint((socket, attempt) => {
+                    const own = attempt === "" ? "" : `Attempt-Id: ${attempt}\r\nUpstream-Signature: s\r\n`;
+                    socket.write(`HTTP/1.1 ${status} Odd\r\n${own}${rest}`);
+                    if (rest.startsWith("Connection")) {
+                        socket.end();
+                    }
+                });
+                const pool = createPool(await endpoint.start());
+                for (const attemptId of ["a", undefined]) {
+                    const headers = attemptId === undefined ? [] : ["Attempt-Id", attemptId];
+                    const request = { method: "GET", path: "/", headers, body: Buffer.alloc(0), attemptId };
+                    const result = await pool.send(request, true, cancelAfter(400));
+                    endings.push(`${result.kind} ${result.kind === "lost" ? result.cause : ""}`);
+                }
+                pool.destroy();
+                endpoint.stop();
+            }
+            expect([...new Set(endings)]).deep.equals(["lost garbled"]);
+        });
+    }
+});
+
 describe("answers of the local endpoint", () => {
     const cases: readonly {
         readonly name: string;
--- a/test/routed/linkMessage.test.ts
+++ b/test/routed/linkMessage.test.ts
@@ -205,6 +205,15 @@
         expect(new MessageReader().read(encodeMessage(sent))).deep.equals([sent]);
     });
 
+    // MIXED: an answer whose status is none in the protocol was passed on to the caller.
+    for (const status of [0, 99, 103, 600, 999, 200.5, -200, "200", undefined]) {
+        it(`with the answer to a request whose status is ${status} say that its outcome isn't known`, () => {
+            const odd = { ...samples[1], status } as unknown as LinkMessage;
+            const [received] = new MessageReader().read(encodeMessage(odd)) ?? expect.fail();
+            expect(received).deep.equals({ kind: "failed", id: 1, cause: "garbled", ranMs: 5, load });
+        });
+    }
+
     it("that are malformed never fail the reader", () => {
         fc.assert(
             fc.property(fc.uint8Array({ maxLength: 200 }), bytes => {
