Bound the memory of bodies at the own interface

What callers saw: the daemon of the own interface kept each incomplete body, up to 4 MiB on any number of connections: 120 callers that stop one byte short took it to 633 MB.

Cause: as on the routed path, nothing bounded the sum; its listeners took 10,000 connections each whatever the process may open.

Change: callers, calls of the endpoint and other nodes share a budget (limits.maxHeldBodyBytes, 128 MiB by default; the largest body that can be configured is 64 MiB). Where memory is short, an incomplete body is given up: "overloaded", not run where that is known. What isn't kept is discarded for a second before the answer, so that callers read it. A listener takes a fifth of the process's descriptors. On Node.js before 22, memory is given back by a transfer to a copy that nobody takes.

--- a/src/process/base/ownedMemory.ts
+++ b/src/process/base/ownedMemory.ts
@@ -25,20 +25,27 @@
 }
 
 /** Gives back memory that nobody uses any more; it is empty afterwards, and so are the buffers in it. */
-export function freeMemory(memory: ArrayBufferLike): void {
-    (memory as Partial<GrowingMemory>).transfer?.(0);
+export function freeMemory(memory: ArrayBuffer): void {
+    const { transfer } = memory as GrowingMemory;
+    if (transfer !== undefined) {
+        transfer.call(memory, 0);
+        return;
+    }
+    // Before Node.js 22, the memory goes with a copy that nobody takes.
+    structuredClone(memory, { transfer: [memory] });
 }
 
 /** Gives back the memory of a body that nobody uses any more, if it has memory of its own. */
 export function freeBody(body: Buffer): void {
-    if ((body.buffer as Partial<GrowingMemory>).resizable === true) {
-        freeMemory(body.buffer);
+    const memory = body.buffer as ArrayBuffer;
+    if ((memory as GrowingMemory).resizable) {
+        freeMemory(memory);
     }
 }
 
 /** Gives back the memory of a buffer that nobody uses any more, unless it shares it with others. */
 export function freeBuffer(buffer: Buffer): void {
     if (buffer.length >= minFreedBytes && buffer.buffer.byteLength === buffer.length) {
-        freeMemory(buffer.buffer);
+        freeMemory(buffer.buffer as ArrayBuffer);
     }
 }
--- a/src/process/node/node.ts
+++ b/src/process/node/node.ts
@@ -20,6 +20,7 @@
 import { formatSlot } from "../../version/member.js";
 import { isAnnounced } from "../../version/memberStream.js";
 import type { Clock } from "../base/clock.js";
+import { readDescriptorLimit } from "../base/descriptorLimit.js";
 import type { Keys } from "../base/keys.js";
 import { RetryLimiter } from "../base/rateLimit.js";
 import { CustomerRateLimiter } from "../customers/customerRateLimiter.js";
@@ -30,6 +31,7 @@
 import { RunTable } from "../endpoint/runTable.js";
 import { Admission } from "../load/admission.js";
 import { Balancer } from "../load/balancer.js";
+import { BodyBudget } from "../load/bodyBudget.js";
 import { LearnedThresholds } from "../load/learnedThresholds.js";
 import { announceMember, withdrawMember } from "../membership/announcer.js";
 import { Directory, unknownOffsets } from "../membership/directory.js";
@@ -49,6 +51,8 @@
 
 /** Longest resend window assumed while no contract is known, in milliseconds. */
 const defaultResendWindowMs = 600_000;
+/** Part of the process's descriptors that the connections of one listener may take. */
+const listenerDescriptorShare = 0.2;
 /** Most peers that a leaving node notifies directly; the others learn by gossip that it leaves. */
 const maxLeaveNotifications = 32;
 /** Shortest time for which a leaving node still answers peers that are not notified yet, in milliseconds. */
@@ -201,10 +205,12 @@
             listAnnounced: () => this.announcedMembers,
         });
         this.shareCoordinator = new ShareCoordinator(clock);
+        const bodies = new BodyBudget(clock, limits.maxHeldBodyBytes);
         const sharedDependencies = {
             clock,
             service,
             maxBodyBytes: limits.maxBodyBytes,
+            bodies,
             metrics: this.metrics,
             downstream: downstreamThresholds,
             dispatcher,
@@ -359,6 +365,7 @@
             isTracked ? this.inFlightRequests.track(handler) : handler,
             this.settings.limits.maxHeaderBytes,
             onError,
+            Math.floor(readDescriptorLimit() * listenerDescriptorShare),
         );
     }
 
--- a/src/process/settings/settings.ts
+++ b/src/process/settings/settings.ts
@@ -70,6 +70,8 @@
     limits: v.optional(
         v.strictObject({
             maxBodyBytes: v.optional(createIntegerSchema(1024, 67_108_864), 4_194_304),
+            /** Most bytes of memory for all bodies of requests; those of over 64 KiB take three quarters of it at most. */
+            maxHeldBodyBytes: v.optional(createIntegerSchema(1_048_576, 68_719_476_736), 134_217_728),
             maxHeaderBytes: v.optional(createIntegerSchema(1024, 65_536), 16_384),
             /**
              * Most claims. A claim is this node's record of an action whose key is in a partition that the node owns.
--- a/src/request/body.ts
+++ b/src/request/body.ts
@@ -1,5 +1,5 @@
 /** Reads complete message bodies up to a maximum size, and within a budget for all of them. */
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "../process/base/clock.js";
 import { freeBuffer } from "../process/base/ownedMemory.js";
 import type { BodyBudget, BodyShare } from "../process/load/bodyBudget.js";
@@ -20,6 +20,12 @@
 /** Small pieces of a body after which its connection reads in turns with others. */
 const maxSmallPieces = 256;
 
+/**
+ * Longest time for which what a caller still sends is discarded beside an answer that closes the connection, in milliseconds. A
+ * connection that is closed on unread bytes is reset, which could cost the caller the answer.
+ */
+export const maxDiscardMs = 1000;
+
 /** Turns of all connections whose bodies come in small pieces. */
 const readTurns = new ReadTurns();
 
@@ -29,6 +35,31 @@
     return coding !== undefined ? undefined : Number(length ?? 0);
 }
 
+/** Where and how a body is read that counts in a budget. */
+export interface CountedBodyOptions {
+    readonly clock: Pick<Clock, "startTimer">;
+    readonly maxBodyBytes: number;
+    readonly bodies: BodyBudget;
+}
+
+/**
+ * Reads the body of a request within a budget, where it counts until the answer has left. Never rejects. What isn't kept is
+ * discarded for a while first, so that the caller can read its answer.
+ */
+export async function readCountedBody(
+    message: IncomingMessage,
+    response: ServerResponse,
+    { clock, maxBodyBytes, bodies }: CountedBodyOptions,
+): Promise<Buffer | Exclude<BodyError, "late">> {
+    const reading = new BodyReading(message, maxBodyBytes, bodies);
+    response.once("close", () => reading.getShare()?.release());
+    const result = await reading.result as Buffer | Exclude<BodyError, "late">;
+    if (result === "tooLarge" || result === "noRoom") {
+        await discardBody(message, clock, maxDiscardMs);
+    }
+    return result;
+}
+
 /** Reads the body of a request, at most `maxBytes`. Never rejects; see {@link BodyError}. */
 export function readBody(message: IncomingMessage, maxBytes: number): Promise<Buffer | PlainBodyError> {
     return new BodyReading(message, maxBytes).result as Promise<Buffer | PlainBodyError>;
--- a/src/request/entry.ts
+++ b/src/request/entry.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "../process/base/clock.js";
 import type { CustomerRateLimiter } from "../process/customers/customerRateLimiter.js";
 import type { Quarantine } from "../process/endpoint/quarantine.js";
+import type { BodyBudget } from "../process/load/bodyBudget.js";
 import type { LearnedThresholds } from "../process/load/learnedThresholds.js";
 import { computeFirstSendBudget } from "../process/ownership/claim.js";
 import type { Metrics } from "../process/telemetry/metrics.js";
@@ -12,7 +13,7 @@
 import { computeFingerprint, parseAction } from "./action.js";
 import type { Answer, Reason } from "./answer.js";
 import { createNotRunAnswer, createUnknownAnswer, reasonStatus } from "./answer.js";
-import { readBody } from "./body.js";
+import { readCountedBody } from "./body.js";
 import type { Call } from "./call.js";
 import type { Dispatcher } from "./dispatcher.js";
 import { copyForwardedHeaders, headerNames } from "./headers.js";
@@ -26,6 +27,8 @@
     readonly clock: Clock;
     readonly service: string;
     readonly maxBodyBytes: number;
+    /** Memory for the bodies of requests. */
+    readonly bodies: BodyBudget;
     readonly metrics: Metrics;
     readonly quarantine: Quarantine;
     /** Request rates that the contracts allow the customers. */
@@ -47,10 +50,15 @@
 ): Promise<void> {
     const startedAt = dependencies.clock.readMonotonic();
     const arrivedAt = dependencies.clock.readDate();
-    const body = await readBody(request, dependencies.maxBodyBytes);
+    const body = await readCountedBody(request, response, dependencies);
     if (body === "cut") {
         return;
     }
+    if (body === "noRoom") {
+        response.setHeader("connection", "close");
+        sendAnswer(response, createRefusal(isFirstSend(request), "overloaded", retryAfterMs));
+        return;
+    }
     if (body === "tooLarge") {
         response.setHeader("connection", "close");
         sendFailureOutcome(
@@ -65,8 +73,7 @@
     }
     const contracts = await dependencies.getContracts();
     if (contracts === undefined) {
-        // Without contracts the action cannot be parsed, so only an explicit attempt number 1 marks a first send.
-        sendAnswer(response, createRefusal(request.headers[headerNames.attempt] === "1", "notReady", retryAfterMs));
+        sendAnswer(response, createRefusal(isFirstSend(request), "notReady", retryAfterMs));
         return;
     }
     const parsed = parseAction(request.headers, contracts, arrivedAt);
@@ -85,6 +92,11 @@
     sendAnswer(response, answer);
 }
 
+/** Whether a request whose action isn't parsed is a first send: only an explicit attempt number 1 marks one. */
+function isFirstSend(request: IncomingMessage): boolean {
+    return request.headers[headerNames.attempt] === "1";
+}
+
 /** Dispatches a call unless it is quarantined, and records the threshold that its answer reports. */
 async function dispatchRoot(dependencies: EntryDependencies, call: Call): Promise<Answer> {
     if (dependencies.quarantine.isRefused(call.fingerprint)) {
--- a/src/request/entryAnswer.ts
+++ b/src/request/entryAnswer.ts
@@ -8,15 +8,9 @@
 import type { ServerResponse } from "node:http";
 import type { PipelineTurn } from "../connection/requestPipeline.js";
 import type { Clock } from "../process/base/clock.js";
-import { discardBody } from "./body.js";
+import { discardBody, maxDiscardMs } from "./body.js";
 import type { EntryStop } from "./entryRequest.js";
 
-/**
- * Longest time for which what a caller still sends is discarded behind an answer that closes the connection, in milliseconds. A
- * connection that is closed on unread bytes is reset, which could cost the caller the answer.
- */
-const maxDiscardMs = 1000;
-
 /** Names and values of headers, alternately, or by name. */
 export type AnswerHeaders = readonly string[] | Readonly<Record<string, string>>;
 
--- a/src/request/outbound.ts
+++ b/src/request/outbound.ts
@@ -3,6 +3,7 @@
 import { createDisconnectSignal, sendAnswer, sendFailureOutcome } from "../connection/httpServer.js";
 import type { Clock } from "../process/base/clock.js";
 import type { Run, RunTable } from "../process/endpoint/runTable.js";
+import type { BodyBudget } from "../process/load/bodyBudget.js";
 import type { LearnedThresholds } from "../process/load/learnedThresholds.js";
 import type { Directory } from "../process/membership/directory.js";
 import type { Metrics } from "../process/telemetry/metrics.js";
@@ -10,16 +11,21 @@
 import { findContract } from "../version/contractStream.js";
 import { computeFingerprint, deriveCallKey, findSingleHeader } from "./action.js";
 import { reasonStatus } from "./answer.js";
-import { readBody } from "./body.js";
+import { readCountedBody } from "./body.js";
 import type { Call } from "./call.js";
 import type { Dispatcher } from "./dispatcher.js";
 import { copyForwardedHeaders, headerNames } from "./headers.js";
 import { RetryBudget } from "./retryBudget.js";
 
+/** Retry-after delay of a call whose body found no room, in milliseconds. */
+const noRoomRetryMs = 500;
+
 /** Dependencies of {@link serveOutboundCall}. */
 export interface OutboundDependencies {
     readonly clock: Clock;
     readonly maxBodyBytes: number;
+    /** Memory for the bodies of requests. */
+    readonly bodies: BodyBudget;
     readonly runs: RunTable;
     readonly directory: Directory;
     /** Priority thresholds of the called services, learned from their answers. */
@@ -36,7 +42,7 @@
     response: ServerResponse,
 ): Promise<void> {
     const disconnectSignal = createDisconnectSignal(response);
-    const body = await readBody(request, dependencies.maxBodyBytes);
+    const body = await readCountedBody(request, response, dependencies);
     if (body === "cut") {
         return;
     }
@@ -45,6 +51,11 @@
         sendFailureOutcome(response, reasonStatus.bodyTooLarge, "not-run", "bodyTooLarge", undefined);
         return;
     }
+    if (body === "noRoom") {
+        response.setHeader("connection", "close");
+        sendFailureOutcome(response, reasonStatus.overloaded, "not-run", "overloaded", noRoomRetryMs);
+        return;
+    }
     const run = dependencies.runs.find(findSingleHeader(request.headers, headerNames.run));
     if (run === undefined) {
         const message = `${headerNames.run} must name a run in progress`;
--- a/src/request/peerRequest.ts
+++ b/src/request/peerRequest.ts
@@ -4,11 +4,12 @@
 import type { Clock } from "../process/base/clock.js";
 import type { SecretKey } from "../process/base/keys.js";
 import type { LocalEndpoint } from "../process/endpoint/localEndpoint.js";
+import type { BodyBudget } from "../process/load/bodyBudget.js";
 import type { Claims } from "../process/ownership/claims.js";
 import { findSingleHeader } from "./action.js";
 import type { Answer } from "./answer.js";
-import { reasonStatus } from "./answer.js";
-import { readBody } from "./body.js";
+import { createNotRunAnswer, reasonStatus } from "./answer.js";
+import { readCountedBody } from "./body.js";
 import type { Call } from "./call.js";
 import { createCallFromMetadata } from "./call.js";
 import type { CallMetadata } from "./callMetadata.js";
@@ -18,11 +19,16 @@
 /** HTTP status between nodes when no endpoint answered. The reply header contains the outcome. */
 const noAnswerStatus = 503;
 
+/** Retry-after delay of a request whose body found no room, in milliseconds. */
+const noRoomRetryMs = 500;
+
 /** Dependencies of {@link servePeer}. */
 export interface PeerDependencies {
     readonly clock: Clock;
     readonly service: string;
     readonly maxBodyBytes: number;
+    /** Memory for the bodies of requests. */
+    readonly bodies: BodyBudget;
     /** Key that peers must send; `undefined` if none is required. */
     readonly key: SecretKey | undefined;
     readonly claims: Claims;
@@ -49,10 +55,15 @@
     }
     const arrivedAt = dependencies.clock.readMonotonic();
     const signal = createDisconnectSignal(response);
-    const body = await readBody(request, dependencies.maxBodyBytes);
+    const body = await readCountedBody(request, response, dependencies);
     if (body === "cut") {
         return;
     }
+    if (body === "noRoom") {
+        response.setHeader("connection", "close");
+        sendPeerAnswer(response, createNotRunAnswer("overloaded", noRoomRetryMs, 0));
+        return;
+    }
     const metadata = decodeCallMetadata(findSingleHeader(request.headers, headerNames.leg));
     if (body === "tooLarge" || metadata === undefined || metadata.service !== dependencies.service) {
         response.setHeader("connection", "close");
