Close the connection with most requests sent ahead when they take too much memory

What callers saw: clients that send many requests ahead on many connections (400 connections, 64 requests each with 8 KB of headers, for endpoints that take 3 s) ended a node, out of heap.

Cause: a connection is read until 64 of its requests have no answer, and nothing bounded their sum; a request that is worked on takes some 20 KB of heap.

Change: requests without an answer count by listener, 16 KiB and their heads each. Beyond 16% of the process's memory (40 MB of 250, some 2,400 requests), the connection with most of them is closed. New gauge: caller_head_bytes; caller_connections_closed counts these too.

"closes the connection with most requests sent ahead" passes.

--- a/src/connection/httpServer.ts
+++ b/src/connection/httpServer.ts
@@ -6,6 +6,7 @@
 import { reasonStatus, unknownStatus } from "../request/answer.js";
 import { headerNames } from "../request/headers.js";
 import { ConnectionRoom } from "./connectionRoom.js";
+import { HeadBudget } from "./headBudget.js";
 import { startListening } from "./listening.js";
 import type { PipelineTurn } from "./requestPipeline.js";
 import { RequestPipeline } from "./requestPipeline.js";
@@ -28,6 +29,13 @@
 /** Maximum number of connections of a listener for which none is given. */
 const defaultMaxConnections = 10_000;
 
+/** What a listener may take of its process. */
+export interface ListenerRoom {
+    readonly maxConnections?: number;
+    /** Memory for requests that are read and not answered, apart from their bodies, in bytes. */
+    readonly maxHeadBytes?: number;
+}
+
 /** What callers may send, and how long they may take. */
 export interface ListenerLimits {
     readonly maxHeaderBytes: number;
@@ -47,6 +55,8 @@
     turn: PipelineTurn,
 ) => Promise<void>;
 
+/** Memory for requests of a listener for which none is given, in bytes. */
+const defaultMaxHeadBytes = 40_000_000;
 /** Code of the error of a request that takes too long to be received. */
 const receiveTimeoutCode = "ERR_HTTP_REQUEST_TIMEOUT";
 
@@ -68,17 +78,27 @@
     /** Whether answers ask clients to close their connections. */
     private isClosingConnections = false;
 
+    /** Memory of the requests that are read and not answered, apart from their bodies. */
+    readonly heads: HeadBudget;
+
     constructor(
         handler: RequestHandler,
         maxHeaderBytes: number,
         onError: (error: unknown) => void,
-        maxConnections = defaultMaxConnections,
+        { maxConnections = defaultMaxConnections, maxHeadBytes = defaultMaxHeadBytes }: ListenerRoom = {},
     ) {
+        this.heads = new HeadBudget(maxHeadBytes);
         this.room = new ConnectionRoom(maxConnections, socket => this.pipelines.get(socket)?.hasWork() === true);
         this.server = createServer(
             { maxHeaderSize: maxHeaderBytes, noDelay: true, connectionsCheckingInterval: receiveCheckIntervalMs },
             (request, response) => {
                 const { socket } = request;
+                // Requests that were read together with the one that closed the connection still come.
+                const headBytes = socket.destroyed ? undefined : this.heads.add(request);
+                if (headBytes === undefined || socket.destroyed) {
+                    return;
+                }
+                response.once("close", () => this.heads.remove(socket, headBytes));
                 const turn = this.findPipeline(socket).accept(request, response);
                 if (turn === undefined) {
                     return;
--- a/src/process/node/node.ts
+++ b/src/process/node/node.ts
@@ -365,7 +365,7 @@
             isTracked ? this.inFlightRequests.track(handler) : handler,
             this.settings.limits.maxHeaderBytes,
             onError,
-            Math.floor(readDescriptorLimit() * listenerDescriptorShare),
+            { maxConnections: Math.floor(readDescriptorLimit() * listenerDescriptorShare) },
         );
     }
 
--- a/src/process/node/routedGauges.ts
+++ b/src/process/node/routedGauges.ts
@@ -1,5 +1,6 @@
 /** Gauges of a routed node. Their values are read when the metrics are. */
 import type { ConnectionRoom } from "../../connection/connectionRoom.js";
+import type { HeadBudget } from "../../connection/headBudget.js";
 import type { PeerLinks } from "../../connection/peerLinks.js";
 import type { StrayAnswers } from "../../connection/strayAnswers.js";
 import type { CustomerQuotas } from "../customers/customerQuotas.js";
@@ -13,7 +14,10 @@
 
 /** Components that the gauges read. */
 export interface RoutedGaugeSources {
-    readonly callerRoom: Pick<ConnectionRoom, "countOpen" | "countClosed">;
+    readonly callers: {
+        readonly room: Pick<ConnectionRoom, "countOpen" | "countClosed">;
+        readonly heads: Pick<HeadBudget, "getTotal" | "countClosed">;
+    };
     readonly bodies: Pick<BodyBudget, "getTotal" | "countGivenUp">;
     readonly clusterState: Pick<ClusterState, "configurationHolder" | "registry" | "getLogPosition">;
     readonly endpoint: Pick<EndpointState, "getNamedLimit">;
@@ -48,11 +52,16 @@
         "Bodies that were not read to their end, because bodies took too much memory together.",
         node => node.bodies.countGivenUp(),
     ],
-    ["caller_connections", "Open connections of callers.", node => node.callerRoom.countOpen()],
+    ["caller_connections", "Open connections of callers.", node => node.callers.room.countOpen()],
     [
         "caller_connections_closed",
         "Connections of callers that were closed to make room for others.",
-        node => node.callerRoom.countClosed(),
+        node => node.callers.room.countClosed() + node.callers.heads.countClosed(),
+    ],
+    [
+        "caller_head_bytes",
+        "Memory that callers' requests without an answer take apart from their bodies, in bytes.",
+        node => node.callers.heads.getTotal(),
     ],
     ["instances_known", "Known instances.", node => node.clusterState.registry.count()],
     ["links_open", "Open links to other nodes.", node => node.links.countOpenLinks()],
--- a/src/process/node/routedListeners.ts
+++ b/src/process/node/routedListeners.ts
@@ -1,13 +1,12 @@
 /** The HTTP listeners of a routed node. */
-import type { ConnectionRoom } from "../../connection/connectionRoom.js";
-import type { ListenerLimits, RequestHandler } from "../../connection/httpServer.js";
+import type { ListenerLimits, ListenerRoom, RequestHandler } from "../../connection/httpServer.js";
 import { HttpListener } from "../../connection/httpServer.js";
 import type { RoutedEntryDependencies } from "../../request/entryRequest.js";
 import { serveRoutedRequest } from "../../request/routedEntry.js";
 import type { ReportHandlers } from "../endpoint/endpointReports.js";
 import { serveEndpointReport } from "../endpoint/endpointReports.js";
 import type { ConnectionLimits, RoutedSettings } from "../settings/routedSettings.js";
-import { computeConnectionLimits } from "../settings/routedSettings.js";
+import { computeConnectionLimits, computeHeadBytes } from "../settings/routedSettings.js";
 import type { Logger } from "../telemetry/logger.js";
 import type { RoutedMetrics } from "../telemetry/routedMetrics.js";
 import type { InFlightRequests } from "./inFlightRequests.js";
@@ -38,13 +37,13 @@
         this.connectionLimits = computeConnectionLimits(settings);
         this.caller = this.createListener(
             inFlightRequests.track((request, response, turn) => serveRoutedRequest(entry, request, response, turn)),
-            this.connectionLimits.callers,
+            { maxConnections: this.connectionLimits.callers, maxHeadBytes: computeHeadBytes(settings) },
         );
     }
 
-    /** Connections of callers: those that are open, and those that were closed to make room. */
-    getCallerRoom(): Pick<ConnectionRoom, "countOpen" | "countClosed"> {
-        return this.caller.room;
+    /** Connections of callers, and the requests on them. */
+    getCallerRoom(): Pick<HttpListener, "room" | "heads"> {
+        return this.caller;
     }
 
     /** Binds all listeners. */
@@ -72,13 +71,13 @@
 
     private createListener(
         handler: RequestHandler,
-        maxConnections = this.connectionLimits.others,
+        room: ListenerRoom = { maxConnections: this.connectionLimits.others },
     ): HttpListener {
         const reportError = (error: unknown): void => {
             const cause = error instanceof Error ? error.stack : String(error);
             this.dependencies.logger.error("handlerFailed", { cause });
         };
-        return new HttpListener(handler, maxHeaderBytes, reportError, maxConnections);
+        return new HttpListener(handler, maxHeaderBytes, reportError, room);
     }
 
     private serveReadiness(response: Parameters<RequestHandler>[1]): Promise<void> {
--- a/src/process/node/routedNode.ts
+++ b/src/process/node/routedNode.ts
@@ -228,7 +228,7 @@
         configurationHolder.addListener(() => this.quotas.updateQuotas());
         addRoutedGauges(this.metrics, {
             bodies: this.bodies,
-            callerRoom: this.listeners.getCallerRoom(),
+            callers: this.listeners.getCallerRoom(),
             clusterState: this.clusterState,
             endpoint: this.endpoint,
             links: this.links,
--- a/src/process/settings/routedSettings.ts
+++ b/src/process/settings/routedSettings.ts
@@ -45,6 +45,8 @@
 const listenerSocketShare = 1 / 64;
 /** Least number of connections of such a listener. */
 const minListenerConnections = 8;
+/** Part of the memory that requests may take apart from their bodies. */
+const headShare = 0.16;
 /** Least part of the memory that is for bodies. */
 const minBodyShare = 0.2;
 /** Memory of a process besides bodies, in bytes: program, heap, connections, and what isn't collected yet. */
@@ -133,6 +135,11 @@
     return Math.max(bytes - processBytes, bytes * minBodyShare);
 }
 
+/** Memory for the requests of callers that are read and not answered, apart from their bodies, in bytes. */
+export function computeHeadBytes({ limits }: RoutedSettings): number {
+    return limits.memoryMegabytes * 1_000_000 * headShare;
+}
+
 /** Connections that the listeners of this process may have open. */
 export interface ConnectionLimits {
     /** Connections of callers. */
--- a/standin/callerCrowd.ts
+++ b/standin/callerCrowd.ts
@@ -9,7 +9,11 @@
 /** How a caller sends a body. */
 export interface BodyForm {
     /** `announced`: with a Content-Length; `chunked`: in chunks; `headOnly`: the head stops short of its end; `silent`: nothing is sent. */
-    readonly coding: "announced" | "chunked" | "headOnly" | "silent";
+    readonly coding: "announced" | "chunked" | "headOnly" | "silent" | "ahead";
+    /** Requests without a body that a caller of `ahead` sends one behind the other. */
+    readonly requests?: number;
+    /** Size of a header that such a request has, in bytes. */
+    readonly headerBytes?: number;
     /** Content of one write, or of one chunk, in bytes. */
     readonly pieceBytes: number;
     /** Length of the body, in bytes. */
@@ -108,6 +112,10 @@
             await once(socket, "connect").catch(() => undefined);
             return;
         }
+        if (form.coding === "ahead") {
+            await sendAhead(caller, form, this.plan, index);
+            return;
+        }
         const isSent = await write(caller, Buffer.from(`${head}\r\n`));
         if (form.coding === "headOnly" || !isSent || !await write(caller, Buffer.from("\r\n"))) {
             return;
@@ -116,6 +124,23 @@
     }
 }
 
+/** Sends requests one behind the other, without waiting for answers. */
+async function sendAhead(caller: CrowdCaller, form: BodyForm, plan: CrowdPlan, index: number): Promise<void> {
+    const { requests = 1, headerBytes = 0 } = form;
+    const note = "x".repeat(headerBytes);
+    const texts = Array.from({ length: requests }, (_none, place) =>
+        [
+            `GET ${plan.path} HTTP/1.1`,
+            `Host: ${plan.host}`,
+            `Attempt-Id: ${plan.name}${index}-${place}`,
+            `Deadline-Ms: ${plan.deadlineMs}`,
+            `Note: ${note}`,
+            "",
+            "",
+        ].join("\r\n"));
+    await write(caller, Buffer.from(texts.join("")));
+}
+
 /** Sends a body up to where its form, or its last byte or chunk, stops. */
 async function sendBody(caller: CrowdCaller, form: BodyForm, isWhole: boolean): Promise<void> {
     const { coding, pieceBytes, bodyBytes, sentBytes } = form;
--- a/test/routed/listenerLimits.test.ts
+++ b/test/routed/listenerLimits.test.ts
@@ -32,7 +32,7 @@
             },
             65_536,
             () => undefined,
-            3,
+            { maxConnections: 3, maxHeadBytes: 500_000 },
         );
         listener.setLimits(limits);
         await listener.start(address, port);
@@ -103,6 +103,18 @@
         expect(await readStatus(held)).equals(200);
     });
 
+    it("closes the connection with most requests sent ahead when they take too much memory", async () => {
+        const few = await open(formatGet("/held").repeat(3));
+        await sleep(50);
+        const many = await open(formatGet("/held", [`X: ${"x".repeat(1000)}`]).repeat(40));
+        await waitUntil(() => many.isClosed);
+        release();
+        await few.waitForAnswers(3);
+        expect(few.listAnswers().map(answer => answer.status)).deep.equals([200, 200, 200]);
+        await waitUntil(() => listener.heads.getTotal() === 0);
+        expect(listener.heads.countClosed()).equals(1);
+    });
+
     it("refuses a new connection only while all others are in work", async () => {
         const held = await Promise.all([1, 2, 3].map(() => open(formatGet("/held"))));
         await sleep(100);
--- a/test/routed/unrulyClients.test.ts
+++ b/test/routed/unrulyClients.test.ts
@@ -114,6 +114,26 @@
         maxBodyBytes: mebibyte,
         crowd: { ...crowdOf60, connections: 400, forms: [createForm("announced", mebibyte, 65_536)] },
     },
+    {
+        name: "requests with large headers, sent ahead on many connections",
+        maxBodyBytes: 8 * mebibyte,
+        crowd: {
+            ...crowdOf60,
+            connections: 400,
+            path: "/loom/1?run=3000",
+            forms: [{ ...createForm("ahead", 0, 1), requests: 64, headerBytes: 8000 }],
+        },
+    },
+    {
+        name: "small requests, sent ahead on many connections",
+        maxBodyBytes: 8 * mebibyte,
+        crowd: {
+            ...crowdOf60,
+            connections: 400,
+            path: "/loom/1?run=3000",
+            forms: [{ ...createForm("ahead", 0, 1), requests: 400, headerBytes: 1 }],
+        },
+    },
     {
         name: "callers that don't read their large answers",
         maxBodyBytes: 8 * mebibyte,
