Read no connection twice while requests sent ahead take too much memory

What callers saw: 400 small requests ahead on each of 400 connections ended a node, out of heap; with 64 requests of 8 KB it took 283 MB.

Cause: Node.js hands out all requests of a read, and in one round of the event loop many connections are read. What belongs to a connection that was closed is freed after the round only. And the heap was allowed 160 MB beside 90 MB of bodies, more than the smallest machine has together.

Change: when a connection is closed because of its requests, no other is read until the round is over. The tests read the flags from the deploy file.

Measured: both tests failed before (SIGABRT, 283 MB; bound 250) and pass: all 22 tests of "clients that don't behave" three times in a row on a free machine.

--- a/src/connection/connectionRoom.ts
+++ b/src/connection/connectionRoom.ts
@@ -12,6 +12,8 @@
     /** Open connections, the one whose last request or answer is longest ago first. */
     private readonly sockets = new Set<Socket>();
     private closed = 0;
+    /** Connections that are not read in this round of the event loop. */
+    private paused: readonly Socket[] = [];
 
     /** `isInWork` tells whether a connection has a whole request without a sent answer. */
     constructor(private readonly maxConnections: number, private readonly isInWork: (socket: Socket) => boolean) {}
@@ -39,6 +41,23 @@
         idle.destroy();
     }
 
+    /**
+     * Reads nothing more from any connection in this round of the event loop, in which many may be due: what was closed takes memory until
+     * the round is over.
+     */
+    skipRound(): void {
+        if (this.paused.length > 0) {
+            return;
+        }
+        this.paused = [...this.sockets].filter(socket => !socket.isPaused());
+        this.paused.forEach(socket => socket.pause());
+        setImmediate(() => {
+            const paused = this.paused;
+            this.paused = [];
+            paused.forEach(socket => socket.resume());
+        });
+    }
+
     /** Counts a connection no longer, since it has shown what it is for. */
     remove(socket: Socket): void {
         this.sockets.delete(socket);
--- a/src/connection/headBudget.ts
+++ b/src/connection/headBudget.ts
@@ -16,7 +16,8 @@
     private total = 0;
     private closed = 0;
 
-    constructor(private readonly maxBytes: number) {}
+    /** `handleExceeded` is called when a connection is closed. */
+    constructor(private readonly maxBytes: number, private readonly handleExceeded: () => void) {}
 
     /** Bytes that the requests take now. */
     getTotal(): number {
@@ -43,6 +44,7 @@
             this.forget(largest);
             this.closed += 1;
             largest.destroy();
+            this.handleExceeded();
         }
         return bytes;
     }
--- a/src/connection/httpServer.ts
+++ b/src/connection/httpServer.ts
@@ -87,7 +87,7 @@
         onError: (error: unknown) => void,
         { maxConnections = defaultMaxConnections, maxHeadBytes = defaultMaxHeadBytes }: ListenerRoom = {},
     ) {
-        this.heads = new HeadBudget(maxHeadBytes);
+        this.heads = new HeadBudget(maxHeadBytes, () => this.room.skipRound());
         this.room = new ConnectionRoom(maxConnections, socket => this.pipelines.get(socket)?.hasWork() === true);
         this.server = createServer(
             { maxHeaderSize: maxHeaderBytes, noDelay: true, connectionsCheckingInterval: receiveCheckIntervalMs },
--- a/test/routed/unrulyClients.test.ts
+++ b/test/routed/unrulyClients.test.ts
@@ -7,7 +7,9 @@
 import { expect } from "chai";
 import { spawnSync } from "node:child_process";
 import { createHash } from "node:crypto";
+import { readFileSync } from "node:fs";
 import process from "node:process";
+import { parse as parseToml } from "smol-toml";
 import type { BodyForm, CrowdPlan } from "../../standin/callerCrowd.js";
 import { CallerCrowd } from "../../standin/callerCrowd.js";
 import type { Machine } from "../../standin/platformCluster.js";
@@ -183,14 +185,19 @@
     return spawnSync(pinned, ["--version"]).status === 0 ? pinned : process.execPath;
 }
 
+/** Flags with which the deployment runs a node. */
+function readFlags(): readonly string[] {
+    const { roles } = parseToml(readFileSync("deploy/system.toml", "utf8")) as { roles: { node: { run: string; }; }; };
+    return roles.node.run.split(" ").filter(word => word.startsWith("--"));
+}
+
 /** Starts nodes as the deployment does: three beside endpoints of one service, and one of another. */
 async function startCluster(maxBodyBytes: number, descriptors: number | undefined): Promise<PlatformCluster> {
-    const flags = ["--max-old-space-size=160", "--single-threaded"];
     const runtime = chooseRuntime();
     const cluster = new PlatformCluster(
         [{ name: "katalog", instances: 3, slots: 50, runMs: 5 }, { name: "kas", instances: 1, slots: 50, runMs: 5 }],
         4,
-        flags,
+        readFlags(),
         "info",
         undefined,
         descriptors === undefined ? [runtime] : ["sh", "-c", `ulimit -n ${descriptors}; exec "$0" "$@"`, runtime],
