Close the connection, not only the answer, of a caller that leaves most unread

What callers saw: nothing measured; by reading. An answer behind others on its connection has no socket of its own until its turn, so that giving it up for want of memory closed nothing until then, and its bytes stayed. Now the connection is closed. The tests of callers that don't read their answers pass as before.

--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -378,7 +378,7 @@
     if (body.length === 0 || response.destroyed) {
         return true;
     }
-    const share = bodies.open(() => response.destroy());
+    const share = bodies.open(() => response.req.socket.destroy());
     response.once("close", () => {
         share.release();
         freeBody(body);
