--- a/src/connection/messageReader.ts
+++ b/src/connection/messageReader.ts
@@ -4,8 +4,8 @@
  */
 import { createGrowingMemory, freeBuffer, growMemory } from "../process/base/ownedMemory.js";
 import type { BodyShare } from "../process/load/bodyBudget.js";
+import { decodeMessage, findRunId, lengthBytes } from "./linkCodec.js";
 import type { LinkMessage } from "./linkMessage.js";
-import { decodeMessage, findRunId, lengthBytes } from "./linkMessage.js";
 
 /** Maximum size of a message, in bytes. */
 const maxMessageBytes = 80_000_000;
--- a/src/request/routedEntry.ts
+++ b/src/request/routedEntry.ts
@@ -2,16 +2,14 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { PipelineTurn } from "../connection/requestPipeline.js";
 import { Cancellation } from "../process/base/cancellation.js";
-import { freeBody } from "../process/base/ownedMemory.js";
 import type { SpentUnit } from "../process/customers/unitHolder.js";
-import { smallBodyBytes } from "../process/load/bodyBudget.js";
 import type { Origin } from "../process/load/runsInProgress.js";
-import type { BodyError } from "./body.js";
-import { BodyReading, findBodyLength } from "./body.js";
+import { findBodyLength } from "./body.js";
 import { EntryAnswer } from "./entryAnswer.js";
-import type { EntryRefusal, TakenRequest } from "./entryChecks.js";
+import { keepAnswer, readEntryBody } from "./entryBodies.js";
 import { checkRequest } from "./entryChecks.js";
 import { logRequest, recordDownstreamOutcome, recordRequestEnd } from "./entryRecords.js";
+import { overloadedRetryMs, sendEmptyAnswer, sendRefusal } from "./entryRefusals.js";
 import type { RoutedEntryDependencies, RoutedRequest } from "./entryRequest.js";
 import { computeRetryAfterMs, hasNoRoom, recordRoom, takeReturn } from "./entryReturns.js";
 import type { ForwardOutcome, ForwardResult } from "./forwarder.js";
@@ -25,19 +23,6 @@
 const lateResultWaitMs = 40;
 /** Status that is logged when the caller disconnects; no answer is sent. */
 const callerGoneStatus = 499;
-/** Retry-after delay for requests that are refused because a downstream service is overloaded, in milliseconds. */
-const overloadedRetryMs = 900;
-
-/** Longest time for which the body of a request that is refused by its head is read, in milliseconds. */
-const maxRefusedBodyMs = 2000;
-
-/** Answers to requests whose bodies were not read to their end, by what ended the reading. */
-const unreadBodyAnswers = {
-    tooLarge: { status: 413, cause: "bodyTooLarge" },
-    noRoom: { status: 503, cause: "noMemory" },
-    late: { status: 408, cause: "bodyLate" },
-} as const satisfies Partial<Record<BodyError, unknown>>;
-
 /** Longest time for which a request waits for a unit of its customer's quota, in milliseconds. */
 const maxUnitWaitMs = 800;
 /** The same as a part of the time to the route's latency target. */
@@ -76,23 +61,15 @@
         return;
     }
     const checked = checkRequest(dependencies, request, metadata, startedAt);
-    const reading = new BodyReading(request, findMaxBodyBytes(dependencies, checked), dependencies.bodies);
-    const leftMs = checked.kind === "refused"
-        ? maxRefusedBodyMs
-        : checked.deadline - dependencies.clock.readMonotonic();
-    const timer = dependencies.clock.startTimer(Math.max(0, leftMs), () => reading.fail("late"));
-    const body = await reading.result;
-    timer.stop();
-    if (typeof body === "string") {
-        await refuseUnreadBody(dependencies, answer, checked, body);
+    const read = await readEntryBody(dependencies, request, answer, checked);
+    if (read === undefined) {
         return;
     }
-    const bodyShare = reading.getShare();
     try {
-        await serveRead(dependencies, { request, response, turn, answer, metadata, startedAt, body, bodyShare });
+        await serveRead(dependencies, { request, response, turn, answer, metadata, startedAt, ...read });
     }
     finally {
-        bodyShare?.release();
+        read.bodyShare?.release();
     }
 }
 
@@ -136,61 +113,6 @@
     await forwardWithinQuota(dependencies, routedRequest, attemptId);
 }
 
-/**
- * Largest body that is kept, in bytes: by the configuration in force, and by the memory of this process. Of a request that is refused
- * by its head, a small body is kept all the same, since a version that takes the request may come into force meanwhile.
- */
-function findMaxBodyBytes(
-    { configurationHolder, bodies }: RoutedEntryDependencies,
-    checked: TakenRequest | EntryRefusal,
-): number {
-    const limit = configurationHolder.getTable()?.configuration.limits.maxBodyBytes ?? Infinity;
-    return Math.min(limit, checked.kind === "refused" ? smallBodyBytes : bodies.getMaxBodyBytes());
-}
-
-/** Refuses a request whose body was not read to its end, and which has not run therefore. */
-async function refuseUnreadBody(
-    dependencies: RoutedEntryDependencies,
-    answer: EntryAnswer,
-    checked: TakenRequest | EntryRefusal,
-    error: BodyError,
-): Promise<void> {
-    if (error === "cut") {
-        return;
-    }
-    const refusal = checked.kind === "refused" ? checked : createBodyRefusal(dependencies, checked, error);
-    recordRefusal(dependencies, refusal);
-    await answer.sendUnread(refusal.status, createEmptyHeaders(refusal.retryAfterMs), dependencies.clock);
-}
-
-function createBodyRefusal(
-    { random }: RoutedEntryDependencies,
-    { attemptId, route, version, customer }: TakenRequest,
-    error: keyof typeof unreadBodyAnswers,
-): EntryRefusal {
-    return {
-        kind: "refused",
-        ...unreadBodyAnswers[error],
-        retryAfterMs: error === "noRoom" ? overloadedRetryMs * (0.75 + random() * 0.5) : undefined,
-        route: route.name,
-        fields: { request: attemptId, customer: customer?.name, version },
-    };
-}
-
-/** Sends a refusal and records it. */
-function sendRefusal(dependencies: RoutedEntryDependencies, answer: EntryAnswer, refusal: EntryRefusal): void {
-    sendEmptyAnswer(answer, refusal.status, refusal.retryAfterMs);
-    recordRefusal(dependencies, refusal);
-}
-
-/** Counts and logs a refusal. */
-function recordRefusal(dependencies: RoutedEntryDependencies, { route, cause, status, fields }: EntryRefusal): void {
-    if (route !== undefined) {
-        dependencies.metrics.recordRequestOutcome(route, "refused", cause, 0);
-    }
-    logRequest(dependencies, "refused", { ...fields, route, cause, status });
-}
-
 /** Refuses a caller's request, before any work was spent on it, because a service behind its route is overloaded. */
 function refuseAtEntry(dependencies: RoutedEntryDependencies, routedRequest: RoutedRequest): void {
     const { metadata, route, version, customer } = routedRequest;
@@ -370,35 +292,6 @@
     return status;
 }
 
-/**
- * Counts an answer until it has left, or its caller has; then its memory is given back. Where memory is short, the connection of the caller that has left most unread for
- * longest is closed; `false` if there is no room even so.
- */
-function keepAnswer({ bodies }: RoutedEntryDependencies, response: ServerResponse, body: Buffer): boolean {
-    if (body.length === 0 || response.destroyed) {
-        return true;
-    }
-    const share = bodies.open(() => response.req.socket.destroy());
-    response.once("close", () => {
-        share.release();
-        freeBody(body);
-    });
-    return share.add(body.length);
-}
-
-/** Sends an answer of the node itself, with an empty body. */
-function sendEmptyAnswer(answer: EntryAnswer, status: number, retryAfterMs: number | undefined): void {
-    answer.send(status, createEmptyHeaders(retryAfterMs));
-}
-
-/** Headers of an answer of the node itself, with an empty body. */
-function createEmptyHeaders(retryAfterMs: number | undefined): Readonly<Record<string, string>> {
-    return {
-        "Content-Length": "0",
-        ...(retryAfterMs === undefined ? {} : { "Retry-After": (retryAfterMs / 1000).toFixed(3) }),
-    };
-}
-
 /** Creates the origin of a request. A call of a run inherits the route and priority of the outside request. */
 function createOrigin(routedRequest: RoutedRequest): Origin {
     const { route, parent, customer } = routedRequest;
--- a/test/routed/deploy.test.ts
+++ b/test/routed/deploy.test.ts
@@ -17,12 +17,8 @@
 import process from "node:process";
 import { parse as parseToml } from "smol-toml";
 import { BodyBudget } from "../../src/process/load/bodyBudget.js";
-import {
-    computeBodyBytes,
-    computeConnectionLimits,
-    hasReservedReturns,
-    parseRoutedSettings,
-} from "../../src/process/settings/routedSettings.js";
+import { computeBodyBytes, computeConnectionLimits } from "../../src/process/settings/processLimits.js";
+import { hasReservedReturns, parseRoutedSettings } from "../../src/process/settings/routedSettings.js";
 import { formatSettingsError } from "../../src/process/settings/settingsFile.js";
 import { formatConfigurationError, parseConfiguration } from "../../src/version/configuration.js";
 import { FakeClock } from "../fakes.js";
--- a/test/routed/messageReader.test.ts
+++ b/test/routed/messageReader.test.ts
@@ -2,8 +2,8 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { Packr } from "msgpackr";
+import { encodeMessage } from "../../src/connection/linkCodec.js";
 import type { LinkMessage, RunMessage } from "../../src/connection/linkMessage.js";
-import { encodeMessage } from "../../src/connection/linkMessage.js";
 import { MessageReader } from "../../src/connection/messageReader.js";
 import { BodyBudget } from "../../src/process/load/bodyBudget.js";
 import { FakeClock, readPropertyOptions } from "../fakes.js";
--- a/test/routed/revocation.test.ts
+++ b/test/routed/revocation.test.ts
@@ -4,8 +4,8 @@
  */
 import { expect } from "chai";
 import fc from "fast-check";
+import { encodeMessage } from "../../src/connection/linkCodec.js";
 import type { LinkMessage } from "../../src/connection/linkMessage.js";
-import { encodeMessage } from "../../src/connection/linkMessage.js";
 import { MessageReader } from "../../src/connection/messageReader.js";
 import { InstanceRegistry } from "../../src/process/membership/instanceRegistry.js";
 import { PeerGossip } from "../../src/process/membership/peerGossip.js";
