Grow the memory of a body by what it needs, not fourfold

Cause, since: memory of a body's own grew fourfold, so that four answers of 17 MB counted 64 MiB each. It wasn't taken from the machine, but the engine counts it, and it says when to collect. Growing in place copies nothing, so there is no reason for large steps: it grows by 256 KiB.

--- a/src/request/bodyBuffer.ts
+++ b/src/request/bodyBuffer.ts
@@ -6,8 +6,10 @@
 
 /** Size of the first buffer of a body that comes in several pieces, in bytes. */
 const firstBufferBytes = 16_384;
-/** Factor by which the buffer grows. */
+/** Factor by which a buffer grows that has to be moved for it. */
 const growthFactor = 4;
+/** Length by which memory grows in place, in bytes. */
+const growthStepBytes = 262_144;
 /** Size from which a body has memory of its own, that grows in place; in bytes. */
 const ownMemoryBytes = 65_536;
 
@@ -64,12 +66,12 @@
 
     /** Makes room for a length in bytes. */
     private extend(bytes: number): void {
-        const wanted = Math.max(firstBufferBytes, this.buffer.length * growthFactor, bytes);
-        const size = Math.max(bytes, Math.min(wanted, this.maxBytes));
-        if (size <= ownMemoryBytes && !(this.isLengthKnown && this.maxBytes > ownMemoryBytes)) {
-            this.move(Buffer.allocUnsafeSlow(size));
+        if (bytes <= ownMemoryBytes && !(this.isLengthKnown && this.maxBytes > ownMemoryBytes)) {
+            const wanted = Math.min(Math.max(firstBufferBytes, this.buffer.length * growthFactor), ownMemoryBytes);
+            this.move(Buffer.allocUnsafeSlow(Math.max(bytes, Math.min(wanted, this.maxBytes))));
             return;
         }
+        const size = Math.max(bytes, Math.min(bytes + growthStepBytes, this.maxBytes));
         if (this.memory !== undefined) {
             growMemory(this.memory, size);
             this.buffer = Buffer.from(this.memory, 0, size);
