State once how much of a message tells its kind and id

The reader of messages had the number of first bytes that the codec reads in a constant of its own; both now use the codec's. No change of behaviour: types, lint and format pass, and 27 tests of messages pass.

--- a/src/connection/linkCodec.ts
+++ b/src/connection/linkCodec.ts
@@ -155,7 +155,7 @@
 }
 
 /** Length of the first bytes of a packed message that tell its kind and its id. */
-const maxMessageHeadBytes = 16;
+export const maxMessageHeadBytes = 16;
 
 /** Reads the id of a packed message that asks for a run from its first bytes; `undefined` if it is of another kind. */
 export function findRunId(bytes: Buffer): number | undefined {
--- a/src/connection/messageReader.ts
+++ b/src/connection/messageReader.ts
@@ -4,15 +4,13 @@
  */
 import { createGrowingMemory, freeBuffer, growMemory } from "../process/base/ownedMemory.js";
 import type { BodyShare } from "../process/load/bodyBudget.js";
-import { decodeMessage, findRunId, lengthBytes } from "./linkCodec.js";
+import { decodeMessage, findRunId, lengthBytes, maxMessageHeadBytes } from "./linkCodec.js";
 import type { LinkMessage } from "./linkMessage.js";
 
 /** Maximum size of a message, in bytes. */
 const maxMessageBytes = 80_000_000;
 /** Size from which a message is large, in bytes. */
 const largeMessageBytes = 65_536;
-/** Bytes of a large message from which its kind and id are read. */
-const headBytes = 16;
 
 /** Makes room for a run's message of that many bytes; `undefined` if there is none. */
 export type AdmitRun = (bytes: number) => BodyShare | undefined;
@@ -88,7 +86,7 @@
                 return "malformed";
             }
             if (length >= largeMessageBytes) {
-                return this.bufferedBytes < lengthBytes + headBytes ? undefined : this.startLarge(length);
+                return this.bufferedBytes < lengthBytes + maxMessageHeadBytes ? undefined : this.startLarge(length);
             }
             if (this.bufferedBytes < lengthBytes + length) {
                 return undefined;
