--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -7,7 +7,7 @@
 import { spawn } from "node:child_process";
 import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer, request as sendRequest } from "node:http";
-import { createServer as createTcpServer } from "node:net";
+import { connect, createServer as createTcpServer } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join, resolve } from "node:path";
 import { performance } from "node:perf_hooks";
@@ -525,3 +525,83 @@
             return json === undefined ? String(value ?? "") : JSON.stringify(value ?? null);
         });
 }
+
+/** A client's connection that is kept for several requests, and that reads answers at `bytesPerSecond` at most. */
+export class KeptConnection {
+    chunks = [];
+    bytes = 0;
+    waiting;
+    isClosed = false;
+
+    constructor(address, bytesPerSecond = Infinity) {
+        this.socket = connect({ host: address, port: ports.outbound });
+        this.socket.on("error", () => undefined);
+        this.socket.on("close", () => {
+            this.isClosed = true;
+            this.waiting?.();
+        });
+        this.socket.on("data", chunk => {
+            this.chunks.push(chunk);
+            this.bytes += chunk.length;
+            if (bytesPerSecond < Infinity) {
+                this.socket.pause();
+                setTimeout(() => this.socket.resume(), chunk.length * 1000 / bytesPerSecond);
+            }
+            this.waiting?.();
+        });
+    }
+
+    /**
+     * Sends requests one behind the other, without waiting, and reads their answers: `{ status, body, expected, isWhole }` of each, with
+     * status 0 if no head of its answer came.
+     */
+    async exchange(requests) {
+        for (const { method, host, path, headers = {}, body = Buffer.alloc(0) } of requests) {
+            const fields = Object.entries({ Host: host, ...headers, "Content-Length": body.length });
+            this.socket.write(`${method} ${path} HTTP/1.1\r\n${fields.map(([name, value]) => `${name}: ${value}\r\n`).join("")}\r\n`);
+            this.socket.write(body);
+        }
+        const answers = [];
+        while (answers.length < requests.length) {
+            answers.push(await this.readAnswer());
+        }
+        return answers;
+    }
+
+    async readAnswer() {
+        const isHeadRead = await this.fill(bytes => bytes.indexOf("\r\n\r\n") !== -1);
+        if (!isHeadRead) {
+            return { status: 0, body: this.take(this.bytes), expected: undefined, isWhole: false };
+        }
+        const head = this.take(this.join().indexOf("\r\n\r\n") + 4).toString("latin1");
+        const expected = Number(/\r\ncontent-length: *(\d+)/i.exec(head)?.[1] ?? 0);
+        while (this.bytes < expected && !this.isClosed) {
+            await new Promise(settle => this.waiting = settle);
+        }
+        const isWhole = this.bytes >= expected;
+        return { status: Number(head.slice(9, 12)), head, body: this.take(Math.min(expected, this.bytes)), expected, isWhole };
+    }
+
+    /** Waits until what was received passes a check; false if the connection ends before. */
+    async fill(check) {
+        while (!check(this.join())) {
+            if (this.isClosed) {
+                return false;
+            }
+            await new Promise(settle => this.waiting = settle);
+        }
+        return true;
+    }
+
+    join() {
+        this.chunks = [Buffer.concat(this.chunks)];
+        return this.chunks[0];
+    }
+
+    take(count) {
+        const all = this.join();
+        this.chunks = [all.subarray(count)];
+        this.bytes = all.length - count;
+        return all.subarray(0, count);
+    }
+}
