--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -44,6 +44,8 @@
     topics = new Map();
     /** Whether calls are accepted and never answered. */
     isSilent = false;
+    /** Topics whose partition is down: each call on them is answered with 503, and nothing is done. */
+    down = new Set();
 
     constructor(address) {
         this.address = address;
@@ -88,6 +90,10 @@
         await sleep(4);
         const url = new URL(request.url, "http://store");
         const name = url.searchParams.get("topic") ?? "";
+        if (this.down.has(name)) {
+            response.writeHead(503).end();
+            return;
+        }
         const topic = this.getTopic(name);
         if (url.pathname === "/log-append") {
             const bytes = Buffer.concat(chunks);
@@ -104,7 +110,8 @@
                     setTimeout(settle, Number(url.searchParams.get("wait_ms") ?? 0)).unref();
                 });
             }
-            if (this.isSilent) {
+            if (this.isSilent || this.down.has(name)) {
+                response.writeHead(503).end();
                 return;
             }
             const head = Buffer.alloc(16);
