--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -288,6 +288,7 @@
         });
         node.stdout.on("data", chunk => appendFileSync(this.log, chunk));
         node.stderr.on("data", chunk => appendFileSync(this.log, chunk));
+        node.once("error", error => this.cluster.giveUp(error));
         node.once("exit", (code, signal) => {
             if (!node.isEnded && !this.cluster.isOver) {
                 this.ownEnds += 1;
@@ -476,8 +477,11 @@
     async end() {
         this.isOver = true;
         for (const { node } of this.machines) {
-            node?.kill("SIGCONT");
-            node?.kill("SIGKILL");
+            // A process that couldn't be started has no id.
+            if (node?.pid !== undefined) {
+                node.kill("SIGCONT");
+                node.kill("SIGKILL");
+            }
         }
         await sleep(200);
         writeFileSync(this.record, this.lines.join("\n") + "\n");
@@ -494,11 +498,17 @@
 export async function runCase(caseFolder, options, play) {
     const cluster = new Cluster(caseFolder, options);
     const giveUp = async error => {
+        if (cluster.isOver) {
+            return;
+        }
+        cluster.isOver = true;
         cluster.note("could not run", { error: error.message });
         await cluster.end();
         process.stderr.write(`could not run: ${error.stack}\n`);
         process.exit(2);
     };
+    cluster.giveUp = error => void giveUp(error);
+    process.on("uncaughtException", cluster.giveUp);
     setTimeout(() => void giveUp(new Error("the case took too long")), 115_000).unref();
     for (const signal of ["SIGINT", "SIGTERM"]) {
         process.on(signal, () => void giveUp(new Error(`ended by ${signal}`)));
